cell: the decider of one owned cell, a stage a file

Cause: nothing decided what runs. What was weighed: one class with all of it (rejected: no stage could be read by itself); stages with I/O of their own (rejected: random interleavings could not drive them).

Before: no decider. After: compiles; proofs follow with the first daemon. Conclusion: to be driven by property tests next.

--- /dev/null
+++ b/packages/cell/src/job_views.hpp
@@ -0,0 +1,13 @@
+// What is told of a work when somebody asks.
+#pragma once
+
+#include <cranberrydock/base/work.hpp>
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include "work_book.hpp"
+
+namespace cranberrydock::cell {
+
+base::job_view view_of(const work_state& work, const policy::scheduler& scheduler);
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/stage_recover.hpp
@@ -0,0 +1,28 @@
+// The stage that rebuilds, from what earlier owners wrote down, the work that this owner must
+// answer for. What runs right now is learnt from the VMs.
+#pragma once
+
+#include "cell_context.hpp"
+#include "stage_expire.hpp"
+
+namespace cranberrydock::cell {
+
+class recover_stage {
+public:
+    recover_stage(cell_context& context, expire_stage& expire)
+        : context_(context), expire_(expire) {}
+
+    void recover(const std::vector<work_record>& records);
+
+private:
+    void replay(const accepted_record& record);
+    void replay(const intent_record& record);
+    void replay(const not_run_record& record);
+    void replay(const outcome_record& record);
+    void settle(work_state& work);
+
+    cell_context& context_;
+    expire_stage& expire_;
+};
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/stage_retry.cpp
@@ -0,0 +1,106 @@
+// The stage that decides about further attempts.
+#include "stage_retry.hpp"
+
+#include <cranberrydock/base/rendezvous.hpp>
+
+#include "stage_finish.hpp"
+
+#include <algorithm>
+
+namespace cranberrydock::cell {
+namespace {
+
+constexpr int most_doublings = 10;
+
+std::string reasons_of(const task_state& task) {
+    std::string out;
+    for (const auto& it : task.attempt_reasons) {
+        out += (out.empty() ? "" : "; ") + it;
+    }
+    return out;
+}
+
+// A pause between half and the whole of `full`, the same for the same task and attempt.
+base::duration jittered(base::duration full, const task_state& task) {
+    const auto spread = static_cast<std::uint64_t>(full.count() / 2 + 1);
+    const std::uint64_t draw =
+        base::rendezvous_weight(task.id.str(), std::to_string(task.attempts)) % spread;
+    return full / 2 + base::duration(static_cast<std::int64_t>(draw));
+}
+
+}  // namespace
+
+void retry_stage::not_run(work_state& work, task_state& task, const std::string& reason) {
+    context_.metrics.count("cranberrydock_retries_total", "reason=\"" + reason + "\"");
+    context_.trace(work, "retry", task.current ? task.current->vm.str() : "", "not run: " + reason);
+    if (needs_record(work.what) && !work.what.repeatable && task.current) {
+        context_.record(not_run_record{work.what.job, task.id, task.current->id},
+                        {pending_record::kind::not_run, work.what.job, task.id, task.current->id});
+    }
+    finish_.release(task, {task.id, policy::end_kind::stopped, {}, {}});
+    // A start that was refused is no attempt: it must not use up the limit.
+    task.attempts = std::max(0, task.attempts - 1);
+    back_off(work, task);
+}
+
+void retry_stage::failed(work_state& work, task_state& task, const policy::task_ended& how,
+                         const std::string& reason) {
+    const std::string where = task.current ? task.current->vm.str() : "";
+    task.attempt_reasons.push_back(where + ": " + reason);
+    context_.trace(work, "attempt", where, reason, how.ran_for);
+    finish_.release(task, how);
+    if (work.outcome || work.cancelled) {
+        task.phase = task_phase::ended;
+        return;
+    }
+    if (!work.known) {
+        // Nobody waits for it here; its caller's retry starts it anew.
+        task.phase = task_phase::held;
+        return;
+    }
+    if (task.attempts >= context_.max_attempts(work.what.queue)) {
+        task.phase = task_phase::ended;
+        finish_.refuse(work, {base::refusal_reason::attempts_exhausted, false,
+                              base::milliseconds{0}, "every attempt failed: " + reasons_of(task)});
+        return;
+    }
+    context_.metrics.count("cranberrydock_retries_total", "reason=\"attempt_failed\"");
+    back_off(work, task);
+    if (work.what.gang) {
+        restart_gang(work);
+    }
+}
+
+void retry_stage::back_off(work_state& work, task_state& task) {
+    if (!work.known) {
+        task.phase = task_phase::held;
+        return;
+    }
+    const int doublings = std::min(std::max(task.attempts - 1, 0), most_doublings);
+    const base::duration full =
+        std::min<base::duration>(base::duration(context_.settings.retry_backoff) * (1 << doublings),
+                                 context_.settings.longest_backoff);
+    task.phase = task_phase::backing_off;
+    task.retry_at = context_.now + jittered(full, task);
+    context_.due.add(task.retry_at, retry_due{task.id});
+}
+
+// The tasks of a gang run together or not at all: when one has to start again, the others do too.
+void retry_stage::restart_gang(work_state& work) {
+    for (auto& it : work.tasks) {
+        const bool runs = it.phase == task_phase::starting || it.phase == task_phase::running;
+        if (runs && !it.current->restart_when_stopped) {
+            it.current->restart_when_stopped = true;
+            finish_.send_stop(it);
+        }
+    }
+}
+
+void retry_stage::due(work_state& work, task_state& task) {
+    if (task.phase != task_phase::backing_off || context_.now < task.retry_at) {
+        return;
+    }
+    queue_.enqueue_again(work, task);
+}
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/stage_retry.hpp
@@ -0,0 +1,37 @@
+// The stage that decides what follows an attempt that brought no answer: another attempt after a
+// pause, or the end with the reasons of all attempts.
+#pragma once
+
+#include "cell_context.hpp"
+#include "stage_finish.hpp"
+#include "stage_queue.hpp"
+
+#include <string>
+
+namespace cranberrydock::cell {
+
+class retry_stage {
+public:
+    retry_stage(cell_context& context, queue_stage& queue, finish_stage& finish)
+        : context_(context), queue_(queue), finish_(finish) {}
+
+    // The attempt is proven not to have run: it may always be tried again.
+    void not_run(work_state& work, task_state& task, const std::string& reason);
+
+    // The attempt ended without an answer, or its lease lapsed. Only for work that may be repeated.
+    void failed(work_state& work, task_state& task, const policy::task_ended& how,
+                const std::string& reason);
+
+    // Its pause is over.
+    void due(work_state& work, task_state& task);
+
+private:
+    void back_off(work_state& work, task_state& task);
+    void restart_gang(work_state& work);
+
+    cell_context& context_;
+    queue_stage& queue_;
+    finish_stage& finish_;
+};
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/stage_watch.hpp
@@ -0,0 +1,23 @@
+// The stage that stays in touch with VMs: a hello until a VM has taken this owner's epoch, then one
+// watch after the other, which renews leases and brings reports.
+#pragma once
+
+#include "cell_context.hpp"
+
+namespace cranberrydock::cell {
+
+class watch_stage {
+public:
+    explicit watch_stage(cell_context& context) : context_(context) {}
+
+    void contact_all();
+    void contact(vm_state& vm);
+
+private:
+    void hello(vm_state& vm);
+    void watch(vm_state& vm);
+
+    cell_context& context_;
+};
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/work_book.cpp
@@ -0,0 +1,104 @@
+// The works of one cell and their tasks.
+#include "work_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberrydock::cell {
+namespace {
+
+constexpr char index_mark = '/';
+constexpr char epoch_mark = '@';
+
+}  // namespace
+
+work_state* work_book::find(const base::job_id& job) {
+    const auto it = works_.find(job);
+    return it == works_.end() ? nullptr : &it->second;
+}
+
+const work_state* work_book::find(const base::job_id& job) const {
+    const auto it = works_.find(job);
+    return it == works_.end() ? nullptr : &it->second;
+}
+
+work_state& work_book::add(work_state work) {
+    const base::job_id job = work.what.job;
+    auto& kept = works_[job] = std::move(work);
+    for (std::size_t i = 0; i < kept.tasks.size(); ++i) {
+        tasks_[kept.tasks[i].id] = {job, i};
+        if (kept.tasks[i].current) {
+            attempts_[kept.tasks[i].current->id] = kept.tasks[i].id;
+        }
+    }
+    return kept;
+}
+
+task_state& work_book::add_task(work_state& work, task_state task) {
+    work.tasks.push_back(std::move(task));
+    task_state& kept = work.tasks.back();
+    tasks_[kept.id] = {work.what.job, work.tasks.size() - 1};
+    if (kept.current) {
+        attempts_[kept.current->id] = kept.id;
+    }
+    return kept;
+}
+
+void work_book::remove(const base::job_id& job) {
+    const auto it = works_.find(job);
+    if (it == works_.end()) {
+        return;
+    }
+    for (auto& task : it->second.tasks) {
+        end_attempt(task);
+        tasks_.erase(task.id);
+    }
+    works_.erase(it);
+}
+
+task_ref work_book::find_task(const base::task_id& id) {
+    const auto it = tasks_.find(id);
+    if (it == tasks_.end()) {
+        return {};
+    }
+    work_state& work = works_.at(it->second.job);
+    return {&work, &work.tasks.at(it->second.index)};
+}
+
+task_ref work_book::find_attempt(const base::attempt_id& id) {
+    const auto it = attempts_.find(id);
+    return it == attempts_.end() ? task_ref{} : find_task(it->second);
+}
+
+void work_book::begin_attempt(task_state& task, attempt next) {
+    end_attempt(task);
+    attempts_[next.id] = task.id;
+    task.current = std::move(next);
+}
+
+void work_book::end_attempt(task_state& task) {
+    if (task.current) {
+        attempts_.erase(task.current->id);
+        task.current.reset();
+    }
+}
+
+bool never_dispatched(const work_state& work) {
+    return std::all_of(work.tasks.begin(), work.tasks.end(), [](const task_state& it) {
+        return it.attempts == 0 && !it.current && !it.answer;
+    });
+}
+
+base::task_id name_task(const base::work& what, std::size_t index, base::epoch epoch) {
+    std::string name = what.job.str() + index_mark + std::to_string(index);
+    if (!what.durable && what.repeatable) {
+        name += epoch_mark + std::to_string(epoch.value());
+    }
+    return base::task_id(std::move(name));
+}
+
+base::job_id job_of(const base::task_id& task) {
+    return base::job_id(task.str().substr(0, task.str().rfind(index_mark)));
+}
+
+}  // namespace cranberrydock::cell
