--- /dev/null
+++ b/packages/platform/src/delayed_calls.cpp
@@ -0,0 +1,34 @@
+// Calls that are made later on an event loop.
+#include <cranberrydock/platform/delayed_calls.hpp>
+
+#include <utility>
+
+namespace cranberrydock::platform {
+
+delayed_calls::delayed_calls(net::event_loop& loop) : loop_(loop) {}
+
+void delayed_calls::after(base::duration delay, std::function<void()> call) {
+    if (delay > base::duration{0}) {
+        arm(delay, std::move(call));
+        return;
+    }
+    const bool taken = loop_.post([alive = std::weak_ptr<bool>(alive_), call] {
+        if (alive.lock()) {
+            call();
+        }
+    });
+    if (!taken) {
+        // The mailbox is full; a timer needs no room in it.
+        arm(base::duration{0}, std::move(call));
+    }
+}
+
+void delayed_calls::arm(base::duration delay, std::function<void()> call) {
+    const std::uint64_t number = next_++;
+    timers_[number] = loop_.after(delay, [this, number, call = std::move(call)] {
+        timers_.erase(number);
+        call();
+    });
+}
+
+}  // namespace cranberrydock::platform
