--- a/packages/config/include/cranberrydock/config/configuration.hpp
+++ b/packages/config/include/cranberrydock/config/configuration.hpp
@@ -21,7 +21,11 @@
     base::slot_count upper_limit;  // slots in use over the whole fleet, never exceeded
 };
 
-// What a key may do.
+// Lengths of a key's salt and digest (SHA-256) in hexadecimal digits.
+constexpr std::size_t salt_digits = 32;
+constexpr std::size_t digest_digits = 64;
+
+// What a key may do: submit work for its team, or operate the cluster.
 enum class key_role { submitter, operations };
 
 struct key {
@@ -53,8 +57,8 @@
     std::vector<base::rack_name> racks;  // empty: all racks
 };
 
-// Invariant: names are unique within each list, and every team, queue and region that an entry
-// names exists. parse_configuration() makes no other.
+// Invariant: each list is sorted by name and names are unique within it; every team and region that
+// an entry names exists; no two cells claim the same VM. parse_configuration() makes no other.
 struct configuration {
     base::config_version version;
     std::vector<team> teams;
@@ -76,11 +80,13 @@
 tl::expected<configuration_ptr, base::findings> parse_configuration(const std::string& document,
                                                                     base::config_version version);
 
-// Applies an RFC 7396 merge patch to a document; the result still has to be parsed.
+// Applies an RFC 7396 merge patch to a document; the result still has to be parsed. A patch that is
+// not an object is a finding, since it would replace the whole document.
 tl::expected<std::string, base::findings> apply_patch(const std::string& document,
                                                       const std::string& patch);
 
-// The merge patch that leads from one document to the other.
+// The merge patch that leads from one document to the other. Both are documents of accepted
+// versions; a merge patch can't write nulls, which those never hold.
 std::string difference(const std::string& from, const std::string& to);
 
 }  // namespace cranberrydock::config
--- /dev/null
+++ b/packages/config/src/patch.cpp
@@ -0,0 +1,70 @@
+// RFC 7396 merge patches between configuration documents, applied and made.
+#include <cranberrydock/base/check.hpp>
+#include <cranberrydock/config/configuration.hpp>
+
+#include "json_reader.hpp"
+
+namespace cranberrydock::config {
+namespace {
+
+using detail::json;
+
+json merge_patch_between(const json& from, const json& to) {
+    json patch = json::object();
+    for (const auto& it : from.items()) {
+        if (!to.contains(it.key())) {
+            patch[it.key()] = nullptr;
+        }
+    }
+    for (const auto& it : to.items()) {
+        const auto before = from.find(it.key());
+        if (before == from.end()) {
+            patch[it.key()] = it.value();
+        } else if (before->is_object() && it.value().is_object()) {
+            json below = merge_patch_between(*before, it.value());
+            if (!below.empty()) {
+                patch[it.key()] = std::move(below);
+            }
+        } else if (*before != it.value()) {
+            patch[it.key()] = it.value();
+        }
+    }
+    return patch;
+}
+
+json parse_known_good(const std::string& document) {
+    auto parsed = detail::parse_json(document, "document");
+    CRANBERRYDOCK_CHECK(parsed.has_value() && parsed->is_object(),
+                        "expected the document of an accepted version, found something else; pass "
+                        "only documents that parse_configuration() took");
+    return std::move(*parsed);
+}
+
+}  // namespace
+
+tl::expected<std::string, base::findings> apply_patch(const std::string& document,
+                                                      const std::string& patch) {
+    auto base_document = detail::parse_json(document, "document");
+    auto change = detail::parse_json(patch, "patch");
+    base::findings found;
+    if (!base_document) {
+        found.add_all(base_document.error());
+    }
+    if (!change) {
+        found.add_all(change.error());
+    } else if (!change->is_object()) {
+        found.add({"patch", "an object (RFC 7396 merge patch)", detail::describe(*change),
+                   "name the fields to change; null takes a field out"});
+    }
+    if (!found.empty()) {
+        return tl::unexpected(std::move(found));
+    }
+    base_document->merge_patch(*change);
+    return base_document->dump();
+}
+
+std::string difference(const std::string& from, const std::string& to) {
+    return merge_patch_between(parse_known_good(from), parse_known_good(to)).dump();
+}
+
+}  // namespace cranberrydock::config
--- /dev/null
+++ b/packages/config/src/settings.cpp
@@ -0,0 +1,295 @@
+// Reads a settings file: first every key by itself, then the relations between settings.
+#include <cranberrydock/config/settings.hpp>
+
+#include "json_reader.hpp"
+#include "settings_reader.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace cranberrydock::config {
+namespace {
+
+using detail::table_reader;
+
+constexpr std::int64_t highest_ms = 600'000;
+constexpr std::int64_t highest_bytes = std::int64_t{1} << 30U;
+constexpr std::int64_t highest_open_requests = 1'000'000;
+constexpr std::int64_t highest_drift_percent = 50;
+
+const std::vector<std::string> table_names = {
+    "identity", "listen", "platform", "mesh", "ownership", "limits", "vm", "configuration", "log"};
+
+// One setting's value with the name that messages call it by.
+struct named_time {
+    std::string key;
+    base::milliseconds value;
+};
+
+std::string text_of(const named_time& one) {
+    return one.key + " (" + std::to_string(one.value.count()) + " ms)";
+}
+
+class settings_file_reader {
+public:
+    settings_file_reader(const toml::table& root, std::string file_name, base::findings& found)
+        : root_(root), file_name_(std::move(file_name)), findings_(found) {}
+
+    daemon_settings read() {
+        refuse_unknown_tables();
+        daemon_settings out;
+        read_identity(out.identity);
+        read_listen(out.listen);
+        read_platform(out.platform);
+        read_mesh(out.mesh, out.platform.kind);
+        read_ownership(out.ownership);
+        read_limits(out.limits);
+        read_vm(out.vm);
+        read_configuration(out.configuration);
+        read_log(out.log);
+        check_between_tables(out);
+        return out;
+    }
+
+private:
+    table_reader open(const std::string& name) const {
+        const toml::node* const node = root_.get(name);
+        return {file_name_, name, node == nullptr ? nullptr : node->as_table(), findings_};
+    }
+
+    void refuse_unknown_tables() {
+        std::string expected;
+        for (const auto& it : table_names) {
+            expected += (expected.empty() ? "one of the tables [" : ", [") + it + "]";
+        }
+        for (const auto& it : root_) {
+            const std::string name(it.first.str());
+            const std::string place = detail::place_of(file_name_, it.first.source()) + " " + name;
+            const bool known =
+                std::find(table_names.begin(), table_names.end(), name) != table_names.end();
+            if (!known) {
+                findings_.add({place, expected,
+                               it.second.is_table() ? "an unknown table" : "a key outside of them",
+                               detail::did_you_mean(name, table_names)});
+            } else if (!it.second.is_table()) {
+                findings_.add({place, "the table [" + name + "]", detail::describe(it.second), ""});
+            }
+        }
+    }
+
+    static void read_time(table_reader& from, const std::string& key, base::milliseconds& into) {
+        into = base::milliseconds(
+            from.whole(key, {1, highest_ms, "milliseconds"}).value_or(into.count()));
+    }
+
+    static void require_less(table_reader& in, const named_time& smaller,
+                             const named_time& larger) {
+        if (smaller.value >= larger.value) {
+            in.complain(smaller.key, "less than " + text_of(larger),
+                        std::to_string(smaller.value.count()) + " ms",
+                        "lower it, or raise " + larger.key);
+        }
+    }
+
+    void read_identity(identity_settings& out) {
+        auto in = open("identity");
+        out.vm = base::vm_id(in.required_name("vm", "the name of this VM in the member list"));
+        out.region = base::region_name(in.required_name("region", "this VM's region"));
+        out.zone = base::zone_name(in.required_name("zone", "this VM's availability zone"));
+        in.refuse_unknown_keys();
+    }
+
+    void read_listen(listen_settings& out) {
+        auto in = open("listen");
+        out.http = in.required_endpoint("http", "\"ADDRESS:PORT\" for callers and operators");
+        out.mesh = in.required_endpoint("mesh", "\"ADDRESS:PORT\" for other daemons");
+        if (out.http.port != 0 && out.http == out.mesh) {
+            in.complain("mesh", "another address or port than listen.http",
+                        "'" + out.mesh.text() + "' for both", "give one of them another port");
+        }
+        in.refuse_unknown_keys();
+    }
+
+    void read_platform(platform_settings& out) {
+        auto in = open("platform");
+        if (in.word("kind", {"http", "memory"}).value_or("http") == "memory") {
+            out.kind = platform_kind::memory;
+            out.address = in.endpoint("address").value_or(net::endpoint{});
+        } else {
+            out.address = in.required_endpoint("address", "\"ADDRESS:PORT\" of the platform");
+        }
+        in.refuse_unknown_keys();
+    }
+
+    void read_mesh(mesh_link_settings& out, platform_kind platform) {
+        auto in = open("mesh");
+        out.secret = in.text("secret").value_or("");
+        out.secret_file = in.text("secret_file").value_or("");
+        if (in.has("secret") && in.has("secret_file")) {
+            in.complain("secret", "either secret or secret_file", "both", "take one of them out");
+        } else if (in.has("secret") && out.secret.size() < min_secret_length) {
+            in.complain("secret", "at least " + std::to_string(min_secret_length) + " characters",
+                        std::to_string(out.secret.size()),
+                        "take a random one; it must be the same for every daemon");
+        } else if (!in.has("secret") && !in.has("secret_file") && platform == platform_kind::http) {
+            in.complain("secret", "secret or secret_file", "neither",
+                        "daemons prove a shared secret to each other");
+        }
+        read_time(in, "heartbeat_ms", out.heartbeat);
+        read_time(in, "silence_deadline_ms", out.silence_deadline);
+        if (out.silence_deadline < 2 * out.heartbeat) {
+            in.complain("silence_deadline_ms",
+                        "at least twice " + text_of({"mesh.heartbeat_ms", out.heartbeat}),
+                        std::to_string(out.silence_deadline.count()) + " ms",
+                        "one lost heartbeat must not count as silence");
+        }
+        in.refuse_unknown_keys();
+    }
+
+    void read_ownership(lease_settings& out) {
+        auto in = open("ownership");
+        read_time(in, "renew_ms", out.renew);
+        read_time(in, "lease_ms", out.lease);
+        read_time(in, "scan_ms", out.scan);
+        read_time(in, "safety_margin_ms", out.safety_margin);
+        read_time(in, "rank_delay_ms", out.rank_delay);
+        const base::milliseconds least = out.renew + out.safety_margin;
+        if (out.lease <= least) {
+            in.complain(
+                "lease_ms",
+                "more than renew_ms + safety_margin_ms (" + std::to_string(least.count()) + " ms)",
+                std::to_string(out.lease.count()) + " ms",
+                "an owner must be able to renew before it stops placing");
+        }
+        require_less(in, {"scan_ms", out.scan}, {"ownership.lease_ms", out.lease});
+        require_less(in, {"rank_delay_ms", out.rank_delay}, {"ownership.lease_ms", out.lease});
+        in.refuse_unknown_keys();
+    }
+
+    void read_limits(request_limits& out) {
+        auto in = open("limits");
+        out.max_body = base::byte_count(in.whole("max_body_bytes", {1'024, highest_bytes, "bytes"})
+                                            .value_or(out.max_body.value()));
+        out.max_headers =
+            base::byte_count(in.whole("max_headers_bytes", {1'024, highest_bytes, "bytes"})
+                                 .value_or(out.max_headers.value()));
+        out.slow_sender_timeout =
+            base::seconds(in.whole("slow_sender_timeout_s", {1, 3'600, "seconds"})
+                              .value_or(out.slow_sender_timeout.count()));
+        out.max_open_requests = static_cast<std::size_t>(
+            in.whole("max_open_requests", {1, highest_open_requests, "requests"})
+                .value_or(static_cast<std::int64_t>(out.max_open_requests)));
+        in.refuse_unknown_keys();
+    }
+
+    void read_vm(vm_link_settings& out) {
+        auto in = open("vm");
+        read_time(in, "lease_ms", out.lease);
+        read_time(in, "watch_ms", out.watch);
+        read_time(in, "command_timeout_ms", out.command_timeout);
+        out.drift_percent =
+            static_cast<int>(in.whole("drift_percent", {0, highest_drift_percent, "percent"})
+                                 .value_or(out.drift_percent));
+        const base::milliseconds least = out.watch + out.command_timeout;
+        if (out.lease <= least) {
+            in.complain("lease_ms",
+                        "more than watch_ms + command_timeout_ms (" +
+                            std::to_string(least.count()) + " ms)",
+                        std::to_string(out.lease.count()) + " ms",
+                        "a lost watch must be repeated before task leases lapse");
+        }
+        in.refuse_unknown_keys();
+    }
+
+    void read_configuration(configuration_settings& out) {
+        auto in = open("configuration");
+        read_time(in, "freshness_ms", out.freshness);
+        read_time(in, "poll_ms", out.poll);
+        require_less(in, {"poll_ms", out.poll}, {"configuration.freshness_ms", out.freshness});
+        in.refuse_unknown_keys();
+    }
+
+    void read_log(log_settings& out) {
+        auto in = open("log");
+        out.level = in.word("level", {"trace", "debug", "info", "warn", "error", "off"})
+                        .value_or(out.level);
+        in.refuse_unknown_keys();
+    }
+
+    void check_between_tables(const daemon_settings& all) {
+        auto mesh = open("mesh");
+        if (all.mesh.silence_deadline > all.ownership.lease) {
+            mesh.complain("silence_deadline_ms",
+                          "at most " + text_of({"ownership.lease_ms", all.ownership.lease}),
+                          std::to_string(all.mesh.silence_deadline.count()) + " ms",
+                          "a silent owner must be noticed by the end of its lease");
+        }
+        require_less(mesh, {"heartbeat_ms", all.mesh.heartbeat},
+                     {"configuration.freshness_ms", all.configuration.freshness});
+    }
+
+    const toml::table& root_;
+    std::string file_name_;
+    base::findings& findings_;
+};
+
+tl::unexpected<base::findings> one_finding(base::finding it) {
+    base::findings out;
+    out.add(std::move(it));
+    return tl::unexpected(std::move(out));
+}
+
+}  // namespace
+
+tl::expected<daemon_settings, base::findings> read_settings(const std::string& text,
+                                                            const std::string& file_name) {
+    toml::table root;
+    try {
+        root = toml::parse(text, file_name);
+    } catch (const toml::parse_error& e) {
+        return one_finding({detail::place_of(file_name, e.source()), "TOML 1.0",
+                            std::string(e.description()), "mend the syntax at this line"});
+    }
+    base::findings found;
+    daemon_settings out = settings_file_reader(root, file_name, found).read();
+    if (!found.empty()) {
+        return tl::unexpected(std::move(found));
+    }
+    return out;
+}
+
+tl::expected<daemon_settings, base::findings> read_settings_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (!in) {
+        return one_finding(
+            {path, "a readable settings file", "none", "check path and permissions"});
+    }
+    return read_settings(text, path);
+}
+
+tl::expected<std::string, base::findings> load_mesh_secret(const mesh_link_settings& settings) {
+    if (settings.secret_file.empty()) {
+        return settings.secret;
+    }
+    std::ifstream in(settings.secret_file, std::ios::binary);
+    std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (!in) {
+        return one_finding({settings.secret_file, "a readable file with the shared secret", "none",
+                            "check mesh.secret_file and the file's permissions"});
+    }
+    if (!text.empty() && text.back() == '\n') {
+        text.pop_back();
+    }
+    if (text.size() < min_secret_length) {
+        return one_finding({settings.secret_file,
+                            "at least " + std::to_string(min_secret_length) + " characters",
+                            std::to_string(text.size()), "take a random one"});
+    }
+    return text;
+}
+
+}  // namespace cranberrydock::config
