entry: the stages of a request and the HTTP interface; daemon: parts, not wired yet

Cause: the thin path needs an entry, a forwarder to the owner of the home cell and a host for cells. What was weighed: one loop for callers and decisions (rejected: a slow caller or store would hold up decisions); resending on a lost link only for repeatable work (rejected: the owner knows work by team and key, so resending is always safe). Before: none. Conclusion: wire it next.

--- a/packages/config/src/configuration.cpp
+++ b/packages/config/src/configuration.cpp
@@ -1,8 +1,7 @@
 // Reads a configuration document: first every entry by itself, then what the entries say of each
 // other. All findings of both passes come together.
 #include <cranberrydock/config/configuration.hpp>
-
-#include "json_reader.hpp"
+#include <cranberrydock/config/json_reader.hpp>
 
 #include <algorithm>
 #include <set>
--- a/packages/config/src/json_reader.cpp
+++ b/packages/config/src/json_reader.cpp
@@ -1,5 +1,5 @@
 // Findings out of JSON values.
-#include "json_reader.hpp"
+#include <cranberrydock/config/json_reader.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/packages/config/src/keys.cpp
+++ b/packages/config/src/keys.cpp
@@ -1,9 +1,8 @@
 // Keys over OpenSSL: SHA-256, its random generator, and its comparison in constant time.
 #include <cranberrydock/base/check.hpp>
+#include <cranberrydock/config/json_reader.hpp>
 #include <cranberrydock/config/keys.hpp>
 
-#include "json_reader.hpp"
-
 #include <openssl/crypto.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
--- a/packages/config/src/patch.cpp
+++ b/packages/config/src/patch.cpp
@@ -1,8 +1,7 @@
 // RFC 7396 merge patches between configuration documents, applied and made.
 #include <cranberrydock/base/check.hpp>
 #include <cranberrydock/config/configuration.hpp>
-
-#include "json_reader.hpp"
+#include <cranberrydock/config/json_reader.hpp>
 
 namespace cranberrydock::config {
 namespace {
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -1,7 +1,7 @@
 // Reads a settings file: first every key by itself, then the relations between settings.
+#include <cranberrydock/config/json_reader.hpp>
 #include <cranberrydock/config/settings.hpp>
 
-#include "json_reader.hpp"
 #include "settings_reader.hpp"
 
 #include <algorithm>
--- a/packages/config/src/settings_reader.cpp
+++ b/packages/config/src/settings_reader.cpp
@@ -1,7 +1,7 @@
 // Findings out of TOML values.
 #include "settings_reader.hpp"
 
-#include "json_reader.hpp"
+#include <cranberrydock/config/json_reader.hpp>
 
 #include <arpa/inet.h>
 
--- /dev/null
+++ b/packages/daemon/src/owned_cell.cpp
@@ -0,0 +1,80 @@
+// One owned cell on the host's thread.
+#include "owned_cell.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+#include <variant>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr base::milliseconds retry_soon{200};
+
+}  // namespace
+
+owned_cell::owned_cell(const cell_start& start, cell::cell_settings settings,
+                       net::event_loop& loop, platform::vm_client& vms,
+                       platform::table_service& table, const base::clock& clock,
+                       base::metrics& metrics, owned_cell_listener& listener)
+    : id_(start.cell),
+      loop_(loop),
+      vms_(vms),
+      clock_(clock),
+      listener_(listener),
+      scheduler_(policy::make_scheduler()),
+      machine_(std::move(settings), *scheduler_, metrics),
+      journal_(start, loop, table, clock, [this](const cell::cell_event& event) { handle(event); }) {
+    journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
+}
+
+void owned_cell::go_live(std::vector<cell::work_record> records) {
+    spdlog::info("event=cell_live cell={} records={}", id_.str(), records.size());
+    live_ = true;
+    for (auto& it : std::exchange(waiting_, {})) {
+        handle(it);
+    }
+    handle(cell::recovered{std::move(records)});
+}
+
+void owned_cell::handle(const cell::cell_event& event) {
+    if (!live_) {
+        if (const auto* submitted = std::get_if<cell::submit>(&event); submitted != nullptr) {
+            const base::refusal why{base::refusal_reason::cell_without_owner, true, retry_soon,
+                                    "the cell's new owner is still reading its journal"};
+            listener_.reply({submitted->reply_to, why, {}});
+            return;
+        }
+        if (!std::holds_alternative<cell::clock_tick>(event)) {
+            waiting_.push_back(event);
+        }
+        return;
+    }
+    for (const auto& it : machine_.handle(event, clock_.now())) {
+        std::visit([this](const auto& effect) { carry_out(effect); }, it);
+    }
+}
+
+void owned_cell::carry_out(const cell::command_vm& effect) {
+    std::weak_ptr<owned_cell*> self = self_;
+    vms_.send(effect.address, effect.command, effect.timeout,
+              [self, id = effect.id](platform::vm_result result) {
+                  if (const auto cell = self.lock()) {
+                      (*cell)->handle(cell::vm_answered{id, std::move(result)});
+                  }
+              });
+}
+
+void owned_cell::carry_out(const cell::append_record& effect) {
+    journal_.append(effect.id, effect.record);
+}
+
+void owned_cell::carry_out(const cell::reply& effect) { listener_.reply(effect); }
+
+void owned_cell::carry_out(const cell::superseded& effect) {
+    listener_.superseded(id_, effect.seen);
+}
+
+void owned_cell::carry_out(const cell::drained& /*effect*/) { listener_.drained(id_); }
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/owned_cell.hpp
@@ -0,0 +1,65 @@
+// One owned cell on the host's thread: turns the decider's effects into commands to VMs, journal
+// writes and replies, and their results back into events.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/cell/cell_machine.hpp>
+#include <cranberrydock/platform/table_service.hpp>
+#include <cranberrydock/platform/vm_client.hpp>
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include "cell_host.hpp"
+#include "cell_journal.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace cranberrydock::daemon {
+
+// Where an owned cell's news go; called on the host's thread.
+class owned_cell_listener {
+public:
+    virtual ~owned_cell_listener() = default;
+    virtual void reply(const cell::reply& what) = 0;
+    virtual void drained(const base::cell_id& cell) = 0;
+    virtual void superseded(const base::cell_id& cell, base::epoch seen) = 0;
+};
+
+class owned_cell {
+public:
+    owned_cell(const cell_start& start, cell::cell_settings settings, net::event_loop& loop,
+               platform::vm_client& vms, platform::table_service& table, const base::clock& clock,
+               base::metrics& metrics, owned_cell_listener& listener);
+
+    // Passes an event to the decider and carries out what follows. Events that come before the
+    // journal has been read wait, but for submitted work, which is refused: its entry tries again.
+    void handle(const cell::cell_event& event);
+
+    bool live() const { return live_; }
+    const cell::cell_machine& machine() const { return machine_; }
+
+private:
+    void carry_out(const cell::command_vm& effect);
+    void carry_out(const cell::append_record& effect);
+    void carry_out(const cell::reply& effect);
+    void carry_out(const cell::superseded& effect);
+    void carry_out(const cell::drained& effect);
+    void go_live(std::vector<cell::work_record> records);
+
+    base::cell_id id_;
+    net::event_loop& loop_;
+    platform::vm_client& vms_;
+    const base::clock& clock_;
+    owned_cell_listener& listener_;
+    std::unique_ptr<policy::scheduler> scheduler_;
+    cell::cell_machine machine_;
+    cell_journal journal_;
+    bool live_ = false;
+    std::vector<cell::cell_event> waiting_;
+    // Answers that come after this cell was given up find it gone.
+    std::shared_ptr<owned_cell*> self_ = std::make_shared<owned_cell*>(this);
+};
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/routing_table.cpp
@@ -0,0 +1,66 @@
+// Where each cell's owner is, and which cell is a job's home.
+#include "routing_table.hpp"
+
+#include <cranberrydock/base/rendezvous.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace cranberrydock::daemon {
+
+void routing_table::gained(const base::cell_id& cell, base::epoch epoch) {
+    lost(cell);
+    owned_.push_back({cell, epoch});
+}
+
+void routing_table::lost(const base::cell_id& cell) {
+    const auto same = [&](const cell::cell_epoch& it) { return it.cell == cell; };
+    owned_.erase(std::remove_if(owned_.begin(), owned_.end(), same), owned_.end());
+}
+
+bool routing_table::owned_here(const base::cell_id& cell) const {
+    return std::any_of(owned_.begin(), owned_.end(),
+                       [&](const cell::cell_epoch& it) { return it.cell == cell; });
+}
+
+std::optional<base::daemon_id> routing_table::owner(const base::cell_id& cell) const {
+    if (owned_here(cell)) {
+        return self_;
+    }
+    for (const auto& it : routes_.cells) {
+        // What the registry says of this daemon itself may be older than what it knows.
+        if (it.id == cell && !it.owner.empty() && it.owner != self_) {
+            return it.owner;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<base::cell_id> home_cells(const config::configuration& current,
+                                      const base::team_id& team) {
+    std::vector<base::cell_id> out;
+    const config::team* const found = current.find_team(team);
+    for (const auto& it : current.cells) {
+        if (found != nullptr && it.region == found->home_region) {
+            out.push_back(it.id);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+std::optional<base::cell_id> home_cell(const config::configuration& current,
+                                       const base::team_id& team, const base::job_id& job) {
+    const std::vector<base::cell_id> cells = home_cells(current, team);
+    if (cells.empty()) {
+        return std::nullopt;
+    }
+    std::vector<std::string> names;
+    names.reserve(cells.size());
+    for (const auto& it : cells) {
+        names.push_back(it.str());
+    }
+    return cells[base::rendezvous_order(job.str(), names).front()];
+}
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -0,0 +1,281 @@
+// Brings work to the owner of its home cell.
+#include "work_forwarder.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr base::milliseconds resend_delay{100};
+constexpr base::milliseconds retry_soon{1'000};
+// How long work without an owner is kept trying: several takeovers' time.
+constexpr base::milliseconds patience{30'000};
+constexpr base::milliseconds question_patience{5'000};
+
+base::refusal no_home(const base::team_id& team) {
+    return {base::refusal_reason::cell_without_owner, true, retry_soon,
+            "the home region of team " + team.str() + " has no cell"};
+}
+
+// Whether the owner's refusal is about the owner and not about the work.
+bool goes_elsewhere(const base::work_outcome& outcome) {
+    const auto* const refused = std::get_if<base::refusal>(&outcome);
+    return refused != nullptr && (refused->reason == base::refusal_reason::shutting_down ||
+                                  refused->reason == base::refusal_reason::cell_without_owner);
+}
+
+bool says_not_run(const base::work_outcome& outcome) {
+    const auto* const refused = std::get_if<base::refusal>(&outcome);
+    return refused != nullptr && refused->not_run;
+}
+
+}  // namespace
+
+work_forwarder::work_forwarder(const entry::configuration_source& configuration,
+                               const routing_table& routes, cell_host& host, peer_sender& peers,
+                               base::metrics& metrics, const base::clock& clock)
+    : configuration_(configuration),
+      routes_(routes),
+      host_(host),
+      peers_(peers),
+      metrics_(metrics),
+      clock_(clock) {}
+
+void work_forwarder::submit(const base::work& what, entry::outcome_callback done) {
+    const auto current = configuration_.current();
+    const auto home = home_cell(*current, what.team, what.job);
+    if (!home) {
+        done({no_home(what.team), {}});
+        return;
+    }
+    const std::int64_t id = next_id_++;
+    pending_work& work = pending_[id];
+    work.what = what;
+    work.home = *home;
+    work.done = std::move(done);
+    work.accepted = clock_.now();
+    work.give_up_at = work.accepted + patience;
+    try_send(id, work);
+}
+
+void work_forwarder::try_send(std::int64_t id, pending_work& work) {
+    const auto owner = routes_.owner(work.home);
+    if (!owner) {
+        retry_later(work);
+        return;
+    }
+    const bool here = *owner == routes_.self();
+    const bool sent = here ? host_.submit(work.home, work.what, cell::reply_id(id))
+                           : peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home,
+                                                                   work.what});
+    if (!sent) {
+        metrics_.count("cranberrydock_retries_total", "reason=\"owner_unreachable\"");
+        retry_later(work);
+        return;
+    }
+    work.sent_to = *owner;
+    work.sent = clock_.now();
+    work.maybe_taken = true;
+    work.trace.push_back({"route", owner->str(), work.sent - work.accepted, base::microseconds{0},
+                          "home cell " + work.home.str()});
+}
+
+void work_forwarder::retry_later(pending_work& work) {
+    work.sent_to.reset();
+    work.next_try = clock_.now() + resend_delay;
+}
+
+void work_forwarder::on_reply(cell::reply_id to, const base::work_outcome& outcome,
+                              const std::vector<base::trace_step>& trace) {
+    const auto foreign = foreign_.find(to.value());
+    if (foreign == foreign_.end()) {
+        on_outcome(to.value(), outcome, trace);
+        return;
+    }
+    peers_.send(foreign->second.from, mesh::work_result{foreign->second.call, outcome, trace});
+    foreign_.erase(foreign);
+}
+
+void work_forwarder::on_result(const mesh::work_result& what) {
+    on_outcome(what.call.value(), what.outcome, what.trace);
+}
+
+void work_forwarder::on_outcome(std::int64_t id, const base::work_outcome& outcome,
+                                const std::vector<base::trace_step>& trace) {
+    const auto it = pending_.find(id);
+    if (it == pending_.end()) {
+        return;  // given up, or answered by an earlier owner
+    }
+    pending_work& work = it->second;
+    work.trace.insert(work.trace.end(), trace.begin(), trace.end());
+    if (goes_elsewhere(outcome)) {
+        metrics_.count("cranberrydock_retries_total", "reason=\"owner_changed\"");
+        work.maybe_taken = work.maybe_taken && !says_not_run(outcome);
+        retry_later(work);
+        return;
+    }
+    finish(id, {outcome, work.trace});
+}
+
+void work_forwarder::finish(std::int64_t id, entry::routed_outcome outcome) {
+    const auto it = pending_.find(id);
+    const entry::outcome_callback done = std::move(it->second.done);
+    pending_.erase(it);
+    done(std::move(outcome));
+}
+
+void work_forwarder::on_peer_lost(const base::daemon_id& peer) {
+    for (auto& it : pending_) {
+        if (it.second.sent_to == peer) {
+            metrics_.count("cranberrydock_retries_total", "reason=\"link_lost\"");
+            it.second.trace.push_back({"route", peer.str(), clock_.now() - it.second.accepted,
+                                       clock_.now() - it.second.sent,
+                                       "link lost; sent again to whoever owns the cell"});
+            retry_later(it.second);
+        }
+    }
+    for (auto it = questions_.begin(); it != questions_.end();) {
+        const bool gone = it->second.sent_to == peer;
+        if (gone) {
+            it->second.give_up_at = clock_.now();
+        }
+        ++it;
+    }
+}
+
+void work_forwarder::tick() {
+    const base::time_point now = clock_.now();
+    std::vector<std::int64_t> due;
+    std::vector<std::int64_t> late;
+    for (auto& it : pending_) {
+        if (it.second.sent_to) {
+            continue;
+        }
+        (now >= it.second.give_up_at ? late : due).push_back(it.first);
+    }
+    for (const std::int64_t id : late) {
+        give_up(id);
+    }
+    for (const std::int64_t id : due) {
+        const auto it = pending_.find(id);
+        if (it != pending_.end() && now >= it->second.next_try) {
+            try_send(id, it->second);
+        }
+    }
+    std::vector<std::int64_t> unanswered;
+    for (const auto& it : questions_) {
+        if (now >= it.second.give_up_at) {
+            unanswered.push_back(it.first);
+        }
+    }
+    for (const std::int64_t id : unanswered) {
+        const entry::job_callback done = questions_.at(id).done;
+        questions_.erase(id);
+        done(tl::unexpected(base::refusal{base::refusal_reason::owner_unreachable, false, retry_soon,
+                                          "the owner of the job's home cell did not answer"}));
+    }
+}
+
+void work_forwarder::give_up(std::int64_t id) {
+    const pending_work& work = pending_.at(id);
+    base::refusal why;
+    why.retry_after = retry_soon;
+    if (work.maybe_taken) {
+        why.reason = base::refusal_reason::outcome_unknown;
+        why.detail = "the owner of cell " + work.home.str() +
+                     " can't be reached; send the same request with the same Idempotency-Key again";
+    } else {
+        why.reason = base::refusal_reason::cell_without_owner;
+        why.not_run = true;
+        why.detail = "cell " + work.home.str() + " has had no owner that can be reached";
+    }
+    metrics_.count("cranberrydock_refusals_total",
+                   "reason=\"" + std::string(to_string(why.reason)) + "\"");
+    finish(id, {why, work.trace});
+}
+
+void work_forwarder::on_submit(const base::daemon_id& from, const mesh::submit_work& what) {
+    const base::refusal not_here{base::refusal_reason::cell_without_owner, true, resend_delay,
+                                 routes_.self().str() + " does not own cell " + what.cell.str()};
+    if (!routes_.owned_here(what.cell)) {
+        peers_.send(from, mesh::work_result{what.call, not_here, {}});
+        return;
+    }
+    const std::int64_t id = next_id_++;
+    foreign_[id] = {from, what.call};
+    if (!host_.submit(what.cell, what.work, cell::reply_id(id))) {
+        foreign_.erase(id);
+        const base::refusal full{base::refusal_reason::overloaded, true, retry_soon,
+                                 "the owner's mailbox is full"};
+        peers_.send(from, mesh::work_result{what.call, full, {}});
+    }
+}
+
+void work_forwarder::ask(const entry::job_question& what, entry::job_callback done) {
+    const auto current = configuration_.current();
+    const auto home = home_cell(*current, what.team, what.job);
+    const auto owner = home ? routes_.owner(*home) : std::nullopt;
+    if (!owner) {
+        done(tl::unexpected(base::refusal{base::refusal_reason::cell_without_owner, false, retry_soon,
+                                          "the job's home cell has no owner at the moment"}));
+        return;
+    }
+    if (*owner == routes_.self()) {
+        ask_here(what, *home, std::move(done));
+        return;
+    }
+    const std::int64_t id = next_id_++;
+    questions_[id] = {std::move(done), *owner, clock_.now() + question_patience};
+    const mesh::job_query query{mesh::call_id(id), *home, what.team, what.job, what.cancel};
+    if (!peers_.send(*owner, query)) {
+        questions_.at(id).give_up_at = clock_.now();
+    }
+}
+
+void work_forwarder::ask_here(const entry::job_question& what, const base::cell_id& home,
+                              entry::job_callback done) {
+    host_.ask(home, what.team, what.job, what.cancel,
+              [done = std::move(done), job = what.job](const std::optional<base::job_view>& view) {
+                  if (view) {
+                      done(*view);
+                      return;
+                  }
+                  done(tl::unexpected(base::refusal{
+                      base::refusal_reason::unknown_job, false, base::milliseconds{0},
+                      "this team has no job " + job.str() + ", or it ended too long ago"}));
+              });
+}
+
+void work_forwarder::on_query(const base::daemon_id& from, const mesh::job_query& what) {
+    host_.ask(what.cell, what.team, what.job, what.cancel,
+              [this, from, call = what.call](const std::optional<base::job_view>& view) {
+                  peers_.send(from, mesh::job_reply{call, view.has_value(),
+                                                    view.value_or(base::job_view{})});
+              });
+}
+
+void work_forwarder::on_job_reply(const mesh::job_reply& what) {
+    const auto it = questions_.find(what.call.value());
+    if (it == questions_.end()) {
+        return;
+    }
+    const entry::job_callback done = std::move(it->second.done);
+    questions_.erase(it);
+    if (what.found) {
+        done(what.view);
+        return;
+    }
+    done(tl::unexpected(base::refusal{base::refusal_reason::unknown_job, false, base::milliseconds{0},
+                                      "this team has no such job, or it ended too long ago"}));
+}
+
+void work_forwarder::list(const entry::job_page& page, entry::page_callback done) {
+    host_.list(page.team, page.after, page.limit, std::move(done));
+}
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -0,0 +1,105 @@
+// Brings work to the owner of its home cell, here or at another daemon, and sends it again when the
+// owner changes or its link breaks: the owner knows work by team and idempotency key, so work that is
+// sent twice is still taken once.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/entry/gateways.hpp>
+#include <cranberrydock/mesh/mesh.hpp>
+#include <cranberrydock/net/event_loop.hpp>
+
+#include "cell_host.hpp"
+#include "routing_table.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace cranberrydock::daemon {
+
+// How the forwarder reaches other daemons.
+class peer_sender {
+public:
+    virtual ~peer_sender() = default;
+    // As mesh::send.
+    virtual bool send(const base::daemon_id& to, const mesh::message& what) = 0;
+};
+
+class work_forwarder final : public entry::work_router {
+public:
+    work_forwarder(const entry::configuration_source& configuration, const routing_table& routes,
+                   cell_host& host, peer_sender& peers, base::metrics& metrics,
+                   const base::clock& clock);
+
+    void submit(const base::work& what, entry::outcome_callback done) override;
+    void ask(const entry::job_question& what, entry::job_callback done) override;
+    void list(const entry::job_page& page, entry::page_callback done) override;
+
+    // An answer of this daemon's own cells.
+    void on_reply(cell::reply_id to, const base::work_outcome& outcome,
+                  const std::vector<base::trace_step>& trace);
+
+    // What other daemons send.
+    void on_submit(const base::daemon_id& from, const mesh::submit_work& what);
+    void on_result(const mesh::work_result& what);
+    void on_query(const base::daemon_id& from, const mesh::job_query& what);
+    void on_job_reply(const mesh::job_reply& what);
+    void on_peer_lost(const base::daemon_id& peer);
+
+    // Sends again what waits for an owner, and gives up what has waited too long.
+    void tick();
+
+    // Work of this daemon's callers that was not answered yet.
+    std::size_t open_works() const { return pending_.size(); }
+
+private:
+    // Work of a caller of this daemon.
+    struct pending_work {
+        base::work what;
+        base::cell_id home;
+        entry::outcome_callback done;
+        base::time_point accepted{};
+        base::time_point give_up_at{};
+        std::optional<base::daemon_id> sent_to;  // nothing: waits to be sent
+        base::time_point sent{};
+        base::time_point next_try{};
+        // Whether an owner may have it: then nothing but an owner's answer says "not run".
+        bool maybe_taken = false;
+        std::vector<base::trace_step> trace;
+    };
+
+    // Work of another daemon's caller, handed to a cell here.
+    struct foreign_work {
+        base::daemon_id from;
+        mesh::call_id call;
+    };
+
+    struct pending_question {
+        entry::job_callback done;
+        base::daemon_id sent_to;
+        base::time_point give_up_at{};
+    };
+
+    void try_send(std::int64_t id, pending_work& work);
+    void on_outcome(std::int64_t id, const base::work_outcome& outcome,
+                    const std::vector<base::trace_step>& trace);
+    void retry_later(pending_work& work);
+    void give_up(std::int64_t id);
+    void finish(std::int64_t id, entry::routed_outcome outcome);
+    void ask_here(const entry::job_question& what, const base::cell_id& home,
+                  entry::job_callback done);
+
+    const entry::configuration_source& configuration_;
+    const routing_table& routes_;
+    cell_host& host_;
+    peer_sender& peers_;
+    base::metrics& metrics_;
+    const base::clock& clock_;
+    std::int64_t next_id_ = 1;
+    std::map<std::int64_t, pending_work> pending_;
+    std::map<std::int64_t, foreign_work> foreign_;
+    std::map<std::int64_t, pending_question> questions_;
+};
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/entry/include/cranberrydock/entry/api_server.hpp
@@ -0,0 +1,42 @@
+// The HTTP interface of a daemon (docs/API.md): finds the route of a request. Each family of routes
+// is a file of its own.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/entry/gateways.hpp>
+#include <cranberrydock/net/http_server.hpp>
+
+#include <memory>
+
+namespace cranberrydock::entry {
+
+// What the routes need; everything outlives the server.
+struct api_dependencies {
+    const configuration_source& configuration;
+    configuration_editor& editor;
+    work_router& router;
+    cluster_view& cluster;
+    base::metrics& metrics;
+    const base::clock& clock;
+    std::size_t max_open_requests = 10'000;
+};
+
+class api_server final : public net::http_handler {
+public:
+    explicit api_server(const api_dependencies& dependencies);
+    ~api_server() override;
+    api_server(const api_server&) = delete;
+    api_server& operator=(const api_server&) = delete;
+
+    void handle(net::http_request request, net::http_responder respond) override;
+
+    // Requests that were not answered yet.
+    std::size_t open_requests() const;
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
+}  // namespace cranberrydock::entry
--- /dev/null
+++ b/packages/entry/src/api_json.cpp
@@ -0,0 +1,170 @@
+// The JSON that callers and operators read.
+#include "api_json.hpp"
+
+#include <cranberrydock/entry/base64.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cranberrydock::entry {
+namespace {
+
+using nlohmann::json;
+
+std::string text_of(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// Whether the bytes can stand in JSON as they are: ASCII without control characters but white
+// space.
+bool is_plain(const std::string& bytes) {
+    return std::all_of(bytes.begin(), bytes.end(), [](char c) {
+        constexpr char first_printable = 0x20;
+        constexpr char last_printable = 0x7e;
+        const bool space = c == '\n' || c == '\t' || c == '\r';
+        return space || (c >= first_printable && c <= last_printable);
+    });
+}
+
+json answer_of(const base::task_answer& it) {
+    json out = {{"task", it.task.str()},
+                {"vm", it.vm.str()},
+                {"digest", it.digest},
+                {"attempts", it.attempts}};
+    if (is_plain(it.content)) {
+        out["content"] = it.content;
+    } else {
+        out["content_base64"] = to_base64(it.content);
+    }
+    return out;
+}
+
+json answers_of(const std::vector<base::task_answer>& answers) {
+    json out = json::array();
+    for (const auto& it : answers) {
+        out.push_back(answer_of(it));
+    }
+    return out;
+}
+
+json trace_of(const std::vector<base::trace_step>& trace) {
+    json out = json::array();
+    for (const auto& it : trace) {
+        out.push_back({{"stage", it.stage},
+                       {"where", it.where},
+                       {"at_us", it.at.count()},
+                       {"took_us", it.took.count()},
+                       {"note", it.note}});
+    }
+    return out;
+}
+
+json view_of(const base::job_view& job) {
+    json out = {{"job", job.job.str()},
+                {"team", job.team.str()},
+                {"queue", job.queue.str()},
+                {"kind", job.kind.str()},
+                {"state", to_string(job.state)},
+                {"why", job.why},
+                {"tasks", job.tasks},
+                {"tasks_running", job.tasks_running},
+                {"tasks_done", job.tasks_done},
+                {"vms", json::array()},
+                {"attempts", job.attempts},
+                {"attempt_reasons", job.attempt_reasons},
+                {"answers", answers_of(job.answers)},
+                {"trace", trace_of(job.trace)}};
+    for (const auto& it : job.vms) {
+        out["vms"].push_back(it.str());
+    }
+    if (job.refused) {
+        out["refusal"] = {{"reason", std::string(to_string(job.refused->reason))},
+                          {"not_run", job.refused->not_run},
+                          {"detail", job.refused->detail}};
+    }
+    return out;
+}
+
+json resources_of(const base::resources& amounts) {
+    return {{"millicores", amounts.cores.value()},
+            {"memory_mib", amounts.memory.value()},
+            {"accelerators", amounts.accelerators.value()},
+            {"slots", amounts.slots.value()}};
+}
+
+}  // namespace
+
+std::string accepted_json(const base::work& what) {
+    return text_of(
+        {{"request", what.id.str()}, {"job", what.job.str()}, {"idempotency_key", what.key.str()}});
+}
+
+std::string answered_json(const base::work& what, const base::work_answered& outcome) {
+    return text_of({{"request", what.id.str()},
+                    {"job", what.job.str()},
+                    {"answers", answers_of(outcome.answers)}});
+}
+
+std::string job_json(const base::job_view& job) {
+    return text_of(view_of(job));
+}
+
+std::string jobs_json(const std::vector<base::job_view>& jobs) {
+    json out = {{"jobs", json::array()}};
+    for (const auto& it : jobs) {
+        out["jobs"].push_back(view_of(it));
+    }
+    return text_of(out);
+}
+
+std::string cells_json(const std::vector<cell_status>& cells, const std::vector<link_view>& links) {
+    json out = {{"cells", json::array()}, {"links", json::array()}};
+    for (const auto& it : cells) {
+        out["cells"].push_back({{"cell", it.cell.str()},
+                                {"owner", it.owner.str()},
+                                {"epoch", it.epoch.value()},
+                                {"here", it.here}});
+    }
+    for (const auto& it : links) {
+        out["links"].push_back(
+            {{"peer", it.peer.str()}, {"up", it.up}, {"round_trip_us", it.round_trip.count()}});
+    }
+    return text_of(out);
+}
+
+std::string vms_json(const std::vector<cell::vm_view>& vms) {
+    json out = {{"vms", json::array()}};
+    for (const auto& it : vms) {
+        out["vms"].push_back({{"vm", it.vm.str()},
+                              {"address", it.address.text()},
+                              {"rack", it.rack.str()},
+                              {"state", it.state},
+                              {"capacity", resources_of(it.capacity)},
+                              {"attempts", it.attempts}});
+    }
+    return text_of(out);
+}
+
+std::string promises_json(const std::vector<cell::broken_promise>& promises) {
+    json out = {{"broken", json::array()}};
+    for (const auto& it : promises) {
+        out["broken"].push_back({{"promise", it.promise}, {"evidence", it.evidence}});
+    }
+    return text_of(out);
+}
+
+std::string newest_version_json(const version_document& version) {
+    return text_of({{"version", version.version.value()},
+                    {"document", json::parse(version.document, nullptr, false)}});
+}
+
+std::string versions_json(const std::vector<version_document>& versions) {
+    json out = {{"versions", json::array()}};
+    for (const auto& it : versions) {
+        out["versions"].push_back({{"version", it.version.value()}, {"author", it.author}});
+    }
+    return text_of(out);
+}
+
+}  // namespace cranberrydock::entry
--- /dev/null
+++ b/packages/entry/src/api_json.hpp
@@ -0,0 +1,22 @@
+// The JSON that callers and operators read (docs/API.md).
+#pragma once
+
+#include <cranberrydock/base/work.hpp>
+#include <cranberrydock/entry/gateways.hpp>
+
+#include <string>
+#include <vector>
+
+namespace cranberrydock::entry {
+
+std::string accepted_json(const base::work& what);
+std::string answered_json(const base::work& what, const base::work_answered& outcome);
+std::string job_json(const base::job_view& job);
+std::string jobs_json(const std::vector<base::job_view>& jobs);
+std::string cells_json(const std::vector<cell_status>& cells, const std::vector<link_view>& links);
+std::string vms_json(const std::vector<cell::vm_view>& vms);
+std::string promises_json(const std::vector<cell::broken_promise>& promises);
+std::string newest_version_json(const version_document& version);
+std::string versions_json(const std::vector<version_document>& versions);
+
+}  // namespace cranberrydock::entry
--- /dev/null
+++ b/packages/entry/src/request_body.cpp
@@ -0,0 +1,82 @@
+// The JSON of callers' requests.
+#include <cranberrydock/config/json_reader.hpp>
+#include <cranberrydock/entry/base64.hpp>
+#include <cranberrydock/entry/request_body.hpp>
+
+#include <utility>
+
+namespace cranberrydock::entry {
+namespace {
+
+using config::detail::object_reader;
+
+std::string read_payload(object_reader& body, base::findings& found) {
+    const auto plain = body.text("payload");
+    const auto encoded = body.text("payload_base64");
+    if (plain && encoded) {
+        found.add({body.pointer_to("payload_base64"), "one of payload and payload_base64", "both",
+                   "leave one out"});
+    }
+    if (!encoded) {
+        return plain.value_or("");
+    }
+    auto bytes = from_base64(*encoded);
+    if (!bytes) {
+        found.add({body.pointer_to("payload_base64"), "base64 with padding", "something else", ""});
+        return {};
+    }
+    return *std::move(bytes);
+}
+
+base::resources read_resources(object_reader& body, base::findings& found) {
+    base::resources out;
+    out.slots = base::slot_count(1);
+    const auto* const value = body.member("resources");
+    if (value == nullptr) {
+        return out;
+    }
+    object_reader reader(*value, body.pointer_to("resources"), found);
+    out.cores = base::millicores(reader.whole("millicores", {0, max_millicores}).value_or(0));
+    out.memory = base::mebibytes(reader.whole("memory_mib", {0, max_memory_mebibytes}).value_or(0));
+    out.accelerators =
+        base::accelerator_count(reader.whole("accelerators", {0, max_accelerators}).value_or(0));
+    out.slots = base::slot_count(reader.whole("slots", {1, max_slots}).value_or(1));
+    reader.refuse_unknown_fields();
+    return out;
+}
+
+std::optional<base::milliseconds> read_milliseconds(object_reader& body, const std::string& field) {
+    const auto value = body.whole(field, {1, max_milliseconds});
+    return value ? std::optional(base::milliseconds(*value)) : std::nullopt;
+}
+
+}  // namespace
+
+tl::expected<base::work, base::findings> parse_request_body(const std::string& body) {
+    const auto document = config::detail::parse_json(body, "body");
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    base::findings found;
+    object_reader reader(*document, "", found);
+    base::work out;
+    reader.require("queue", "the name of a queue");
+    out.queue = base::queue_name(reader.name("queue").value_or(""));
+    out.kind = base::kind_name(reader.name("kind").value_or("default"));
+    out.payload = read_payload(reader, found);
+    out.need = read_resources(reader, found);
+    out.task_count =
+        static_cast<std::size_t>(reader.whole("tasks", {1, max_tasks_per_job}).value_or(1));
+    out.gang = reader.flag("gang").value_or(false);
+    out.repeatable = reader.flag("repeatable").value_or(true);
+    out.service = reader.flag("service").value_or(false);
+    out.deadline = read_milliseconds(reader, "deadline_ms");
+    out.expected_time = read_milliseconds(reader, "expected_ms");
+    reader.refuse_unknown_fields();
+    if (!found.empty()) {
+        return tl::unexpected(std::move(found));
+    }
+    return out;
+}
+
+}  // namespace cranberrydock::entry
