Stand-ins: the platform, worker VMs with a judge, and a cluster of processes

Cause: daemons need a platform and VMs to be tried against, and tests a judge. The VM agent is a state machine without clock and I/O, so that property tests drive it; one process serves the VMs of several availability zones, because only there the judge sees every place that a task can run in. A start that comes after its own stop is not run (ruled out: forgetting the stop, since a delayed start could then run after the owner was told that the task is not there).

--- a/packages/platform/src/document.cpp
+++ b/packages/platform/src/document.cpp
@@ -6,6 +6,19 @@
 
 const nlohmann::json missing;
 
+constexpr std::size_t max_shown = 80;  // characters of a value in a finding
+
+std::string shown(const nlohmann::json& found) {
+    if (found.is_number()) {
+        return found.dump();
+    }
+    if (found.is_string()) {
+        return found.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+            .substr(0, max_shown);
+    }
+    return found.is_null() ? "nothing" : found.type_name();
+}
+
 }  // namespace
 
 object_reader::object_reader(const nlohmann::json& value, std::string place, base::findings& faults)
@@ -28,8 +41,7 @@
                           const nlohmann::json& found) const {
     // An object that is missing itself was reported once already.
     if (value_->is_object()) {
-        faults_->add({place_ + "/" + name, std::move(expected),
-                      found.is_number() ? found.dump() : found.type_name(), ""});
+        faults_->add({place_ + "/" + name, std::move(expected), shown(found), ""});
     }
 }
 
@@ -123,6 +135,10 @@
             in.number_of<base::slot_count>("slots")};
 }
 
+void object_reader::reject(const char* name, std::string expected) const {
+    fault(name, std::move(expected), field(name));
+}
+
 void object_reader::unknown_word(const char* name, const std::vector<std::string>& known) const {
     std::string expected = "one of";
     for (const auto& it : known) {
--- a/packages/platform/src/document.hpp
+++ b/packages/platform/src/document.hpp
@@ -49,6 +49,9 @@
     }
     base::resources resources(const char* name) const;
 
+    // Says that the field, though of the right type, is not what was expected.
+    void reject(const char* name, std::string expected) const;
+
     // Says that the field holds none of the known words.
     void unknown_word(const char* name, const std::vector<std::string>& known) const;
 
--- a/packages/platform/src/store_codec.cpp
+++ b/packages/platform/src/store_codec.cpp
@@ -80,6 +80,9 @@
     out.role = in.word("role", all_roles);
     out.state = in.word("state", all_states);
     out.address = net::parse_endpoint(in.text("address"));
+    if (out.address.port == 0) {
+        in.reject("address", "ADDRESS:PORT");
+    }
     out.region = in.id<base::region_name>("region");
     out.zone = in.id<base::zone_name>("zone");
     out.rack = in.id<base::rack_name>("rack");
--- /dev/null
+++ b/test/standins/judge.cpp
@@ -0,0 +1,143 @@
+// The judge of the simulated VMs.
+#include "judge.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cranberrydock::standins {
+namespace {
+
+constexpr std::size_t max_evidence = 50;
+
+constexpr breach all_breaches[] = {breach::overcommitted, breach::task_in_two_places,
+                                   breach::repeated, breach::start_on_lower_epoch,
+                                   breach::run_without_lease};
+
+std::string where(const judged_run& run) {
+    return "attempt " + run.attempt.str() + " of task " + run.task.str() + " on VM " +
+           run.vm.str() + " under epoch " + std::to_string(run.epoch.value());
+}
+
+}  // namespace
+
+std::string to_string(breach kind) {
+    switch (kind) {
+        case breach::overcommitted:
+            return "overcommitted";
+        case breach::task_in_two_places:
+            return "task_in_two_places";
+        case breach::repeated:
+            return "repeated";
+        case breach::start_on_lower_epoch:
+            return "start_on_lower_epoch";
+        case breach::run_without_lease:
+            return "run_without_lease";
+    }
+    return "overcommitted";
+}
+
+void judge::started(const judged_run& run, base::time_point now) {
+    ++starts_;
+    check_elsewhere(run, now);
+    check_once(run);
+    check_epoch(run);
+    running_[{run.vm, run.attempt}] = run;
+    check_room(run, now);
+}
+
+void judge::renewed(const judged_run& run) {
+    running_[{run.vm, run.attempt}] = run;
+}
+
+void judge::ended(const judged_run& run, base::time_point last_ran) {
+    if (last_ran > run.lease_until) {
+        record(breach::run_without_lease, run, "it ran on after its lease had lapsed");
+    }
+    running_.erase({run.vm, run.attempt});
+}
+
+// A run whose lease has lapsed does not count: the VM has stopped it, though the simulation's timer
+// may not have fired yet.
+void judge::check_elsewhere(const judged_run& run, base::time_point now) {
+    for (const auto& it : running_) {
+        if (it.second.task == run.task && it.second.lease_until > now) {
+            record(breach::task_in_two_places, run, "while it ran as " + where(it.second));
+        }
+    }
+}
+
+void judge::check_once(const judged_run& run) {
+    if (run.repeatable) {
+        return;
+    }
+    const auto first = once_.emplace("task " + run.task.str(), where(run));
+    if (!first.second) {
+        record(breach::repeated, run, "first started as " + first.first->second);
+    }
+    if (!run.mark.empty()) {
+        const auto marked = once_.emplace("mark " + run.mark, where(run));
+        if (!marked.second && first.second) {
+            record(breach::repeated, run,
+                   "the work marked " + run.mark + " first started as " + marked.first->second);
+        }
+    }
+}
+
+void judge::check_epoch(const judged_run& run) {
+    auto& highest = epochs_[run.incarnation];
+    if (run.epoch < highest) {
+        record(breach::start_on_lower_epoch, run,
+               "the VM had taken epoch " + std::to_string(highest.value()));
+        return;
+    }
+    highest = run.epoch;
+}
+
+void judge::check_room(const judged_run& run, base::time_point now) {
+    base::resources sum;
+    for (const auto& it : running_) {
+        if (it.second.vm == run.vm && it.second.lease_until > now) {
+            sum += it.second.reserved;
+        }
+    }
+    if (!base::fits(sum, run.capacity)) {
+        record(breach::overcommitted, run,
+               "memory reserved " + std::to_string(sum.memory.value()) + " of " +
+                   std::to_string(run.capacity.memory.value()) + " MiB, cores " +
+                   std::to_string(sum.cores.value()) + " of " +
+                   std::to_string(run.capacity.cores.value()) + " millicores, slots " +
+                   std::to_string(sum.slots.value()) + " of " +
+                   std::to_string(run.capacity.slots.value()));
+    }
+}
+
+void judge::record(breach kind, const judged_run& run, const std::string& detail) {
+    ++counts_[kind];
+    if (evidence_.size() < max_evidence) {
+        evidence_.push_back(to_string(kind) + ": " + where(run) + ": " + detail);
+    }
+}
+
+std::int64_t judge::count(breach kind) const {
+    const auto it = counts_.find(kind);
+    return it == counts_.end() ? 0 : it->second;
+}
+
+std::int64_t judge::total() const {
+    std::int64_t sum = 0;
+    for (const auto& it : counts_) {
+        sum += it.second;
+    }
+    return sum;
+}
+
+std::string judge::json() const {
+    nlohmann::json counts = nlohmann::json::object();
+    for (const auto it : all_breaches) {
+        counts[to_string(it)] = count(it);
+    }
+    return nlohmann::json{
+        {"total", total()}, {"starts", starts_}, {"counts", counts}, {"evidence", evidence_}}
+        .dump();
+}
+
+}  // namespace cranberrydock::standins
--- /dev/null
+++ b/test/standins/main_platform.cpp
@@ -0,0 +1,26 @@
+// The program standin_platform: the stand-in for the users' platform.
+#include "platform_server.hpp"
+#include "serving.hpp"
+
+#include <gflags/gflags.h>
+
+#include <exception>
+#include <iostream>
+
+DEFINE_string(listen, "127.0.0.1:0", "address and port; port 0 takes a free one");
+
+int main(int argc, char** argv) {
+    using namespace cranberrydock;
+    try {
+        gflags::SetUsageMessage("the stand-in for the platform; prints 'listening ADDRESS:PORT'");
+        gflags::ParseCommandLineFlags(&argc, &argv, true);
+        net::event_loop loop;
+        const standins::platform_server server(loop, net::parse_endpoint(FLAGS_listen));
+        standins::announce(server.listening_on());
+        standins::serve_until_told(loop);
+    } catch (const std::exception& error) {
+        std::cerr << "standin_platform: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/standins/serving.cpp
@@ -0,0 +1,19 @@
+// The end of every stand-in's main().
+#include "serving.hpp"
+
+#include <csignal>
+#include <iostream>
+
+namespace cranberrydock::standins {
+
+void announce(const net::endpoint& listening_on) {
+    std::cout << "listening " << listening_on.text() << std::endl;
+}
+
+void serve_until_told(net::event_loop& loop) {
+    const auto on_term = loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
+    const auto on_interrupt = loop.on_signal(SIGINT, [&loop] { loop.stop(); });
+    loop.run();
+}
+
+}  // namespace cranberrydock::standins
--- /dev/null
+++ b/test/standins/vm_server.cpp
@@ -0,0 +1,197 @@
+// Many simulated VMs in one process.
+#include "vm_server.hpp"
+
+#include <cranberrydock/platform/store_codec.hpp>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace cranberrydock::standins {
+namespace {
+
+using net::http_request;
+using nlohmann::json;
+
+constexpr base::milliseconds platform_timeout{2'000};
+constexpr base::milliseconds register_retry_period{100};
+
+platform::member member_of(const vm_host& vm, const base::resources& capacity) {
+    return {vm.id(),
+            platform::member_role::worker,
+            vm.leaving() ? platform::member_state::leaving : platform::member_state::live,
+            vm.address(),
+            vm.location().region,
+            vm.location().zone,
+            vm.location().rack,
+            capacity};
+}
+
+json members_document(const std::vector<platform::member>& members) {
+    return json::parse(platform::encode(members));
+}
+
+base::milliseconds milliseconds_of(const json& in, const char* name) {
+    return base::milliseconds{in.value(name, 0)};
+}
+
+}  // namespace
+
+vm_server::vm_server(net::event_loop& loop, const fleet_settings& settings,
+                     std::function<void()> ready)
+    : loop_(loop),
+      platform_(settings.platform),
+      ready_(std::move(ready)),
+      client_(net::make_http_client(loop, {})) {
+    make_vms(settings);
+    add_actions();
+    add_routes();
+    server_ = std::make_unique<net::http_server>(loop, net::endpoint{settings.listen_address, 0},
+                                                 net::http_server_limits{}, routes_);
+    register_all();
+}
+
+void vm_server::make_vms(const fleet_settings& settings) {
+    for (const auto& zone : settings.zones) {
+        for (int i = 0; i < settings.vms_per_zone; ++i) {
+            const base::vm_id id(settings.id_prefix + "-" + zone.zone.str() + "-" +
+                                 std::to_string(i + 1));
+            const base::rack_name rack(zone.zone.str() + "-rack-" +
+                                       std::to_string(i / settings.vms_per_rack + 1));
+            vms_[id] = std::make_unique<vm_host>(
+                loop_, clock_, judge_, vm_settings{id, settings.capacity, settings.usage_lag},
+                vm_location{zone.region, zone.zone, rack},
+                net::endpoint{settings.listen_address, 0});
+        }
+    }
+}
+
+void vm_server::add_routes() {
+    routes_.add(net::http_method::get, "/judge", [this](auto& /*request*/, auto respond) {
+        respond(net::json_response(200, judge_.json()));
+    });
+    routes_.add(net::http_method::get, "/control/vms", [this](auto& /*request*/, auto respond) {
+        respond(net::json_response(200, list_vms()));
+    });
+    routes_.add(net::http_method::post, "/control/vm", [this](auto& request, auto respond) {
+        command_vm(request);
+        respond(net::json_response(200, "{}"));
+    });
+}
+
+void vm_server::add_actions() {
+    const auto simple = [this](const char* name, auto what) {
+        actions_[name] = [what](vm_host& vm, const http_request& /*request*/) { what(vm); };
+    };
+    simple("freeze", [](vm_host& vm) { vm.freeze(); });
+    simple("unfreeze", [](vm_host& vm) { vm.unfreeze(); });
+    simple("silence", [](vm_host& vm) { vm.set_voice(vm_voice::silent); });
+    simple("lose_answers", [](vm_host& vm) { vm.set_voice(vm_voice::loses_answers); });
+    simple("speak", [](vm_host& vm) { vm.set_voice(vm_voice::speaks); });
+    actions_["delay"] = [](vm_host& vm, const http_request& request) {
+        const auto in = json_body(request);
+        vm.set_delay(milliseconds_of(in, "command_ms"), milliseconds_of(in, "answer_ms"));
+    };
+    actions_["fail_everything"] = [](vm_host& vm, const http_request& request) {
+        vm.set_fails_everything(json_body(request).value("on", true));
+    };
+    actions_["start_rogue"] = [](vm_host& vm, const http_request& request) {
+        const auto in = json_body(request);
+        base::resources uses;
+        uses.memory = base::mebibytes(in.value("uses_memory_mib", 1));
+        vm.start_rogue(base::task_id(in.value("task", std::string("rogue"))), uses);
+    };
+    actions_["kill"] = [this](vm_host& vm, const http_request& request) {
+        vm.kill();
+        tell_platform(vm, request);
+    };
+    actions_["replace"] = [this](vm_host& vm, const http_request& request) {
+        vm.replace();
+        tell_platform(vm, request);
+    };
+    actions_["leave"] = [this](vm_host& vm, const http_request& request) {
+        vm.leave();
+        tell_platform(vm, request);
+    };
+}
+
+void vm_server::command_vm(const http_request& request) {
+    const auto in = json_body(request);
+    const auto vm = vms_.find(base::vm_id(in.value("vm", std::string())));
+    if (vm == vms_.end()) {
+        throw bad_request("expected the id of a VM of this process in \"vm\", found " +
+                          in.value("vm", std::string("nothing")));
+    }
+    const auto what = actions_.find(in.value("action", std::string()));
+    if (what == actions_.end()) {
+        std::string known;
+        for (const auto& it : actions_) {
+            known += " " + it.first;
+        }
+        throw bad_request("expected \"action\" to be one of" + known);
+    }
+    what->second(*vm->second, request);
+}
+
+void vm_server::tell_platform(const vm_host& vm, const http_request& request) {
+    const auto in = json_body(request);
+    if (platform_.port == 0 || !in.value("tell_platform", true)) {
+        return;
+    }
+    json body = {{"lag_ms", in.value("lag_ms", 0)}};
+    if (vm.alive()) {
+        body["members"] =
+            members_document({member_of(vm, vm.agent().settings().capacity)}).at("members");
+    } else {
+        body["gone"] = {vm.id().str()};
+    }
+    post_members(body.dump(), [id = vm.id()](bool done) {
+        if (!done) {
+            spdlog::warn("event=member_not_told vm={}", id.str());
+        }
+    });
+}
+
+void vm_server::register_all() {
+    if (platform_.port == 0) {
+        loop_.post(ready_);
+        return;
+    }
+    std::vector<platform::member> members;
+    for (const auto& it : vms_) {
+        members.push_back(member_of(*it.second, it.second->agent().settings().capacity));
+    }
+    post_members(platform::encode(members), [this](bool done) {
+        if (done) {
+            ready_();
+            return;
+        }
+        register_again_ = loop_.after(register_retry_period, [this] { register_all(); });
+    });
+}
+
+void vm_server::post_members(const std::string& body, std::function<void(bool)> done) {
+    client_->send(platform_, {net::http_method::post, "/control/members", "", {}, body},
+                  platform_timeout, [done = std::move(done)](const net::http_result& result) {
+                      done(result && result->status == 200);
+                  });
+}
+
+std::string vm_server::list_vms() const {
+    json list = json::array();
+    for (const auto& it : vms_) {
+        const vm_host& vm = *it.second;
+        list.push_back({{"id", vm.id().str()},
+                        {"address", vm.address().text()},
+                        {"region", vm.location().region.str()},
+                        {"zone", vm.location().zone.str()},
+                        {"incarnation", vm.agent().incarnation().str()},
+                        {"alive", vm.alive()},
+                        {"running", vm.agent().running()},
+                        {"unacknowledged", vm.agent().unacknowledged()}});
+    }
+    return json{{"vms", list}}.dump();
+}
+
+}  // namespace cranberrydock::standins
--- /dev/null
+++ b/test/standins/vm_server.hpp
@@ -0,0 +1,82 @@
+// Many simulated VMs in one process, with one judge over all of them, and the routes to command
+// their faults. One process serves the VMs of several availability zones, so that the judge sees
+// every place a task can run in.
+//
+//   GET /judge          what judge::json() says
+//   GET /control/vms    {"vms":[{"id","address","incarnation","alive","running"}]}
+//   POST /control/vm    {"vm":"ID","action":"..."} with action one of
+//     freeze, unfreeze, silence, lose_answers, speak,
+//     delay ("command_ms", "answer_ms"), fail_everything ("on", default true),
+//     start_rogue ("task", "uses_memory_mib"),
+//     kill, replace, leave (these tell the platform's member list, which shows it after "lag_ms";
+//     "tell_platform": false leaves the list as it is)
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/net/event_loop.hpp>
+#include <cranberrydock/net/http_client.hpp>
+#include <cranberrydock/net/http_server.hpp>
+
+#include "control_routes.hpp"
+#include "judge.hpp"
+#include "vm_host.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+struct zone_of_vms {
+    base::region_name region;
+    base::zone_name zone;
+};
+
+struct fleet_settings {
+    std::string listen_address;  // of the VMs and of the control routes; ports are free ones
+    net::endpoint platform;      // where to register the VMs; port 0: nowhere
+    std::vector<zone_of_vms> zones;
+    int vms_per_zone = 1;
+    int vms_per_rack = 8;
+    std::string id_prefix = "vm";  // of the ids PREFIX-ZONE-NUMBER, counted from 1
+    base::resources capacity;      // of each VM
+    base::milliseconds usage_lag{200};
+};
+
+// Use and destroy on `loop`'s thread.
+class vm_server {
+public:
+    // Calls `ready` once the platform's member list holds all VMs.
+    vm_server(net::event_loop& loop, const fleet_settings& settings, std::function<void()> ready);
+
+    net::endpoint listening_on() const { return server_->listening_on(); }
+    const judge& verdicts() const { return judge_; }
+
+private:
+    using action = std::function<void(vm_host&, const net::http_request&)>;
+
+    void make_vms(const fleet_settings& settings);
+    void add_routes();
+    void add_actions();
+    void command_vm(const net::http_request& request);
+    void register_all();
+    void tell_platform(const vm_host& vm, const net::http_request& request);
+    void post_members(const std::string& body, std::function<void(bool)> done);
+    std::string list_vms() const;
+
+    net::event_loop& loop_;
+    base::monotonic_clock clock_;
+    net::endpoint platform_;
+    std::function<void()> ready_;
+    judge judge_;
+    std::map<base::vm_id, std::unique_ptr<vm_host>> vms_;
+    std::map<std::string, action> actions_;
+    route_table routes_;
+    std::unique_ptr<net::http_client> client_;
+    std::unique_ptr<net::timer> register_again_;
+    std::unique_ptr<net::http_server> server_;
+};
+
+}  // namespace cranberrydock::standins
