--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/mesh/messages.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
@@ -64,8 +65,10 @@
     virtual net::endpoint listening_on() const = 0;
 };
 
-// Use and destroy on `loop`'s thread. Throws std::runtime_error when it can't listen.
+// Use and destroy on `loop`'s thread, and destroy it outside of the listener's calls. Throws
+// std::runtime_error when it can't listen.
 std::unique_ptr<mesh> make_websocket_mesh(net::event_loop& loop, const mesh_settings& settings,
-                                          mesh_listener& listener);
+                                          mesh_listener& listener, base::metrics& metrics,
+                                          const base::clock& clock);
 
 }  // namespace cranberrydock::mesh
--- /dev/null
+++ b/packages/mesh/src/context.hpp
@@ -0,0 +1,23 @@
+// What every part of one mesh depends on.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/mesh/mesh.hpp>
+#include <cranberrydock/net/event_loop.hpp>
+
+#include "retired.hpp"
+#include "websocket.hpp"
+
+namespace cranberrydock::mesh::detail {
+
+struct context {
+    net::event_loop& loop;
+    const base::clock& clock;
+    base::metrics& metrics;
+    const mesh_settings& settings;
+    websocket_factory& websockets;
+    retired& retired_objects;
+};
+
+}  // namespace cranberrydock::mesh::detail
