Cell: ownership machine and the registry's rows

Cause: a cell needs one owner at a time, with nothing but the table service to agree in.

Contract changes of ownership.hpp: - silence_asked and ask_silence carry cells with their epochs (cell_epoch), like mesh::silence_query, instead of cells and one epoch: without the epoch a daemon with an old view of the registry has to refuse the promise. - new event registry_hint (scan at once, e.g. on mesh cells_offered), new settings first_owner_delay and stop_patience, daemon_row.stopping. - the own row is renewed until the last cell is given up: "renew no more" would let others take a cell that is still being drained. - ownership's constructor takes a const reference.

Rebalancing is left out: cells move only when an owner goes.

--- a/packages/cell/include/cranberrydock/cell/ownership.hpp
+++ b/packages/cell/include/cranberrydock/cell/ownership.hpp
@@ -33,6 +33,10 @@
     base::milliseconds safety_margin{500};
     // Each lower rendezvous rank waits this much longer before it takes a cell.
     base::milliseconds rank_delay{300};
+    // A cell that never had an owner is left to the daemons of its zone for so long; others wait.
+    base::milliseconds first_owner_delay{1'500};
+    // How long a graceful stop whose cells are drained goes on waiting for a store that fails.
+    base::milliseconds stop_patience{10'000};
 };
 
 // A daemon's row: "daemon/ID".
@@ -43,7 +47,15 @@
     base::zone_name zone;
     net::endpoint mesh_address;
     net::endpoint http_address;
-    std::int64_t renewals = 0;  // raised by each renewal; observers watch it change
+    std::int64_t renewals = 0;  // raised by each attempt to renew; observers watch it change
+    bool stopping = false;      // gives its cells up, takes none
+
+    friend bool operator==(const daemon_row& a, const daemon_row& b) {
+        return a.id == b.id && a.vm == b.vm && a.region == b.region && a.zone == b.zone &&
+               a.mesh_address == b.mesh_address && a.http_address == b.http_address &&
+               a.renewals == b.renewals && a.stopping == b.stopping;
+    }
+    friend bool operator!=(const daemon_row& a, const daemon_row& b) { return !(a == b); }
 };
 
 // A cell's row: "cell/ID".
@@ -53,6 +65,18 @@
     base::epoch epoch;
     net::endpoint address;       // the owner's mesh address
     base::daemon_id offered_by;  // set by a graceful stop
+
+    friend bool operator==(const cell_row& a, const cell_row& b) {
+        return a.id == b.id && a.owner == b.owner && a.epoch == b.epoch && a.address == b.address &&
+               a.offered_by == b.offered_by;
+    }
+    friend bool operator!=(const cell_row& a, const cell_row& b) { return !(a == b); }
+};
+
+// A cell as owned in one epoch.
+struct cell_epoch {
+    base::cell_id cell;
+    base::epoch epoch;
 };
 
 struct known_cell {
@@ -100,11 +124,12 @@
 
 struct silence_asked {
     base::daemon_id by;
-    std::int64_t call = 0;  // goes back in promise_silence
-    std::vector<base::cell_id> cells;
+    std::int64_t call = 0;          // goes back in promise_silence
+    std::vector<cell_epoch> cells;  // that the asker believes to own
 };
 
-// Begin a graceful stop: renew no more, give every cell up.
+// Begin a graceful stop: take no cell any more and give every cell up. The daemon's own row is
+// renewed until then, so that nobody takes a cell that is still being drained.
 struct stop_requested {};
 
 // The owner's part has drained this cell and nothing of it is under way here any more.
@@ -112,9 +137,12 @@
     base::cell_id cell;
 };
 
+// Another daemon says that it changed the registry, such as by offering cells: scan at once.
+struct registry_hint {};
+
 using ownership_event =
     std::variant<tick, cells_known, registry_scanned, commit_finished, peer_heard, entries_listed,
-                 promise_received, silence_asked, stop_requested, cell_drained>;
+                 promise_received, silence_asked, stop_requested, cell_drained, registry_hint>;
 
 // ---- effects
 
@@ -131,8 +159,7 @@
 struct ask_silence {
     operation_id operation;
     std::vector<base::daemon_id> to;
-    std::vector<base::cell_id> cells;
-    base::epoch epoch;
+    std::vector<cell_epoch> cells;
 };
 
 struct promise_silence {
@@ -165,12 +192,14 @@
     std::string why;
 };
 
-// The graceful stop wants this cell drained; cell_drained answers.
+// The graceful stop, or a configuration without this cell, wants it drained; cell_drained answers.
+// From that answer on may_place() is false, and no cell_lost follows.
 struct drain_cell {
     base::cell_id cell;
 };
 
-// Where each cell's owner is, as this daemon knows it; sent when it changes.
+// Where each cell's owner is, as this daemon knows it, and the daemons whose rows have not lapsed,
+// this one included; sent when it changes. Renewals don't count as a change.
 struct routes_changed {
     std::vector<cell_row> cells;
     std::vector<daemon_row> daemons;
@@ -185,8 +214,10 @@
 
 class ownership {
 public:
-    explicit ownership(ownership_settings settings);
+    explicit ownership(const ownership_settings& settings);
     ~ownership();
+    ownership(const ownership&) = delete;
+    ownership& operator=(const ownership&) = delete;
     ownership(ownership&&) noexcept;
     ownership& operator=(ownership&&) noexcept;
 
--- /dev/null
+++ b/test/standins/table_model.hpp
@@ -0,0 +1,66 @@
+// The table service as a plain value, for tests that interleave its operations themselves.
+#pragma once
+
+#include <cranberrydock/platform/table_service.hpp>
+
+#include <tl/expected.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+// Invariant: versions come from one counter, so a row that is made again has a later one.
+class table_model {
+public:
+    tl::expected<platform::commit_result, platform::store_error> commit(
+        const platform::transaction& what) {
+        for (const auto& it : what.conditions) {
+            if (version(it.key) != it.version) {
+                return tl::make_unexpected(platform::store_error::conflict);
+            }
+        }
+        platform::commit_result result;
+        for (const auto& it : what.writes) {
+            last_ = last_.next();
+            result.versions.push_back(last_);
+            if (it.value) {
+                rows_[it.key] = {it.key, last_, *it.value};
+            } else {
+                rows_.erase(it.key);
+            }
+        }
+        return result;
+    }
+
+    // Rows whose key begins with `prefix` and is greater than `after`, at most `limit`.
+    std::vector<platform::row> scan(const std::string& prefix, const platform::row_key& after = {},
+                                    std::size_t limit = 1'000'000) const {
+        std::vector<platform::row> result;
+        for (const auto& it : rows_) {
+            const bool wanted = it.first.str().rfind(prefix, 0) == 0 && after < it.first;
+            if (wanted && result.size() < limit) {
+                result.push_back(it.second);
+            }
+        }
+        return result;
+    }
+
+    // Null when there is no such row.
+    const platform::row* find(const platform::row_key& key) const {
+        const auto it = rows_.find(key);
+        return it != rows_.end() ? &it->second : nullptr;
+    }
+
+    platform::row_version version(const platform::row_key& key) const {
+        const auto* it = find(key);
+        return it != nullptr ? it->version : platform::row_version(0);
+    }
+
+private:
+    std::map<platform::row_key, platform::row> rows_;
+    platform::row_version last_{0};
+};
+
+}  // namespace cranberrydock::standins
