--- a/packages/cell/src/ownership.cpp
+++ b/packages/cell/src/ownership.cpp
@@ -19,4 +19,8 @@
     return machine_->may_place(cell, now);
 }
 
+base::time_point ownership::place_until(const base::cell_id& cell) const {
+    return machine_->place_until(cell);
+}
+
 }  // namespace cranberrydock::cell
--- a/packages/cell/src/ownership_machine.cpp
+++ b/packages/cell/src/ownership_machine.cpp
@@ -38,7 +38,12 @@
 // ---- freshness
 
 bool ownership::machine::fresh(const owned_cell& cell, base::time_point now) const {
-    return now < cell.evidence + settings_.lease - settings_.safety_margin || now < extended_until_;
+    return now < fresh_until(cell);
+}
+
+base::time_point ownership::machine::fresh_until(const owned_cell& cell) const {
+    const base::time_point own = cell.evidence + settings_.lease - settings_.safety_margin;
+    return std::max<base::time_point>(own, extended_until_);
 }
 
 bool ownership::machine::own_row_fresh(base::time_point now) const {
@@ -52,8 +57,13 @@
 }
 
 bool ownership::machine::may_place(const base::cell_id& cell, base::time_point now) const {
+    return now < place_until(cell);
+}
+
+base::time_point ownership::machine::place_until(const base::cell_id& cell) const {
     const auto it = owned_.find(cell);
-    return it != owned_.end() && it->second.state != hold::drained && fresh(it->second, now);
+    const bool usable = it != owned_.end() && it->second.state != hold::drained;
+    return usable ? fresh_until(it->second) : base::time_point{};
 }
 
 void ownership::machine::note_freshness(base::time_point now) {
--- a/packages/cell/src/ownership_machine.hpp
+++ b/packages/cell/src/ownership_machine.hpp
@@ -26,6 +26,7 @@
 
     std::vector<ownership_effect> handle(const ownership_event& event, base::time_point now);
     bool may_place(const base::cell_id& cell, base::time_point now) const;
+    base::time_point place_until(const base::cell_id& cell) const;
 
 private:
     void on(const tick& event, base::time_point now);
@@ -69,6 +70,7 @@
     void finish_stop(base::time_point now);
 
     bool fresh(const detail::owned_cell& cell, base::time_point now) const;
+    base::time_point fresh_until(const detail::owned_cell& cell) const;
     bool own_row_fresh(base::time_point now) const;
     bool renewal_late(base::time_point now) const;
     bool store_answers(base::time_point now) const;
--- /dev/null
+++ b/packages/daemon/src/config_keeper.cpp
@@ -0,0 +1,181 @@
+// Keeps the configuration in force at this daemon.
+#include "config_keeper.hpp"
+
+#include <cranberrydock/config/version_record.hpp>
+
+#include <spdlog/fmt/chrono.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr base::milliseconds retry_soon{1'000};
+
+config::version_chain_settings chain_settings(const config::daemon_settings& settings,
+                                              const base::daemon_id& self) {
+    config::version_chain_settings out;
+    out.self = self;
+    out.poll = settings.configuration.poll;
+    out.freshness = settings.configuration.freshness;
+    return out;
+}
+
+// For people who read the history; nothing is decided by it.
+std::string wall_clock_now() {
+    const auto now = std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
+    return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(now));
+}
+
+// Turns the chain's outcome of a patch into the entry's.
+class outcome_reader {
+public:
+    using result = tl::expected<base::config_version, entry::patch_refusal>;
+
+    result operator()(const config::patch_accepted& outcome) const { return outcome.version; }
+
+    result operator()(const config::patch_conflict& outcome) const {
+        const base::refusal why{base::refusal_reason::configuration_conflict, true,
+                                base::milliseconds{0},
+                                "expected a patch against the newest version, " +
+                                    std::to_string(outcome.current.value()) +
+                                    "; read it and send the patch against it"};
+        return tl::unexpected(entry::patch_refusal{why, outcome.current, {}});
+    }
+
+    result operator()(const config::patch_invalid& outcome) const {
+        const base::refusal why{base::refusal_reason::configuration_invalid, true,
+                                base::milliseconds{0},
+                                "the patched configuration has " +
+                                    std::to_string(outcome.why.size()) + " fault(s)"};
+        return tl::unexpected(entry::patch_refusal{why, {}, outcome.why});
+    }
+
+    result operator()(const base::refusal& outcome) const {
+        return tl::unexpected(entry::patch_refusal{outcome, {}, {}});
+    }
+};
+
+}  // namespace
+
+config_keeper::config_keeper(const config::daemon_settings& settings, const base::daemon_id& self,
+                             platform::table_service& table, const base::clock& clock,
+                             base::metrics& metrics, config_listener& listener)
+    : chain_(chain_settings(settings, self)),
+      table_(table),
+      clock_(clock),
+      metrics_(metrics),
+      listener_(listener) {}
+
+bool config_keeper::fresh() const {
+    const auto until = chain_.fresh_until();
+    return until && clock_.now() < *until;
+}
+
+void config_keeper::patch(const entry::patch_request& what, entry::patch_callback done) {
+    const std::int64_t call = next_call_++;
+    patches_[call] = std::move(done);
+    handle(config::patch_requested{config::patch_call(call), what.base, what.patch, what.author,
+                                   wall_clock_now()});
+}
+
+entry::version_document config_keeper::newest() const {
+    const auto current = chain_.in_force();
+    return {current ? current->version : base::config_version(0), chain_.document(), ""};
+}
+
+void config_keeper::list(base::config_version after, std::size_t limit,
+                         entry::versions_callback done) {
+    table_.scan(config::version_prefix(), config::version_key(after), limit,
+                [done = std::move(done)](
+                    const tl::expected<std::vector<platform::row>, platform::store_error>& rows) {
+                    if (!rows) {
+                        done(tl::unexpected(base::refusal{base::refusal_reason::store_unavailable, true,
+                                                          retry_soon,
+                                                          "the versions stand in the platform's "
+                                                          "store, which is unavailable"}));
+                        return;
+                    }
+                    std::vector<entry::version_document> out;
+                    for (const auto& it : *rows) {
+                        const auto version = config::version_of(it.key);
+                        const auto record = config::decode_version(it.value);
+                        if (version && record) {
+                            out.push_back({*version, record->document, record->author});
+                        }
+                    }
+                    done(std::move(out));
+                });
+}
+
+void config_keeper::tick() { handle(config::chain_tick{}); }
+
+void config_keeper::on_announcement(const mesh::config_announcement& what) {
+    handle(config::version_announced{what.version, what.document});
+}
+
+void config_keeper::on_peer_version(const base::daemon_id& peer, base::config_version version) {
+    const auto current = chain_.in_force();
+    if (!current || version > current->version) {
+        handle(config::peer_version{peer, version, std::nullopt});
+    }
+}
+
+void config_keeper::handle(const config::chain_event& event) {
+    for (const auto& it : chain_.handle(event, clock_.now())) {
+        std::visit([this](const auto& effect) { carry_out(effect); }, it);
+    }
+}
+
+void config_keeper::carry_out(const config::read_row& effect) {
+    std::weak_ptr<config_keeper*> self = self_;
+    table_.read(effect.key, [self, operation = effect.operation](const auto& result) {
+        if (const auto keeper = self.lock()) {
+            (*keeper)->handle(config::row_read{operation, result});
+        }
+    });
+}
+
+void config_keeper::carry_out(const config::commit_rows& effect) {
+    std::weak_ptr<config_keeper*> self = self_;
+    table_.commit(effect.what, [self, operation = effect.operation](const auto& result) {
+        if (const auto keeper = self.lock()) {
+            (*keeper)->handle(config::rows_committed{operation, result});
+        }
+    });
+}
+
+void config_keeper::carry_out(const config::version_in_force& effect) {
+    spdlog::info("event=configuration_in_force version={}", effect.current->version.value());
+    metrics_.set("cranberrydock_configuration_version", "",
+                 static_cast<double>(effect.current->version.value()));
+    listener_.on_configuration(effect.current);
+}
+
+void config_keeper::carry_out(const config::version_unreadable& effect) {
+    spdlog::error("event=configuration_unreadable version={} findings=\"{}\"",
+                  effect.version.value(), effect.why.text());
+    metrics_.count("cranberrydock_configuration_unreadable_total", "");
+}
+
+void config_keeper::carry_out(const config::patch_finished& effect) {
+    const auto it = patches_.find(effect.call.value());
+    if (it == patches_.end()) {
+        return;
+    }
+    const entry::patch_callback done = std::move(it->second);
+    patches_.erase(it);
+    done(std::visit(outcome_reader{}, effect.outcome));
+}
+
+void config_keeper::carry_out(const config::announce_version& effect) {
+    listener_.announce(effect.to, {effect.version, effect.document});
+}
+
+// Outage evidence for the configuration is not exchanged yet: without the store, freshness runs out.
+void config_keeper::carry_out(const config::outage_promised& /*effect*/) {}
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,431 @@
+// A daemon: who is told what. Each part owns its state; this file passes the messages between them.
+#include <cranberrydock/daemon/daemon.hpp>
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/digest.hpp>
+#include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/entry/api_server.hpp>
+#include <cranberrydock/mesh/mesh.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include "cell_host.hpp"
+#include "cell_rules.hpp"
+#include "config_keeper.hpp"
+#include "platform_services.hpp"
+#include "registry_keeper.hpp"
+#include "routing_table.hpp"
+#include "work_forwarder.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr base::milliseconds tick_period{50};
+constexpr base::milliseconds member_period{500};
+constexpr base::milliseconds rules_period{500};
+// After a stop was asked for, balancers have seen the daemon unready by then.
+constexpr base::milliseconds unready_time{1'000};
+constexpr std::size_t incarnation_bytes = 4;
+
+base::daemon_id name_daemon(const config::identity_settings& identity) {
+    return base::daemon_id(identity.vm.str() + "~" + base::random_hex(incarnation_bytes));
+}
+
+mesh::mesh_settings mesh_settings_of(const config::daemon_settings& settings,
+                                     const base::daemon_id& self, const std::string& secret) {
+    mesh::mesh_settings out;
+    out.listen = settings.listen.mesh;
+    out.self = self;
+    out.secret = secret;
+    out.heartbeat_period = settings.mesh.heartbeat;
+    out.silence_deadline = settings.mesh.silence_deadline;
+    return out;
+}
+
+cell::ownership_settings ownership_settings_of(const config::daemon_settings& settings,
+                                               const base::daemon_id& self,
+                                               const net::endpoint& mesh,
+                                               const net::endpoint& http) {
+    cell::ownership_settings out;
+    out.self = self;
+    out.vm = settings.identity.vm;
+    out.region = settings.identity.region;
+    out.zone = settings.identity.zone;
+    out.mesh_address = mesh;
+    out.http_address = http;
+    out.renew_period = settings.ownership.renew;
+    out.lease = settings.ownership.lease;
+    out.scan_period = settings.ownership.scan;
+    out.safety_margin = settings.ownership.safety_margin;
+    out.rank_delay = settings.ownership.rank_delay;
+    return out;
+}
+
+bool belongs_to(const platform::member& vm, const config::cell& cell) {
+    if (vm.role != platform::member_role::worker || vm.zone != cell.zone) {
+        return false;
+    }
+    return cell.racks.empty() ||
+           std::find(cell.racks.begin(), cell.racks.end(), vm.rack) != cell.racks.end();
+}
+
+}  // namespace
+
+class daemon::state final : public mesh::mesh_listener,
+                            public cell_host_listener,
+                            public config_listener,
+                            public registry_listener,
+                            public peer_sender,
+                            public entry::cluster_view {
+public:
+    state(net::event_loop& loop, const config::daemon_settings& settings, const std::string& secret)
+        : loop_(loop),
+          self_(name_daemon(settings.identity)),
+          routes_(self_),
+          services_(make_platform_services(settings.platform)),
+          table_(services_->make_table_service(loop)),
+          members_(services_->make_member_list(loop)),
+          host_(settings, self_, loop, *services_, metrics_, *this),
+          config_(settings, self_, *table_, clock_, metrics_, *this),
+          forwarder_(config_, routes_, host_, *this, metrics_, clock_),
+          api_({config_, config_, forwarder_, *this, metrics_, clock_,
+                settings.limits.max_open_requests}),
+          http_(loop, settings.listen.http,
+                {settings.limits.max_body, settings.limits.max_headers,
+                 settings.limits.slow_sender_timeout},
+                api_),
+          mesh_(mesh::make_websocket_mesh(loop, mesh_settings_of(settings, self_, secret), *this,
+                                          metrics_, clock_)),
+          registry_(ownership_settings_of(settings, self_, mesh_->listening_on(),
+                                          http_.listening_on()),
+                    *table_, *this, clock_, metrics_, *this) {
+        for (const auto reason : base::all_refusal_reasons()) {
+            metrics_.count("cranberrydock_refusals_total",
+                           "reason=\"" + std::string(to_string(reason)) + "\"", 0);
+        }
+        timers_.push_back(loop.every(tick_period, [this] { tick(); }));
+        timers_.push_back(loop.every(member_period, [this] { read_members(); }));
+        timers_.push_back(loop.every(rules_period, [this] { publish_rules(); }));
+        tick();
+        read_members();
+        spdlog::info("event=started daemon={} http={} mesh={}", self_.str(),
+                     http_.listening_on().text(), mesh_->listening_on().text());
+    }
+
+    net::endpoint http_address() const { return http_.listening_on(); }
+
+    void stop() {
+        if (stopping_) {
+            return;
+        }
+        stopping_ = true;
+        spdlog::info("event=stopping daemon={}", self_.str());
+        timers_.push_back(loop_.after(unready_time, [this] { registry_.stop(); }));
+    }
+
+    // ---- the mesh
+
+    void on_message(const base::daemon_id& from, mesh::message what) override {
+        registry_.on_peer_heard(from);
+        std::visit([this, &from](const auto& message) { receive(from, message); }, what);
+    }
+
+    void on_link(const base::daemon_id& peer, bool up) override {
+        spdlog::info("event=link peer={} up={}", peer.str(), up);
+        if (!up) {
+            usage_.erase(peer);
+            forwarder_.on_peer_lost(peer);
+        }
+    }
+
+    mesh::heartbeat current_state() override {
+        mesh::heartbeat out;
+        const auto current = config_.current();
+        out.version = current ? current->version : base::config_version(0);
+        out.ready = !stopping_;
+        for (const auto& it : routes_.owned()) {
+            out.owned.push_back({it.cell, it.epoch});
+        }
+        out.usage = own_usage();
+        return out;
+    }
+
+    bool send(const base::daemon_id& to, const mesh::message& what) override {
+        return mesh_ != nullptr && mesh_->send(to, what);
+    }
+
+    // ---- cells
+
+    void on_reply(cell::reply_id to, const base::work_outcome& outcome,
+                  const std::vector<base::trace_step>& trace) override {
+        forwarder_.on_reply(to, outcome, trace);
+    }
+
+    void on_drained(const base::cell_id& cell) override {
+        routes_.lost(cell);
+        host_.lose(cell);
+        loads_.erase(cell);
+        registry_.on_drained(cell);
+    }
+
+    void on_superseded(const base::cell_id& cell, base::epoch seen) override {
+        spdlog::warn("event=superseded cell={} seen_epoch={}", cell.str(), seen.value());
+    }
+
+    void on_loads(const base::cell_id& cell, const std::vector<policy::team_load>& loads) override {
+        if (routes_.owned_here(cell)) {
+            loads_[cell] = loads;
+        }
+    }
+
+    void on_gained(const cell_start& start) override {
+        routes_.gained(start.cell, start.epoch);
+        host_.own(start);
+        publish_vms();
+        publish_rules();
+        host_.extend_evidence(start.cell, registry_.evidence_until(start.cell));
+    }
+
+    void on_lost(const base::cell_id& cell) override {
+        routes_.lost(cell);
+        loads_.erase(cell);
+        host_.lose(cell);
+    }
+
+    void on_drain_wanted(const base::cell_id& cell) override { host_.drain(cell); }
+
+    void on_routes(const cell::routes_changed& routes) override {
+        routes_.update(routes);
+        std::vector<mesh::peer> peers;
+        for (const auto& it : routes.daemons) {
+            if (it.id != self_) {
+                peers.push_back({it.id, it.mesh_address});
+            }
+        }
+        mesh_->set_peers(peers);
+    }
+
+    void on_stopped() override {
+        registry_stopped_ = true;
+        // Others scan at once instead of at their next turn.
+        for (const auto& it : mesh_->links()) {
+            mesh_->send(it.peer, mesh::cells_offered{});
+        }
+    }
+
+    // ---- configuration
+
+    void on_configuration(const config::configuration_ptr& current) override {
+        registry_.set_cells(*current);
+        publish_vms();
+        publish_rules();
+    }
+
+    void announce(const base::daemon_id& to, const mesh::config_announcement& what) override {
+        if (!to.empty()) {
+            mesh_->send(to, what);
+            return;
+        }
+        for (const auto& it : mesh_->links()) {
+            mesh_->send(it.peer, what);
+        }
+    }
+
+    // ---- what operators see
+
+    std::vector<entry::cell_status> cells() const override {
+        std::vector<entry::cell_status> out;
+        const auto current = config_.current();
+        if (!current) {
+            return out;
+        }
+        for (const auto& it : current->cells) {
+            const auto owner = routes_.owner(it.id);
+            entry::cell_status status;
+            status.cell = it.id;
+            status.owner = owner.value_or(base::daemon_id{});
+            status.here = routes_.owned_here(it.id);
+            for (const auto& row : routes_.routes().cells) {
+                status.epoch = row.id == it.id ? row.epoch : status.epoch;
+            }
+            out.push_back(status);
+        }
+        return out;
+    }
+
+    std::vector<entry::link_view> links() const override {
+        std::vector<entry::link_view> out;
+        for (const auto& it : mesh_->links()) {
+            out.push_back({it.peer, it.up, it.round_trip});
+        }
+        return out;
+    }
+
+    void vms(entry::vms_callback done) override { host_.vms(std::move(done)); }
+    void drain(const base::vm_id& vm, bool drain) override { host_.drain_vm(vm, drain); }
+    void promises(entry::promises_callback done) override { host_.promises(std::move(done)); }
+    bool ready() const override { return !stopping_ && config_.current() != nullptr; }
+
+private:
+    void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
+        usage_[from] = what.usage;
+        config_.on_peer_version(from, what.version);
+    }
+    void receive(const base::daemon_id& from, const mesh::submit_work& what) {
+        forwarder_.on_submit(from, what);
+    }
+    void receive(const base::daemon_id& /*from*/, const mesh::work_result& what) {
+        forwarder_.on_result(what);
+    }
+    void receive(const base::daemon_id& from, const mesh::job_query& what) {
+        forwarder_.on_query(from, what);
+    }
+    void receive(const base::daemon_id& /*from*/, const mesh::job_reply& what) {
+        forwarder_.on_job_reply(what);
+    }
+    void receive(const base::daemon_id& /*from*/, const mesh::config_announcement& what) {
+        config_.on_announcement(what);
+    }
+    void receive(const base::daemon_id& from, const mesh::silence_query& what) {
+        registry_.on_silence_query(from, what);
+    }
+    void receive(const base::daemon_id& from, const mesh::silence_promise& what) {
+        registry_.on_silence_promise(from, what);
+    }
+    void receive(const base::daemon_id& /*from*/, const mesh::cells_offered& /*what*/) {
+        registry_.on_cells_offered();
+    }
+
+    void tick() {
+        config_.tick();
+        registry_.tick();
+        forwarder_.tick();
+        for (const auto& it : routes_.owned()) {
+            host_.extend_evidence(it.cell, registry_.evidence_until(it.cell));
+        }
+        if (registry_stopped_ && api_.open_requests() == 0) {
+            spdlog::info("event=stopped daemon={}", self_.str());
+            loop_.stop();
+        }
+    }
+
+    void read_members() {
+        members_->read([this](const auto& members) {
+            if (!members) {
+                return;
+            }
+            listed_ = *members;
+            std::vector<base::vm_id> entries;
+            for (const auto& it : listed_) {
+                if (it.role == platform::member_role::entry) {
+                    entries.push_back(it.id);
+                }
+            }
+            registry_.set_entries(std::move(entries));
+            publish_vms();
+        });
+    }
+
+    void publish_vms() {
+        const auto current = config_.current();
+        if (!current) {
+            return;
+        }
+        for (const auto& owned : routes_.owned()) {
+            const config::cell* const cell = current->find_cell(owned.cell);
+            if (cell == nullptr) {
+                continue;
+            }
+            std::vector<platform::member> vms;
+            for (const auto& it : listed_) {
+                if (belongs_to(it, *cell)) {
+                    vms.push_back(it);
+                }
+            }
+            host_.set_vms(owned.cell, std::move(vms));
+        }
+    }
+
+    void publish_rules() {
+        const auto current = config_.current();
+        if (!current) {
+            return;
+        }
+        for (const auto& it : routes_.owned()) {
+            host_.set_rules(it.cell, rules_for(*current, it.cell, usage_elsewhere(it.cell)));
+        }
+    }
+
+    std::vector<mesh::team_usage> own_usage() const {
+        std::map<base::team_id, mesh::team_usage> sum;
+        for (const auto& cell : loads_) {
+            for (const auto& it : cell.second) {
+                mesh::team_usage& one = sum[it.team];
+                one.team = it.team;
+                one.running += it.running;
+                one.queued += it.queued;
+            }
+        }
+        std::vector<mesh::team_usage> out;
+        for (const auto& it : sum) {
+            out.push_back(it.second);
+        }
+        return out;
+    }
+
+    std::vector<mesh::team_usage> usage_elsewhere(const base::cell_id& cell) const {
+        std::vector<mesh::team_usage> out;
+        for (const auto& it : loads_) {
+            for (const auto& load : it.second) {
+                if (it.first != cell) {
+                    out.push_back({load.team, load.running, load.queued});
+                }
+            }
+        }
+        for (const auto& it : usage_) {
+            out.insert(out.end(), it.second.begin(), it.second.end());
+        }
+        return out;
+    }
+
+    net::event_loop& loop_;
+    const base::daemon_id self_;
+    base::monotonic_clock clock_;
+    base::metrics metrics_;
+    routing_table routes_;
+    std::unique_ptr<platform_services> services_;
+    std::unique_ptr<platform::table_service> table_;
+    std::unique_ptr<platform::member_list> members_;
+    cell_host host_;
+    config_keeper config_;
+    work_forwarder forwarder_;
+    entry::api_server api_;
+    net::http_server http_;
+    std::unique_ptr<mesh::mesh> mesh_;
+    registry_keeper registry_;
+    std::vector<platform::member> listed_;
+    std::map<base::cell_id, std::vector<policy::team_load>> loads_;       // of cells owned here
+    std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;      // of other daemons' cells
+    std::vector<std::unique_ptr<net::timer>> timers_;
+    bool stopping_ = false;
+    bool registry_stopped_ = false;
+};
+
+daemon::daemon(net::event_loop& loop, const config::daemon_settings& settings,
+               const std::string& mesh_secret)
+    : state_(std::make_unique<state>(loop, settings, mesh_secret)) {}
+
+daemon::~daemon() = default;
+
+net::endpoint daemon::http_address() const { return state_->http_address(); }
+
+void daemon::stop() { state_->stop(); }
+
+}  // namespace cranberrydock::daemon
--- /dev/null
+++ b/packages/daemon/src/platform_services.cpp
@@ -0,0 +1,112 @@
+// The platform's services for each of the daemon's loops.
+#include "platform_services.hpp"
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/platform/http_platform.hpp>
+#include <cranberrydock/platform/memory_platform.hpp>
+
+#include <utility>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr base::milliseconds store_timeout{2'000};
+
+// A service over HTTP together with the client that it uses.
+class http_table final : public platform::table_service {
+public:
+    http_table(net::event_loop& loop, const net::endpoint& address)
+        : client_(net::make_http_client(loop, {})),
+          inner_(platform::make_http_table_service(*client_, address, store_timeout)) {}
+
+    void read(const platform::row_key& key, platform::read_callback done) override {
+        inner_->read(key, std::move(done));
+    }
+    void scan(const platform::row_key& prefix, const platform::row_key& after, std::size_t limit,
+              platform::scan_callback done) override {
+        inner_->scan(prefix, after, limit, std::move(done));
+    }
+    void commit(platform::transaction what, platform::commit_callback done) override {
+        inner_->commit(std::move(what), std::move(done));
+    }
+
+private:
+    std::unique_ptr<net::http_client> client_;
+    std::unique_ptr<platform::table_service> inner_;
+};
+
+class http_members final : public platform::member_list {
+public:
+    http_members(net::event_loop& loop, const net::endpoint& address)
+        : client_(net::make_http_client(loop, {})),
+          inner_(platform::make_http_member_list(*client_, address, store_timeout)) {}
+
+    void read(platform::members_callback done) override { inner_->read(std::move(done)); }
+
+private:
+    std::unique_ptr<net::http_client> client_;
+    std::unique_ptr<platform::member_list> inner_;
+};
+
+class http_vms final : public platform::vm_client {
+public:
+    explicit http_vms(net::event_loop& loop)
+        : client_(net::make_http_client(loop, {})), inner_(platform::make_http_vm_client(*client_)) {}
+
+    void send(const net::endpoint& vm, platform::vm_command command, base::milliseconds timeout,
+              platform::vm_callback done) override {
+        inner_->send(vm, std::move(command), timeout, std::move(done));
+    }
+
+private:
+    std::unique_ptr<net::http_client> client_;
+    std::unique_ptr<platform::vm_client> inner_;
+};
+
+class http_services final : public platform_services {
+public:
+    explicit http_services(net::endpoint address) : address_(std::move(address)) {}
+
+    std::unique_ptr<platform::vm_client> make_vm_client(net::event_loop& loop) override {
+        return std::make_unique<http_vms>(loop);
+    }
+    std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) override {
+        return std::make_unique<http_table>(loop, address_);
+    }
+    std::unique_ptr<platform::member_list> make_member_list(net::event_loop& loop) override {
+        return std::make_unique<http_members>(loop, address_);
+    }
+
+private:
+    net::endpoint address_;
+};
+
+class memory_services final : public platform_services {
+public:
+    std::unique_ptr<platform::vm_client> make_vm_client(net::event_loop& loop) override {
+        return std::make_unique<http_vms>(loop);
+    }
+    std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) override {
+        return platform::make_memory_table_service(loop, platform_);
+    }
+    std::unique_ptr<platform::member_list> make_member_list(net::event_loop& loop) override {
+        return platform::make_memory_member_list(loop, platform_);
+    }
+
+private:
+    base::monotonic_clock clock_;
+    std::shared_ptr<platform::memory_platform> platform_ =
+        std::make_shared<platform::memory_platform>(clock_);
+};
+
+}  // namespace
+
+std::unique_ptr<platform_services> make_platform_services(
+    const config::platform_settings& settings) {
+    if (settings.kind == config::platform_kind::memory) {
+        return std::make_unique<memory_services>();
+    }
+    return std::make_unique<http_services>(settings.address);
+}
+
+}  // namespace cranberrydock::daemon
