--- /dev/null
+++ b/test/property/configuration_versions_never_revert.cpp
@@ -0,0 +1,412 @@
+// Several daemons and racing operators share one table, whose answers are lost, whose requests are
+// applied late, and whose messages are delayed and reordered; daemons restart. Whatever happens:
+// versions in force only move forward, also over a restart of the same VM; nothing is in force that
+// was not committed; every accepted patch is in the chain exactly once, and one that was answered
+// as a conflict, invalid or not run never is; nobody believes to know the newest version at a time
+// when a newer one existed.
+#include <cranberrydock/config/version_chain.hpp>
+#include <cranberrydock/config/version_record.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::config;
+using base::milliseconds;
+
+constexpr int daemons = 3;
+constexpr int max_steps = 1'200;
+constexpr int max_time_step_ms = 900;
+constexpr int highest_fate = 15;  // see serve_store()
+constexpr int recovery_rounds = 60;
+constexpr milliseconds patch_deadline{4'000};
+
+int draw(int from, int to) {
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
+}
+
+// The platform's table, and when each version was committed.
+class table_model {
+public:
+    std::optional<platform::row> read(const platform::row_key& key) const {
+        const auto it = rows_.find(key);
+        return it == rows_.end() ? std::optional<platform::row>() : it->second;
+    }
+
+    bool commit(const platform::transaction& what, base::time_point now) {
+        for (const auto& it : what.conditions) {
+            const auto row = read(it.key);
+            if ((row ? row->version : platform::row_version(0)) != it.version) {
+                return false;
+            }
+        }
+        for (const auto& it : what.writes) {
+            last_ = last_.next();
+            rows_[it.key] = {it.key, last_, *it.value};
+        }
+        committed_at_.push_back(now);
+        return true;
+    }
+
+    base::config_version head() const {
+        const auto row = read(head_key());
+        return row ? *decode_head(row->value) : base::config_version(0);
+    }
+
+    // The newest version before anything that was committed at `at` or later.
+    base::config_version head_before(base::time_point at) const {
+        std::int64_t n = 0;
+        for (const auto& it : committed_at_) {
+            n += it < at ? 1 : 0;
+        }
+        return base::config_version(n);
+    }
+
+    std::string document(base::config_version version) const {
+        const auto row = read(version_key(version));
+        return row ? decode_version(row->value)->document : "{}";
+    }
+
+    std::vector<std::string> authors() const {
+        std::vector<std::string> out;
+        for (base::config_version v(1); v <= head(); v = v.next()) {
+            const auto row = read(version_key(v));
+            RC_ASSERT(row.has_value());
+            out.push_back(decode_version(row->value)->author);
+        }
+        return out;
+    }
+
+private:
+    std::map<platform::row_key, platform::row> rows_;
+    platform::row_version last_;
+    std::vector<base::time_point> committed_at_;
+};
+
+class world {
+public:
+    world() {
+        for (int i = 0; i < daemons; ++i) {
+            start(i);
+        }
+    }
+
+    void step(bool with_restarts) {
+        const int action = draw(0, 100);
+        if (action < 12) {
+            now_ += milliseconds(draw(1, max_time_step_ms));
+            give(draw(0, daemons), chain_tick{});
+        } else if (action < 40) {
+            serve_store(draw(0, highest_fate + 1));
+        } else if (action < 84) {
+            deliver();
+        } else if (action < 93) {
+            request_patch(draw(0, daemons));
+        } else if (action < 97) {
+            ask_version(draw(0, daemons));
+        } else if (with_restarts) {
+            start(draw(0, daemons));
+        } else {
+            ask_outage(draw(0, daemons));
+        }
+    }
+
+    // Everything works again: whatever was on its way arrives, and all daemons reach the head.
+    void recover() {
+        for (int round = 0; round < recovery_rounds; ++round) {
+            now_ += milliseconds(max_time_step_ms);
+            for (int i = 0; i < daemons; ++i) {
+                give(i, chain_tick{});
+            }
+            while (!requests_.empty()) {
+                serve_store(highest_fate);
+            }
+            while (!messages_.empty()) {
+                deliver();
+            }
+        }
+        for (const auto& it : daemons_) {
+            RC_ASSERT(it.chain->in_force() != nullptr);
+            RC_ASSERT(it.chain->in_force()->version == table_.head());
+        }
+        check_outcomes();
+    }
+
+private:
+    struct daemon {
+        std::unique_ptr<version_chain> chain;
+        int run = 0;
+        // Invariant: the highest version ever in force at this VM, over all runs.
+        base::config_version highest;
+    };
+
+    struct store_request {
+        int daemon = 0;
+        int run = 0;
+        std::variant<read_row, commit_rows> what;
+    };
+
+    // A message between daemons; a question has no event yet, its answer is made on arrival.
+    struct message {
+        int to = 0;
+        int run = 0;
+        std::optional<chain_event> event;
+        int answer_to = 0;  // of a question: who asks
+        int answer_run = 0;
+        base::time_point asked_at{};
+    };
+
+    // One daemon's round of outage questions.
+    struct outage_round {
+        int by = 0;
+        base::time_point asked_at{};
+        int promises = 0;
+        base::config_version highest;
+    };
+
+    static base::daemon_id name(int i, int run) {
+        return base::daemon_id(std::to_string(i) + "-" + std::to_string(run));
+    }
+
+    void start(int i) {
+        daemon& one = daemons_[static_cast<std::size_t>(i)];
+        ++one.run;
+        version_chain_settings settings;
+        settings.self = name(i, one.run);
+        settings.patch_deadline = patch_deadline;
+        one.chain = std::make_unique<version_chain>(settings);
+        give(i, chain_tick{});
+    }
+
+    daemon& at(int i) { return daemons_[static_cast<std::size_t>(i)]; }
+
+    void give(int i, const chain_event& event) {
+        for (const auto& it : at(i).chain->handle(event, now_)) {
+            std::visit([&](const auto& effect) { apply(i, effect); }, it);
+        }
+        check_knowledge(i);
+    }
+
+    // ---- effects
+
+    void apply(int i, const read_row& effect) { requests_.push_back({i, at(i).run, effect}); }
+    void apply(int i, const commit_rows& effect) { requests_.push_back({i, at(i).run, effect}); }
+
+    void apply(int i, const version_in_force& effect) {
+        RC_ASSERT(at(i).highest <= effect.current->version);
+        at(i).highest = effect.current->version;
+        RC_ASSERT(effect.current->version <= table_.head());
+        RC_ASSERT(effect.document == table_.document(effect.current->version));
+    }
+
+    void apply(int /*i*/, const version_unreadable& /*effect*/) {
+        RC_FAIL("every committed version can be read");
+    }
+
+    void apply(int /*i*/, const patch_finished& effect) {
+        const auto patch = patches_.at(effect.call.value());
+        RC_ASSERT(outcomes_.emplace(effect.call.value(), effect.outcome).second);
+        if (const auto* conflict = std::get_if<patch_conflict>(&effect.outcome)) {
+            RC_ASSERT(conflict->current != patch);
+            RC_ASSERT(conflict->current <= table_.head());
+        }
+    }
+
+    void apply(int i, const announce_version& effect) {
+        for (int to = 0; to < daemons; ++to) {
+            const bool meant = effect.to.empty() || effect.to == name(to, at(to).run);
+            if (to != i && meant) {
+                messages_.push_back(
+                    {to, at(to).run, version_announced{effect.version, effect.document}});
+            }
+        }
+    }
+
+    void apply(int /*i*/, const outage_promised& effect) {
+        outage_round& round = rounds_.at(static_cast<std::size_t>(effect.call.value()));
+        if (!effect.given) {
+            return;
+        }
+        ++round.promises;
+        round.highest = std::max(round.highest, effect.version);
+        if (round.promises == daemons - 1) {
+            messages_.push_back({round.by, at(round.by).run,
+                                 outage_confirmed{round.asked_at, round.highest, effect.lasting}});
+        }
+    }
+
+    // ---- the world's moves
+
+    // `fate`: 0 and 1 lose the answer of what was applied, 2 leaves the request on its way as well,
+    // 3 and 4 refuse to work, 5 drops the request; the rest works.
+    void serve_store(int fate) {
+        if (requests_.empty()) {
+            return;
+        }
+        const int chosen = draw(0, static_cast<int>(requests_.size()));
+        const store_request request = requests_[static_cast<std::size_t>(chosen)];
+        if (fate != 2) {
+            requests_.erase(requests_.begin() + chosen);
+        }
+        if (const auto* read = std::get_if<read_row>(&request.what)) {
+            serve(request, *read, fate);
+        } else {
+            serve(request, std::get<commit_rows>(request.what), fate);
+        }
+    }
+
+    void serve(const store_request& request, const read_row& read, int fate) {
+        row_read answer{read.operation, table_.read(read.key)};
+        if (fate <= 2 || fate == 5) {
+            answer.result = tl::unexpected(platform::store_error::answer_lost);
+        } else if (fate <= 4) {
+            answer.result = tl::unexpected(platform::store_error::unavailable);
+        }
+        messages_.push_back({request.daemon, request.run, answer});
+    }
+
+    void serve(const store_request& request, const commit_rows& commit, int fate) {
+        rows_committed answer{commit.operation, platform::commit_result{}};
+        if (fate == 3 || fate == 4) {
+            answer.result = tl::unexpected(platform::store_error::unavailable);
+        } else if (fate <= 2 || fate == 5) {
+            answer.result = tl::unexpected(platform::store_error::answer_lost);
+        }
+        if ((fate <= 1 || fate >= 6) && !table_.commit(commit.what, now_) && fate >= 6) {
+            answer.result = tl::unexpected(platform::store_error::conflict);
+        }
+        messages_.push_back({request.daemon, request.run, answer});
+    }
+
+    void deliver() {
+        if (messages_.empty()) {
+            return;
+        }
+        const int chosen = draw(0, static_cast<int>(messages_.size()));
+        const message one = messages_[static_cast<std::size_t>(chosen)];
+        messages_.erase(messages_.begin() + chosen);
+        if (at(one.to).run != one.run) {
+            return;
+        }
+        if (one.event) {
+            give(one.to, *one.event);
+        } else {
+            answer_version(one);
+        }
+    }
+
+    void request_patch(int i) {
+        static const std::string invalid = R"({"queues":{"q":{"policy":"none"}}})";
+        const auto current = at(i).chain->in_force();
+        const base::config_version known =
+            current == nullptr ? base::config_version(0) : current->version;
+        const base::config_version bases[] = {known, known, known, table_.head(),
+                                              table_.head().next()};
+        const base::config_version base = bases[draw(0, 5)];
+        patches_.push_back(base);
+        const auto call = static_cast<std::int64_t>(patches_.size() - 1);
+        const std::string valid =
+            R"({"queues":{"q)" + std::to_string(call) + R"(":{"policy":"batch"}}})";
+        give(i, patch_requested{patch_call(call), base, draw(0, 8) == 0 ? invalid : valid,
+                                std::to_string(call), "now"});
+    }
+
+    void ask_version(int i) {
+        for (int to = 0; to < daemons; ++to) {
+            if (to != i) {
+                messages_.push_back({to, at(to).run, std::nullopt, i, at(i).run, now_});
+            }
+        }
+    }
+
+    void answer_version(const message& question) {
+        const version_chain& chain = *at(question.to).chain;
+        if (chain.in_force() == nullptr) {
+            return;
+        }
+        peer_version answer{name(question.to, question.run), chain.in_force()->version, {}};
+        if (const auto newest = chain.newest_at(); newest && *newest <= now_) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now_ - *newest);
+            answer.evidence = peer_evidence{question.asked_at, age + milliseconds(1)};
+        }
+        messages_.push_back({question.answer_to, question.answer_run, answer});
+    }
+
+    void ask_outage(int i) {
+        rounds_.push_back({i, now_, 0, {}});
+        const auto call = static_cast<std::int64_t>(rounds_.size() - 1);
+        for (int to = 0; to < daemons; ++to) {
+            if (to != i) {
+                messages_.push_back(
+                    {to, at(to).run, outage_asked{name(i, at(i).run), outage_call(call)}});
+            }
+        }
+    }
+
+    // ---- checks
+
+    void check_knowledge(int i) {
+        const version_chain& chain = *at(i).chain;
+        const auto newest = chain.newest_at();
+        if (newest) {
+            RC_ASSERT(table_.head_before(std::min(*newest, now_)) <= chain.in_force()->version);
+        }
+    }
+
+    void check_outcomes() {
+        const std::vector<std::string> authors = table_.authors();
+        const std::multiset<std::string> chain(authors.begin(), authors.end());
+        std::size_t accepted = 0;
+        for (const auto& it : outcomes_) {
+            const std::size_t times = chain.count(std::to_string(it.first));
+            if (const auto* taken = std::get_if<patch_accepted>(&it.second)) {
+                ++accepted;
+                RC_ASSERT(times == 1U);
+                const auto index = static_cast<std::size_t>(taken->version.value() - 1);
+                RC_ASSERT(authors.at(index) == std::to_string(it.first));
+            } else {
+                const auto* refused = std::get_if<base::refusal>(&it.second);
+                RC_ASSERT(times <= (refused != nullptr && !refused->not_run ? 1U : 0U));
+            }
+        }
+        for (const auto& it : authors) {
+            RC_ASSERT(chain.count(it) == 1U);
+        }
+        RC_CLASSIFY(accepted >= 3, "three or more accepted");
+    }
+
+    base::time_point now_{base::seconds(1'000)};
+    table_model table_;
+    std::vector<daemon> daemons_ = std::vector<daemon>(daemons);
+    std::vector<store_request> requests_;  // on their way to the table
+    std::vector<message> messages_;        // on their way to daemons
+    std::vector<outage_round> rounds_;
+    std::vector<base::config_version> patches_;  // the base of each, by call
+    std::map<std::int64_t, patch_outcome> outcomes_;
+};
+
+void run_world(bool with_restarts) {
+    world all;
+    for (int n = draw(0, max_steps); n > 0; --n) {
+        all.step(with_restarts);
+    }
+    all.recover();
+}
+
+TEST(configuration_versions, never_revert_while_daemons_restart) {
+    EXPECT_TRUE(rc::check("with restarts", [] { run_world(true); }));
+}
+
+TEST(configuration_versions, never_revert_while_daemons_vouch_for_an_outage) {
+    EXPECT_TRUE(rc::check("with outage promises", [] { run_world(false); }));
+}
+
+}  // namespace
