Stand-in relay: the network between the parts of a cluster, with its faults

Cause: cut links, connections that go silent for good, delay and the narrow link have to be brought about in tests.

--- /dev/null
+++ b/test/failure/relay_brings_about_the_faults_of_a_network.cpp
@@ -0,0 +1,122 @@
+// Through the relay a request comes and goes; open connections can be silenced for good while new
+// ones work; a cut link refuses; delay and bandwidth are at least as slow as asked.
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/net/http_server.hpp>
+
+#include "standins/cluster.hpp"
+#include "standins/relay.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace {
+
+using namespace cranberrydock;
+using standins::generous;
+
+constexpr base::milliseconds short_wait{300};
+
+class echo_handler final : public net::http_handler {
+public:
+    void handle(net::http_request request, net::http_responder respond) override {
+        respond({200, {}, request.body});
+    }
+};
+
+class relay_faults : public ::testing::Test {
+protected:
+    net::http_result call(base::milliseconds timeout, const std::string& body = "hello") {
+        std::optional<net::http_result> out;
+        client_->send(link_.listening_on(), {net::http_method::post, "/", "", {}, body}, timeout,
+                      [&](net::http_result result) {
+                          out = std::move(result);
+                          loop_.stop();
+                      });
+        loop_.run();
+        return std::move(*out);
+    }
+
+    base::monotonic_clock clock_;
+    net::event_loop loop_;
+    echo_handler echo_;
+    net::http_server server_{loop_, {"127.0.0.1", 0}, {}, echo_};
+    standins::relay_link link_{loop_, clock_, {"127.0.0.1", 0}, server_.listening_on()};
+    std::unique_ptr<net::http_client> client_ = net::make_http_client(loop_, {});
+};
+
+TEST_F(relay_faults, silences_open_connections_while_new_ones_work) {
+    ASSERT_TRUE(call(generous).has_value());
+    link_.silence();
+    const auto silent = call(short_wait);  // on the kept connection
+    ASSERT_FALSE(silent.has_value());
+    EXPECT_EQ(silent.error().failure, net::http_failure::answer_lost);
+    const auto fresh = call(generous);
+    ASSERT_TRUE(fresh.has_value());
+    EXPECT_EQ(fresh->body, "hello");
+}
+
+TEST_F(relay_faults, refuses_while_cut_and_works_again_once_restored) {
+    ASSERT_TRUE(call(generous).has_value());
+    link_.cut();
+    ASSERT_FALSE(call(generous).has_value());
+    const auto refused = call(generous);  // on a new connection
+    ASSERT_FALSE(refused.has_value());
+    EXPECT_EQ(refused.error().failure, net::http_failure::not_sent);
+    link_.restore();
+    EXPECT_TRUE(call(generous).has_value());
+}
+
+TEST_F(relay_faults, swallows_new_connections_in_a_black_hole) {
+    link_.black_hole();
+    const auto lost = call(short_wait);
+    ASSERT_FALSE(lost.has_value());
+    EXPECT_EQ(lost.error().failure, net::http_failure::answer_lost);
+}
+
+TEST_F(relay_faults, passes_large_bodies_whole_and_as_late_as_asked) {
+    constexpr base::milliseconds each_way{50};
+    link_.set_delay(each_way);
+    const auto before = clock_.now();
+    const std::string body(5'000'000, 'x');
+    const auto got = call(generous, body);
+    ASSERT_TRUE(got.has_value());
+    EXPECT_EQ(got->body, body);
+    EXPECT_GE(clock_.now() - before, 2 * each_way);
+}
+
+TEST(relay_program, shares_its_bandwidth_among_all_links) {
+    net::event_loop loop;
+    echo_handler echo;
+    standins::process relay({"standin_relay", {}, ""});
+    const auto control = relay.wait_until_listening(generous);
+    constexpr int bytes_per_second = 400'000;
+    standins::post_json(control, "/control/bandwidth", {{"bytes_per_second", bytes_per_second}});
+    const net::http_server server(loop, {"127.0.0.1", 0}, {}, echo);
+    const auto client = net::make_http_client(loop, {});
+    constexpr int links = 2;
+    const std::string body(100'000, 'x');
+    const base::monotonic_clock clock;
+    const auto before = clock.now();
+    int answered = 0;
+    for (int i = 0; i < links; ++i) {
+        const auto link = standins::post_json(control, "/control/links",
+                                              {{"target", server.listening_on().text()}});
+        client->send(net::parse_endpoint(link.at("listen")),
+                     {net::http_method::post, "/", "", {}, body}, generous,
+                     [&](const net::http_result& result) {
+                         EXPECT_TRUE(result && result->body == body);
+                         if (++answered == links) {
+                             loop.stop();
+                         }
+                     });
+    }
+    loop.run();
+    // Each way carries all bodies, one after the other in bytes; the first tick's burst is free.
+    constexpr base::milliseconds at_least{400};
+    EXPECT_GE(clock.now() - before, at_least);
+}
+
+}  // namespace
--- a/test/standins/cluster.cpp
+++ b/test/standins/cluster.cpp
@@ -106,6 +106,31 @@
     return out;
 }
 
+void cluster::start_relay() {
+    if (!relay_process_) {
+        relay_process_ = std::make_unique<process>(program{"standin_relay", {}, log_file("relay")});
+        relay_address_ = relay_process_->wait_until_listening(generous);
+    }
+}
+
+cluster::network_link cluster::add_link(const net::endpoint& target) {
+    start_relay();
+    const auto made = post_json(relay_address_, "/control/links", {{"target", target.text()}});
+    return {made.at("link"), net::parse_endpoint(made.at("listen"))};
+}
+
+void cluster::command_link(const network_link& link, const std::string& action,
+                           nlohmann::json more) const {
+    more["link"] = link.number;
+    more["action"] = action;
+    post_json(relay_address_, "/control/link", more);
+}
+
+void cluster::set_bandwidth(base::byte_count per_second) {
+    start_relay();
+    post_json(relay_address_, "/control/bandwidth", {{"bytes_per_second", per_second.value()}});
+}
+
 void cluster::set_platform_faults(const nlohmann::json& faults) const {
     post_json(platform_address_, "/control/faults", faults);
 }
--- a/test/standins/cluster.hpp
+++ b/test/standins/cluster.hpp
@@ -78,6 +78,18 @@
     };
     daemon start_daemon(const std::string& name, const std::string& settings);
 
+    // Starts the relay, if it is not there yet, and adds a link to `target`.
+    struct network_link {
+        int number = 0;
+        net::endpoint address;  // connect here instead of to the target
+    };
+    network_link add_link(const net::endpoint& target);
+    // POST /control/link of the relay; see relay.hpp.
+    void command_link(const network_link& link, const std::string& action,
+                      nlohmann::json more = nlohmann::json::object()) const;
+    // Shared by all links, each way.
+    void set_bandwidth(base::byte_count per_second);
+
     // POST /control/faults of the platform, and its counters.
     void set_platform_faults(const nlohmann::json& faults) const;
     nlohmann::json platform_counters() const;
@@ -92,12 +104,15 @@
 
 private:
     std::string log_file(const std::string& name) const;
+    void start_relay();
 
     scratch_folder folder_;
     std::unique_ptr<process> platform_process_;
     net::endpoint platform_address_;
     std::unique_ptr<process> vm_process_;
     net::endpoint vms_address_;
+    std::unique_ptr<process> relay_process_;  // null until a link is asked for
+    net::endpoint relay_address_;
 };
 
 }  // namespace cranberrydock::standins
--- /dev/null
+++ b/test/standins/main_relay.cpp
@@ -0,0 +1,26 @@
+// The program standin_relay: the network between the parts of a cluster.
+#include "relay.hpp"
+#include "serving.hpp"
+
+#include <gflags/gflags.h>
+
+#include <exception>
+#include <iostream>
+
+DEFINE_string(listen_address, "127.0.0.1", "address of the links and of the control routes");
+
+int main(int argc, char** argv) {
+    using namespace cranberrydock;
+    try {
+        gflags::SetUsageMessage("a TCP relay with faults; prints 'listening ADDRESS:PORT'");
+        gflags::ParseCommandLineFlags(&argc, &argv, true);
+        net::event_loop loop;
+        const standins::relay relay(loop, FLAGS_listen_address);
+        standins::announce(relay.listening_on());
+        standins::serve_until_told(loop);
+    } catch (const std::exception& error) {
+        std::cerr << "standin_relay: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
