--- a/packages/cell/include/cranberrydock/cell/ownership.hpp
+++ b/packages/cell/include/cranberrydock/cell/ownership.hpp
@@ -227,7 +227,8 @@
     // a process that was frozen learns here that its evidence has aged.
     bool may_place(const base::cell_id& cell, base::time_point now) const;
 
-    // Until when may_place() holds if nothing more is heard; the clock's beginning when it does not.
+    // Until when may_place() holds if nothing more is heard; the clock's beginning when it does
+    // not.
     base::time_point place_until(const base::cell_id& cell) const;
 
 private:
--- a/packages/config/src/version_record.cpp
+++ b/packages/config/src/version_record.cpp
@@ -1,8 +1,7 @@
 // Rows of configuration versions, as JSON.
+#include <cranberrydock/config/json_reader.hpp>
 #include <cranberrydock/config/version_record.hpp>
 
-#include "json_reader.hpp"
-
 #include <charconv>
 
 namespace cranberrydock::config {
--- a/packages/daemon/include/cranberrydock/daemon/daemon.hpp
+++ b/packages/daemon/include/cranberrydock/daemon/daemon.hpp
@@ -1,5 +1,5 @@
-// A daemon: entry to callers and operators, and owner of cells. Every daemon is the same program with
-// the same roles.
+// A daemon: entry to callers and operators, and owner of cells. Every daemon is the same program
+// with the same roles.
 #pragma once
 
 #include <cranberrydock/config/settings.hpp>
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -3,10 +3,10 @@
 
 #include <cranberrydock/base/clock.hpp>
 
-#include <spdlog/spdlog.h>
-
 #include "owned_cell.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <map>
 #include <utility>
@@ -60,9 +60,9 @@
     }
 
     void own(const cell_start& start) {
-        cells_[start.cell] = std::make_unique<owned_cell>(start, settings_of(settings_, self_, start),
-                                                          loop_, *vms_, *table_, clock_, metrics_,
-                                                          *this);
+        cells_[start.cell] =
+            std::make_unique<owned_cell>(start, settings_of(settings_, self_, start), loop_, *vms_,
+                                         *table_, clock_, metrics_, *this);
     }
 
     void lose(const base::cell_id& id) { cells_.erase(id); }
@@ -164,15 +164,13 @@
 }
 
 void cell_host::extend_evidence(const base::cell_id& cell, base::time_point until) {
-    worker_->loop().post([worker = worker_, cell, until] {
-        worker->handle(cell, cell::evidence_extended{until});
-    });
+    worker_->loop().post(
+        [worker = worker_, cell, until] { worker->handle(cell, cell::evidence_extended{until}); });
 }
 
 void cell_host::set_rules(const base::cell_id& cell, cell::rules_changed rules) {
-    worker_->loop().post([worker = worker_, cell, rules = std::move(rules)] {
-        worker->handle(cell, rules);
-    });
+    worker_->loop().post(
+        [worker = worker_, cell, rules = std::move(rules)] { worker->handle(cell, rules); });
 }
 
 void cell_host::set_vms(const base::cell_id& cell, std::vector<platform::member> vms) {
@@ -182,12 +180,12 @@
 }
 
 void cell_host::drain_vm(const base::vm_id& vm, bool drain) {
-    worker_->loop().post(
-        [worker = worker_, vm, drain] { worker->handle_all(cell::drain_vm{vm, drain}); });
+    worker_->loop().post([worker = worker_, vm, drain] {
+        worker->handle_all(cell::drain_vm{vm, drain});
+    });
 }
 
-bool cell_host::submit(const base::cell_id& cell, const base::work& what,
-                       cell::reply_id reply_to) {
+bool cell_host::submit(const base::cell_id& cell, const base::work& what, cell::reply_id reply_to) {
     return worker_->loop().post([worker = worker_, cell, what, reply_to] {
         if (!worker->handle(cell, cell::submit{what, reply_to})) {
             const base::refusal why{base::refusal_reason::cell_without_owner, true, retry_soon,
--- a/packages/daemon/src/cell_host.hpp
+++ b/packages/daemon/src/cell_host.hpp
@@ -1,6 +1,6 @@
-// The task that decides for the cells that this daemon owns. It runs on a thread and loop of its own,
-// so that neither a slow caller nor a slow store holds up a decision; the rest of the daemon talks to
-// it by messages, and it answers by messages to the daemon's loop.
+// The task that decides for the cells that this daemon owns. It runs on a thread and loop of its
+// own, so that neither a slow caller nor a slow store holds up a decision; the rest of the daemon
+// talks to it by messages, and it answers by messages to the daemon's loop.
 #pragma once
 
 #include <cranberrydock/base/metrics.hpp>
@@ -33,7 +33,8 @@
                           const std::vector<base::trace_step>& trace) = 0;
     virtual void on_drained(const base::cell_id& cell) = 0;
     virtual void on_superseded(const base::cell_id& cell, base::epoch seen) = 0;
-    virtual void on_loads(const base::cell_id& cell, const std::vector<policy::team_load>& loads) = 0;
+    virtual void on_loads(const base::cell_id& cell,
+                          const std::vector<policy::team_load>& loads) = 0;
 };
 
 // Makes what the host's thread needs for I/O, on that thread's loop.
--- a/packages/daemon/src/cell_journal.hpp
+++ b/packages/daemon/src/cell_journal.hpp
@@ -1,5 +1,5 @@
-// A cell's journal in the platform's table service: what this owner's decider wants written down, and
-// what earlier owners wrote.
+// A cell's journal in the platform's table service: what this owner's decider wants written down,
+// and what earlier owners wrote.
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
--- a/packages/daemon/src/cell_rules.hpp
+++ b/packages/daemon/src/cell_rules.hpp
@@ -1,5 +1,5 @@
-// What a cell must know of the configuration in force: queues, attempt limits, and each team's share
-// and part of its upper limit.
+// What a cell must know of the configuration in force: queues, attempt limits, and each team's
+// share and part of its upper limit.
 #pragma once
 
 #include <cranberrydock/cell/cell_messages.hpp>
@@ -10,8 +10,8 @@
 
 namespace cranberrydock::daemon {
 
-// A team's part of its upper limit in one cell: the limit divided evenly among the cells of its home
-// region, the remainder to the first ones. The parts' sum is the limit.
+// A team's part of its upper limit in one cell: the limit divided evenly among the cells of its
+// home region, the remainder to the first ones. The parts' sum is the limit.
 base::slot_count even_part(const config::configuration& current, const config::team& team,
                            const base::cell_id& cell);
 
--- a/packages/daemon/src/config_keeper.cpp
+++ b/packages/daemon/src/config_keeper.cpp
@@ -26,7 +26,8 @@
 
 // For people who read the history; nothing is decided by it.
 std::string wall_clock_now() {
-    const auto now = std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
+    const auto now =
+        std::chrono::time_point_cast<std::chrono::seconds>(std::chrono::system_clock::now());
     return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(now));
 }
 
@@ -47,10 +48,9 @@
     }
 
     result operator()(const config::patch_invalid& outcome) const {
-        const base::refusal why{base::refusal_reason::configuration_invalid, true,
-                                base::milliseconds{0},
-                                "the patched configuration has " +
-                                    std::to_string(outcome.why.size()) + " fault(s)"};
+        const base::refusal why{
+            base::refusal_reason::configuration_invalid, true, base::milliseconds{0},
+            "the patched configuration has " + std::to_string(outcome.why.size()) + " fault(s)"};
         return tl::unexpected(entry::patch_refusal{why, {}, outcome.why});
     }
 
@@ -93,8 +93,8 @@
                 [done = std::move(done)](
                     const tl::expected<std::vector<platform::row>, platform::store_error>& rows) {
                     if (!rows) {
-                        done(tl::unexpected(base::refusal{base::refusal_reason::store_unavailable, true,
-                                                          retry_soon,
+                        done(tl::unexpected(base::refusal{base::refusal_reason::store_unavailable,
+                                                          true, retry_soon,
                                                           "the versions stand in the platform's "
                                                           "store, which is unavailable"}));
                         return;
@@ -111,7 +111,9 @@
                 });
 }
 
-void config_keeper::tick() { handle(config::chain_tick{}); }
+void config_keeper::tick() {
+    handle(config::chain_tick{});
+}
 
 void config_keeper::on_announcement(const mesh::config_announcement& what) {
     handle(config::version_announced{what.version, what.document});
@@ -175,7 +177,8 @@
     listener_.announce(effect.to, {effect.version, effect.document});
 }
 
-// Outage evidence for the configuration is not exchanged yet: without the store, freshness runs out.
+// Outage evidence for the configuration is not exchanged yet: without the store, freshness runs
+// out.
 void config_keeper::carry_out(const config::outage_promised& /*effect*/) {}
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,14 +1,11 @@
 // A daemon: who is told what. Each part owns its state; this file passes the messages between them.
-#include <cranberrydock/daemon/daemon.hpp>
-
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/daemon/daemon.hpp>
 #include <cranberrydock/entry/api_server.hpp>
 #include <cranberrydock/mesh/mesh.hpp>
 
-#include <spdlog/spdlog.h>
-
 #include "cell_host.hpp"
 #include "cell_rules.hpp"
 #include "config_keeper.hpp"
@@ -17,6 +14,8 @@
 #include "routing_table.hpp"
 #include "work_forwarder.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <map>
 #include <optional>
@@ -103,9 +102,9 @@
                 api_),
           mesh_(mesh::make_websocket_mesh(loop, mesh_settings_of(settings, self_, secret), *this,
                                           metrics_, clock_)),
-          registry_(ownership_settings_of(settings, self_, mesh_->listening_on(),
-                                          http_.listening_on()),
-                    *table_, *this, clock_, metrics_, *this) {
+          registry_(
+              ownership_settings_of(settings, self_, mesh_->listening_on(), http_.listening_on()),
+              *table_, *this, clock_, metrics_, *this) {
         for (const auto reason : base::all_refusal_reasons()) {
             metrics_.count("cranberrydock_refusals_total",
                            "reason=\"" + std::string(to_string(reason)) + "\"", 0);
@@ -411,8 +410,8 @@
     std::unique_ptr<mesh::mesh> mesh_;
     registry_keeper registry_;
     std::vector<platform::member> listed_;
-    std::map<base::cell_id, std::vector<policy::team_load>> loads_;       // of cells owned here
-    std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;      // of other daemons' cells
+    std::map<base::cell_id, std::vector<policy::team_load>> loads_;   // of cells owned here
+    std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;  // of other daemons' cells
     std::vector<std::unique_ptr<net::timer>> timers_;
     bool stopping_ = false;
     bool registry_stopped_ = false;
@@ -424,8 +423,12 @@
 
 daemon::~daemon() = default;
 
-net::endpoint daemon::http_address() const { return state_->http_address(); }
+net::endpoint daemon::http_address() const {
+    return state_->http_address();
+}
 
-void daemon::stop() { state_->stop(); }
+void daemon::stop() {
+    state_->stop();
+}
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -36,10 +36,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    gflags::SetUsageMessage("runs one daemon of a cranberrydock cluster\n  cranberrydock --settings=FILE");
+    gflags::SetUsageMessage(
+        "runs one daemon of a cranberrydock cluster\n  cranberrydock --settings=FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty()) {
-        std::fprintf(stderr, "cranberrydock: expected --settings=FILE, found none; etc/ has examples\n");
+        std::fprintf(stderr,
+                     "cranberrydock: expected --settings=FILE, found none; etc/ has examples\n");
         return usage_error;
     }
     const auto settings = config::read_settings_file(FLAGS_settings);
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -13,10 +13,10 @@
 
 }  // namespace
 
-owned_cell::owned_cell(const cell_start& start, cell::cell_settings settings,
-                       net::event_loop& loop, platform::vm_client& vms,
-                       platform::table_service& table, const base::clock& clock,
-                       base::metrics& metrics, owned_cell_listener& listener)
+owned_cell::owned_cell(const cell_start& start, cell::cell_settings settings, net::event_loop& loop,
+                       platform::vm_client& vms, platform::table_service& table,
+                       const base::clock& clock, base::metrics& metrics,
+                       owned_cell_listener& listener)
     : id_(start.cell),
       loop_(loop),
       vms_(vms),
@@ -24,7 +24,8 @@
       listener_(listener),
       scheduler_(policy::make_scheduler()),
       machine_(std::move(settings), *scheduler_, metrics),
-      journal_(start, loop, table, clock, [this](const cell::cell_event& event) { handle(event); }) {
+      journal_(start, loop, table, clock,
+               [this](const cell::cell_event& event) { handle(event); }) {
     journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
 }
 
@@ -69,12 +70,16 @@
     journal_.append(effect.id, effect.record);
 }
 
-void owned_cell::carry_out(const cell::reply& effect) { listener_.reply(effect); }
+void owned_cell::carry_out(const cell::reply& effect) {
+    listener_.reply(effect);
+}
 
 void owned_cell::carry_out(const cell::superseded& effect) {
     listener_.superseded(id_, effect.seen);
 }
 
-void owned_cell::carry_out(const cell::drained& /*effect*/) { listener_.drained(id_); }
+void owned_cell::carry_out(const cell::drained& /*effect*/) {
+    listener_.drained(id_);
+}
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/platform_services.cpp
+++ b/packages/daemon/src/platform_services.cpp
@@ -51,7 +51,8 @@
 class http_vms final : public platform::vm_client {
 public:
     explicit http_vms(net::event_loop& loop)
-        : client_(net::make_http_client(loop, {})), inner_(platform::make_http_vm_client(*client_)) {}
+        : client_(net::make_http_client(loop, {})),
+          inner_(platform::make_http_vm_client(*client_)) {}
 
     void send(const net::endpoint& vm, platform::vm_command command, base::milliseconds timeout,
               platform::vm_callback done) override {
--- a/packages/daemon/src/registry_keeper.cpp
+++ b/packages/daemon/src/registry_keeper.cpp
@@ -13,7 +13,9 @@
 
 constexpr std::size_t rows_per_page = 500;
 
-mesh::owned_cell to_mesh(const cell::cell_epoch& it) { return {it.cell, it.epoch}; }
+mesh::owned_cell to_mesh(const cell::cell_epoch& it) {
+    return {it.cell, it.epoch};
+}
 
 }  // namespace
 
@@ -28,7 +30,9 @@
       metrics_(metrics),
       listener_(listener) {}
 
-void registry_keeper::tick() { handle(cell::tick{}); }
+void registry_keeper::tick() {
+    handle(cell::tick{});
+}
 
 void registry_keeper::set_cells(const config::configuration& current) {
     cell::cells_known known;
@@ -42,7 +46,9 @@
     handle(cell::entries_listed{std::move(live)});
 }
 
-void registry_keeper::on_peer_heard(const base::daemon_id& peer) { handle(cell::peer_heard{peer}); }
+void registry_keeper::on_peer_heard(const base::daemon_id& peer) {
+    handle(cell::peer_heard{peer});
+}
 
 void registry_keeper::on_silence_query(const base::daemon_id& from,
                                        const mesh::silence_query& what) {
@@ -61,11 +67,17 @@
                                   what.lasting});
 }
 
-void registry_keeper::on_cells_offered() { handle(cell::registry_hint{}); }
+void registry_keeper::on_cells_offered() {
+    handle(cell::registry_hint{});
+}
 
-void registry_keeper::on_drained(const base::cell_id& cell) { handle(cell::cell_drained{cell}); }
+void registry_keeper::on_drained(const base::cell_id& cell) {
+    handle(cell::cell_drained{cell});
+}
 
-void registry_keeper::stop() { handle(cell::stop_requested{}); }
+void registry_keeper::stop() {
+    handle(cell::stop_requested{});
+}
 
 base::time_point registry_keeper::evidence_until(const base::cell_id& cell) const {
     return ownership_.place_until(cell);
@@ -85,30 +97,30 @@
 void registry_keeper::scan_page(cell::operation_id operation, std::vector<platform::row> rows,
                                 const platform::row_key& prefix, const platform::row_key& after) {
     std::weak_ptr<registry_keeper*> self = self_;
-    table_.scan(prefix, after, rows_per_page,
-                [self, operation, prefix, rows = std::move(rows)](
-                    tl::expected<std::vector<platform::row>, platform::store_error> page) mutable {
-                    const auto keeper = self.lock();
-                    if (!keeper) {
-                        return;
-                    }
-                    if (!page) {
-                        (*keeper)->handle(
-                            cell::registry_scanned{operation, tl::unexpected(page.error())});
-                        return;
-                    }
-                    rows.insert(rows.end(), page->begin(), page->end());
-                    if (page->size() == rows_per_page) {
-                        (*keeper)->scan_page(operation, std::move(rows), prefix, page->back().key);
-                        return;
-                    }
-                    if (prefix.str() == cell::daemon_prefix) {
-                        (*keeper)->scan_page(operation, std::move(rows),
-                                             platform::row_key(cell::cell_prefix), {});
-                        return;
-                    }
-                    (*keeper)->handle(cell::registry_scanned{operation, std::move(rows)});
-                });
+    table_.scan(
+        prefix, after, rows_per_page,
+        [self, operation, prefix, rows = std::move(rows)](
+            tl::expected<std::vector<platform::row>, platform::store_error> page) mutable {
+            const auto keeper = self.lock();
+            if (!keeper) {
+                return;
+            }
+            if (!page) {
+                (*keeper)->handle(cell::registry_scanned{operation, tl::unexpected(page.error())});
+                return;
+            }
+            rows.insert(rows.end(), page->begin(), page->end());
+            if (page->size() == rows_per_page) {
+                (*keeper)->scan_page(operation, std::move(rows), prefix, page->back().key);
+                return;
+            }
+            if (prefix.str() == cell::daemon_prefix) {
+                (*keeper)->scan_page(operation, std::move(rows),
+                                     platform::row_key(cell::cell_prefix), {});
+                return;
+            }
+            (*keeper)->handle(cell::registry_scanned{operation, std::move(rows)});
+        });
 }
 
 void registry_keeper::carry_out(const cell::commit& effect) {
@@ -167,6 +179,8 @@
     listener_.on_routes(effect);
 }
 
-void registry_keeper::carry_out(const cell::stop_finished& /*effect*/) { listener_.on_stopped(); }
+void registry_keeper::carry_out(const cell::stop_finished& /*effect*/) {
+    listener_.on_stopped();
+}
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -70,9 +70,9 @@
         return;
     }
     const bool here = *owner == routes_.self();
-    const bool sent = here ? host_.submit(work.home, work.what, cell::reply_id(id))
-                           : peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home,
-                                                                   work.what});
+    const bool sent =
+        here ? host_.submit(work.home, work.what, cell::reply_id(id))
+             : peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home, work.what});
     if (!sent) {
         metrics_.count("cranberrydock_retries_total", "reason=\"owner_unreachable\"");
         retry_later(work);
@@ -176,8 +176,9 @@
     for (const std::int64_t id : unanswered) {
         const entry::job_callback done = questions_.at(id).done;
         questions_.erase(id);
-        done(tl::unexpected(base::refusal{base::refusal_reason::owner_unreachable, false, retry_soon,
-                                          "the owner of the job's home cell did not answer"}));
+        done(
+            tl::unexpected(base::refusal{base::refusal_reason::owner_unreachable, false, retry_soon,
+                                         "the owner of the job's home cell did not answer"}));
     }
 }
 
@@ -221,7 +222,8 @@
     const auto home = home_cell(*current, what.team, what.job);
     const auto owner = home ? routes_.owner(*home) : std::nullopt;
     if (!owner) {
-        done(tl::unexpected(base::refusal{base::refusal_reason::cell_without_owner, false, retry_soon,
+        done(tl::unexpected(base::refusal{base::refusal_reason::cell_without_owner, false,
+                                          retry_soon,
                                           "the job's home cell has no owner at the moment"}));
         return;
     }
@@ -270,7 +272,8 @@
         done(what.view);
         return;
     }
-    done(tl::unexpected(base::refusal{base::refusal_reason::unknown_job, false, base::milliseconds{0},
+    done(tl::unexpected(base::refusal{base::refusal_reason::unknown_job, false,
+                                      base::milliseconds{0},
                                       "this team has no such job, or it ended too long ago"}));
 }
 
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -1,6 +1,6 @@
 // Brings work to the owner of its home cell, here or at another daemon, and sends it again when the
-// owner changes or its link breaks: the owner knows work by team and idempotency key, so work that is
-// sent twice is still taken once.
+// owner changes or its link breaks: the owner knows work by team and idempotency key, so work that
+// is sent twice is still taken once.
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
