Lint: the thin path's parts clean; a cell's first owner is awaited from when it is known

Cause: a cell that the configuration names only later was taken at once by whichever daemon heard of it first, because the zone's head start was counted from the first scan. Ruled out: the ranking itself (own zone ranks first). Before: one daemon of three took two cells (trial by hand).

--- a/packages/cell/src/ownership_events.cpp
+++ b/packages/cell/src/ownership_events.cpp
@@ -36,8 +36,11 @@
 
 void ownership::machine::on(const tick&, base::time_point) {}
 
-void ownership::machine::on(const cells_known& event, base::time_point) {
+void ownership::machine::on(const cells_known& event, base::time_point now) {
     cells_ = event.cells;
+    for (const auto& it : cells_) {
+        known_since_.emplace(it.id, now);
+    }
     for (auto& it : owned_) {
         if (!configured(it.first)) {
             drain(it.first, it.second);
--- a/packages/cell/src/ownership_machine.hpp
+++ b/packages/cell/src/ownership_machine.hpp
@@ -78,7 +78,7 @@
     bool is_being_taken(const base::cell_id& id) const;
     bool may_promise(const silence_asked& event, base::time_point now) const;
     std::set<base::daemon_id> others_to_ask(base::time_point now) const;
-    detail::surroundings around() const { return {view_, vms_, given_, heard_}; }
+    detail::surroundings around() const { return {view_, vms_, given_, heard_, known_since_}; }
     operation_id new_operation() { return operation_ = operation_.next(); }
     void drain(const base::cell_id& id, detail::owned_cell& cell);
 
@@ -91,6 +91,7 @@
     detail::listed_vms vms_;
     std::vector<known_cell> cells_;
     std::map<base::daemon_id, base::time_point> heard_;
+    std::map<base::cell_id, base::time_point> known_since_;
     detail::owned_cells owned_;
     // Invariant: no cell is both in owned_ and in takes_.
     detail::pending_takes takes_;
--- a/packages/cell/src/succession.cpp
+++ b/packages/cell/src/succession.cpp
@@ -102,7 +102,11 @@
     const auto offered_by = seen != nullptr ? seen->row.offered_by : base::daemon_id();
     const base::duration rank_wait = own_rank(cell, offered_by, around) * settings_.rank_delay;
     if (seen == nullptr) {
-        return now >= *around.view.first_received() + first_owner_wait(cell) + rank_wait;
+        const auto known = around.known_since.find(cell.id);
+        const auto since = known == around.known_since.end()
+                               ? *around.view.first_received()
+                               : std::max(*around.view.first_received(), known->second);
+        return now >= since + first_owner_wait(cell) + rank_wait;
     }
     if (seen->row.owner.empty()) {
         return now >= seen->since + rank_wait;
--- a/packages/cell/src/succession.hpp
+++ b/packages/cell/src/succession.hpp
@@ -30,6 +30,8 @@
     const listed_vms& vms;
     const promises_given& promises;
     const std::map<base::daemon_id, base::time_point>& heard;
+    // When the configuration first named each cell: before, nobody could have taken it.
+    const std::map<base::cell_id, base::time_point>& known_since;
 };
 
 class succession {
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -134,8 +134,7 @@
 cell_host::cell_host(const config::daemon_settings& settings, const base::daemon_id& self,
                      net::event_loop& daemon_loop, cell_io_factory& io, base::metrics& metrics,
                      cell_host_listener& listener)
-    : daemon_loop_(daemon_loop),
-      worker_(std::make_shared<worker>(settings, self, daemon_loop, io, metrics, listener)),
+    : worker_(std::make_shared<worker>(settings, self, daemon_loop, io, metrics, listener)),
       thread_([worker = worker_] { worker->run(); }) {}
 
 cell_host::~cell_host() {
--- a/packages/daemon/src/cell_host.hpp
+++ b/packages/daemon/src/cell_host.hpp
@@ -81,7 +81,6 @@
 private:
     class worker;
 
-    net::event_loop& daemon_loop_;
     std::shared_ptr<worker> worker_;
     std::thread thread_;
 };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -373,6 +373,7 @@
             }
         }
         std::vector<mesh::team_usage> out;
+        out.reserve(sum.size());
         for (const auto& it : sum) {
             out.push_back(it.second);
         }
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -18,7 +18,6 @@
                        const base::clock& clock, base::metrics& metrics,
                        owned_cell_listener& listener)
     : id_(start.cell),
-      loop_(loop),
       vms_(vms),
       clock_(clock),
       listener_(listener),
--- a/packages/daemon/src/owned_cell.hpp
+++ b/packages/daemon/src/owned_cell.hpp
@@ -49,7 +49,6 @@
     void go_live(std::vector<cell::work_record> records);
 
     base::cell_id id_;
-    net::event_loop& loop_;
     platform::vm_client& vms_;
     const base::clock& clock_;
     owned_cell_listener& listener_;
--- a/packages/entry/src/request_path.cpp
+++ b/packages/entry/src/request_path.cpp
@@ -67,7 +67,7 @@
                 return;
             }
         }
-        route(std::move(passing), std::move(respond));
+        route(passing, std::move(respond));
     }
 
 private:
@@ -90,7 +90,7 @@
         respond(problem(refused.why, refused.findings));
     }
 
-    void route(request_state passing, net::http_responder respond) {
+    void route(const request_state& passing, net::http_responder respond) {
         const base::work what = passing.what;
         const base::time_point arrived = passing.arrived;
         router_.submit(what, [this, what, arrived,
--- a/packages/entry/src/work_routes.cpp
+++ b/packages/entry/src/work_routes.cpp
@@ -41,21 +41,22 @@
              list(request, respond);
          }},
         {http_method::get, "/v1/jobs/{name}",
-         [this](routed_request request, const net::http_responder& respond) {
-             ask(std::move(request), respond, false);
+         [this](const routed_request& request, const net::http_responder& respond) {
+             ask(request, respond, false);
          }},
         {http_method::get, "/v1/explain/{name}",
-         [this](routed_request request, const net::http_responder& respond) {
-             ask(std::move(request), respond, false);
+         [this](const routed_request& request, const net::http_responder& respond) {
+             ask(request, respond, false);
          }},
         {http_method::del, "/v1/jobs/{name}",
-         [this](routed_request request, const net::http_responder& respond) {
-             ask(std::move(request), respond, true);
+         [this](const routed_request& request, const net::http_responder& respond) {
+             ask(request, respond, true);
          }},
     };
 }
 
-void work_routes::ask(routed_request request, const net::http_responder& respond, bool cancel) {
+void work_routes::ask(const routed_request& request, const net::http_responder& respond,
+                      bool cancel) {
     const auto team = team_of(dependencies_.configuration, request.http);
     if (!team) {
         respond(problem(team.error().why));
--- a/packages/entry/src/work_routes.hpp
+++ b/packages/entry/src/work_routes.hpp
@@ -18,7 +18,7 @@
     std::vector<route> routes() override;
 
 private:
-    void ask(routed_request request, const net::http_responder& respond, bool cancel);
+    void ask(const routed_request& request, const net::http_responder& respond, bool cancel);
     void list(const routed_request& request, const net::http_responder& respond);
 
     api_dependencies dependencies_;
