Plain HTTP runners: the client and the stand-in

Cause: upstreams that know neither leases nor epochs have to be reached and judged. An answer counts as whole only when its digest matches; a runner's own word that it did not run something (503) is told apart from a lost answer. The stand-ins register through one member_registrar; VMs and runners note how long after leaving they were still given work.

--- a/packages/platform/src/http_platform.cpp
+++ b/packages/platform/src/http_platform.cpp
@@ -3,6 +3,8 @@
 #include <cranberrydock/platform/store_codec.hpp>
 #include <cranberrydock/platform/vm_codec.hpp>
 
+#include "http_status.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <utility>
@@ -10,26 +12,13 @@
 namespace cranberrydock::platform {
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_unavailable = 503;
-constexpr const char* cbor_type = "application/cbor";
+using detail::refused_unread;
+using detail::status_conflict;
+using detail::status_not_found;
+using detail::status_ok;
+using detail::status_unavailable;
 
-// Whether the status says that the call was refused before anything was done.
-bool refused_unread(int status) {
-    switch (status) {
-        case 400:
-        case 404:
-        case 405:
-        case 411:
-        case 413:
-        case 415:
-            return true;
-        default:
-            return false;
-    }
-}
+constexpr const char* cbor_type = "application/cbor";
 
 store_error store_error_of(const net::http_result& result) {
     if (!result) {
--- /dev/null
+++ b/test/correctness/runner_answers_are_whole_and_its_failures_told_apart.cpp
@@ -0,0 +1,108 @@
+// The runner client tells apart what ran, what failed, what was not run and what may have run; an
+// answer whose digest does not match is lost, not whole; no more calls than allowed go to a runner.
+#include <cranberrydock/platform/runner_client.hpp>
+
+#include "standins/judge.hpp"
+#include "standins/runner_host.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using platform::runner_error;
+
+constexpr base::milliseconds generous{60'000};
+constexpr base::milliseconds short_wait{100};
+
+// Answers with a digest of something else.
+class liar final : public net::http_handler {
+public:
+    void handle(net::http_request /*request*/, net::http_responder respond) override {
+        respond({200, {{platform::runner_digest_header, "00"}}, "truncat"});
+    }
+};
+
+class runner : public ::testing::Test {
+protected:
+    void start(const net::endpoint& to, const std::string& id, const std::string& body,
+               base::milliseconds timeout = generous) {
+        ++open_;
+        client_->run(to, {base::request_id(id), false, body}, timeout,
+                     [this](platform::runner_result result) {
+                         results_.push_back(std::move(result));
+                         if (--open_ == 0) {
+                             loop_.stop();
+                         }
+                     });
+    }
+
+    platform::runner_result run(const net::endpoint& to, const std::string& id,
+                                const std::string& body, base::milliseconds timeout = generous) {
+        start(to, id, body, timeout);
+        loop_.run();
+        return results_.back();
+    }
+
+    base::monotonic_clock clock_;
+    net::event_loop loop_;
+    standins::judge judge_;
+    standins::runner_host host_{
+        loop_, clock_, judge_, {base::vm_id("r1"), base::slot_count(2), 4}, {"127.0.0.1", 0}};
+    std::unique_ptr<net::http_client> http_ = net::make_http_client(loop_, {});
+    std::unique_ptr<platform::runner_client> client_ =
+        platform::make_http_runner_client(loop_, *http_, 5);
+    int open_ = 0;  // results that the loop still waits for
+    std::vector<platform::runner_result> results_;
+};
+
+TEST_F(runner, tells_its_outcomes_apart) {
+    const auto answered = run(host_.address(), "q1", R"({"answer":"plan","answer_bytes":100000})");
+    ASSERT_TRUE(answered.has_value());
+    EXPECT_EQ(answered->content.size(), 100'000U);
+    EXPECT_EQ(run(host_.address(), "q2", R"({"fail":"no teak"})").error().error,
+              runner_error::failed);
+    EXPECT_EQ(run(host_.address(), "q3", R"({"for_ms":-1})", short_wait).error().error,
+              runner_error::answer_lost);
+    EXPECT_EQ(judge_.total(), 0) << judge_.json();
+    host_.kill();
+    run(host_.address(), "q4", "x");  // a kept connection may break first
+    EXPECT_EQ(run(host_.address(), "q4", "x").error().error, runner_error::not_sent);
+}
+
+TEST_F(runner, counts_a_second_run_of_what_may_not_be_repeated) {
+    run(host_.address(), "q1", "x");
+    run(host_.address(), "q1", "x");
+    EXPECT_EQ(judge_.count(standins::breach::repeated), 1);
+}
+
+TEST_F(runner, takes_no_answer_whose_digest_does_not_match) {
+    liar handler;
+    const net::http_server server(loop_, {"127.0.0.1", 0}, {}, handler);
+    const auto lost = run(server.listening_on(), "q1", "x");
+    EXPECT_EQ(lost.error().error, runner_error::answer_lost);
+    EXPECT_NE(lost.error().detail.find("found 00"), std::string::npos);
+}
+
+TEST_F(runner, gets_no_more_calls_than_allowed) {
+    constexpr int calls = 6;    // of which 5 are let through to the runner
+    constexpr int failing = 2;  // and 4 are taken by it, to run or to wait
+    for (int i = 0; i < calls; ++i) {
+        start(host_.address(), "q" + std::to_string(i), R"({"for_ms":-1})");
+    }
+    open_ = failing;
+    loop_.run();
+    ASSERT_EQ(results_.size(), 2U);
+    EXPECT_EQ(results_[0].error().error, runner_error::not_sent);
+    EXPECT_EQ(results_[1].error().error, runner_error::refused);
+    EXPECT_EQ(host_.running(), 2);
+    EXPECT_EQ(judge_.total(), 0) << judge_.json();
+}
+
+}  // namespace
--- a/test/standins/judge.cpp
+++ b/test/standins/judge.cpp
@@ -55,6 +55,12 @@
     running_.erase({run.vm, run.attempt});
 }
 
+void judge::lost(const base::vm_id& vm) {
+    for (auto it = running_.begin(); it != running_.end();) {
+        it = it->first.vm == vm ? running_.erase(it) : std::next(it);
+    }
+}
+
 // A run whose lease has lapsed does not count: the VM has stopped it, though the simulation's timer
 // may not have fired yet.
 void judge::check_elsewhere(const judged_run& run, base::time_point now) {
--- a/test/standins/judge.hpp
+++ b/test/standins/judge.hpp
@@ -46,6 +46,8 @@
     void renewed(const judged_run& run);
     // The task no longer runs; `last_ran` is when it last made progress.
     void ended(const judged_run& run, base::time_point last_ran);
+    // Everything that ran on the VM is gone with it.
+    void lost(const base::vm_id& vm);
 
     std::int64_t count(breach kind) const;
     std::int64_t total() const;
--- /dev/null
+++ b/test/standins/main_runner.cpp
@@ -0,0 +1,53 @@
+// The program standin_runner: plain HTTP runners of one availability zone.
+#include "runner_server.hpp"
+#include "serving.hpp"
+
+#include <gflags/gflags.h>
+
+#include <exception>
+#include <iostream>
+
+DEFINE_string(listen_address, "127.0.0.1", "address of the runners and of the control routes");
+DEFINE_string(platform, "", "ADDRESS:PORT of the stand-in platform, to register the runners there");
+DEFINE_string(region, "northcoast", "of the runners");
+DEFINE_string(zone, "northcoast-a", "of the runners");
+DEFINE_int32(count, 1, "runners");
+DEFINE_string(id_prefix, "runner", "of the ids PREFIX-ZONE-NUMBER");
+DEFINE_int32(slots, 8, "requests that a runner runs at the same time");
+DEFINE_int32(max_open, 60, "requests that a runner has open at the same time");
+
+namespace {
+
+using namespace cranberrydock;
+
+standins::runners_settings settings_of_flags() {
+    standins::runners_settings out;
+    out.listen_address = FLAGS_listen_address;
+    out.platform = net::parse_endpoint(FLAGS_platform);
+    out.region = base::region_name(FLAGS_region);
+    out.zone = base::zone_name(FLAGS_zone);
+    out.count = FLAGS_count;
+    out.id_prefix = FLAGS_id_prefix;
+    out.slots = base::slot_count(FLAGS_slots);
+    out.max_open = static_cast<std::size_t>(FLAGS_max_open);
+    return out;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    try {
+        gflags::SetUsageMessage("plain HTTP runners; prints 'listening ADDRESS:PORT'");
+        gflags::ParseCommandLineFlags(&argc, &argv, true);
+        net::event_loop loop;
+        standins::runner_server* server = nullptr;
+        standins::runner_server owned(loop, settings_of_flags(),
+                                      [&server] { standins::announce(server->listening_on()); });
+        server = &owned;
+        standins::serve_until_told(loop);
+    } catch (const std::exception& error) {
+        std::cerr << "standin_runner: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/standins/runner_host.cpp
@@ -0,0 +1,114 @@
+// One plain HTTP runner.
+#include "runner_host.hpp"
+
+#include <cranberrydock/platform/digest.hpp>
+#include <cranberrydock/platform/runner_client.hpp>
+
+#include <utility>
+
+namespace cranberrydock::standins {
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_failed = 422;
+constexpr int status_refused = 503;
+constexpr base::byte_count max_body{64 * 1024 * 1024};
+
+}  // namespace
+
+runner_host::runner_host(net::event_loop& loop, const base::clock& clock, judge& log,
+                         const runner_settings& settings, const net::endpoint& listen)
+    : loop_(loop),
+      clock_(clock),
+      judge_(log),
+      settings_(settings),
+      calls_(std::make_unique<platform::delayed_calls>(loop)) {
+    this->listen(listen);
+}
+
+void runner_host::listen(const net::endpoint& where) {
+    net::http_server_limits limits;
+    limits.max_body = max_body;
+    server_ = std::make_unique<net::http_server>(loop_, where, limits, *this);
+    address_ = server_->listening_on();
+}
+
+void runner_host::handle(net::http_request request, net::http_responder respond) {
+    if (request.method != net::http_method::post || request.path != platform::runner_path) {
+        respond({status_not_found, {}, "no such route: " + request.path});
+        return;
+    }
+    const base::request_id id(request.header(platform::runner_id_header));
+    if (id.empty()) {
+        respond({status_bad_request, {}, "expected the header X-Request-Id, found none"});
+        return;
+    }
+    if (left_at_) {
+        last_request_after_leave_ =
+            std::chrono::duration_cast<base::milliseconds>(clock_.now() - *left_at_);
+    }
+    if (waiting_.size() + static_cast<std::size_t>(running_) >= settings_.max_open) {
+        respond({status_refused, {}, "too many open requests; this one was not run"});
+        return;
+    }
+    const bool repeatable = request.header(platform::runner_repeatable_header) != "false";
+    waiting_.push_back({id, repeatable, read_work(request.body), std::move(respond)});
+    start_next();
+}
+
+judged_run runner_host::judged(const waiting_request& request) {
+    judged_run out;
+    out.vm = settings_.id;
+    out.incarnation = base::incarnation_id(settings_.id.str());
+    out.attempt = base::attempt_id(request.id.str() + "#" + std::to_string(++starts_));
+    out.task = base::task_id(request.id.str());
+    out.reserved.slots = base::slot_count(1);
+    out.capacity.slots = settings_.slots;
+    out.repeatable = request.repeatable;
+    out.mark = request.work.mark;
+    out.lease_until = base::time_point::max();  // it knows no leases
+    return out;
+}
+
+void runner_host::start_next() {
+    while (!waiting_.empty() && running_ < settings_.slots.value()) {
+        const waiting_request next = std::move(waiting_.front());
+        waiting_.pop_front();
+        ++running_;
+        const judged_run run = judged(next);
+        judge_.started(run, clock_.now());
+        if (next.work.runs_for) {
+            calls_->after(*next.work.runs_for, [this, next, run] { finish(next, run); });
+        }
+    }
+}
+
+void runner_host::finish(const waiting_request& request, const judged_run& run) {
+    --running_;
+    judge_.ended(run, clock_.now());
+    if (!silent_) {
+        const bool fails = request.work.fails || fails_everything_;
+        request.respond(
+            {fails ? status_failed : 200,
+             {{platform::runner_digest_header, platform::sha256_hex(request.work.answer)}},
+             request.work.answer});
+    }
+    start_next();
+}
+
+void runner_host::kill() {
+    server_.reset();
+    waiting_.clear();
+    running_ = 0;
+    left_at_.reset();
+    judge_.lost(settings_.id);
+    calls_ = std::make_unique<platform::delayed_calls>(loop_);
+}
+
+void runner_host::replace() {
+    kill();
+    listen(address_);
+}
+
+}  // namespace cranberrydock::standins
--- a/test/standins/vm_host.cpp
+++ b/test/standins/vm_host.cpp
@@ -62,11 +62,19 @@
         held_.push_back({command, respond});
         return;
     }
+    note_start_after_leave(command);
     agent_.handle(command, clock_.now(),
                   [this, respond](const platform::vm_reply& reply) { answer(reply, respond); });
     arm();
 }
 
+void vm_host::note_start_after_leave(const platform::vm_command& command) {
+    if (left_at_ && std::holds_alternative<platform::start_command>(command.body)) {
+        last_start_after_leave_ =
+            std::chrono::duration_cast<base::milliseconds>(clock_.now() - *left_at_);
+    }
+}
+
 void vm_host::answer(const platform::vm_reply& reply, const net::http_responder& respond) {
     if (voice_ != vm_voice::speaks) {
         return;
@@ -120,7 +128,8 @@
     server_.reset();
     held_.clear();
     frozen_ = false;
-    leaving_ = false;
+    left_at_.reset();
+    last_start_after_leave_ = base::milliseconds{0};
     agent_.replace(clock_.now());
     arm();
 }
@@ -131,7 +140,7 @@
 }
 
 void vm_host::leave() {
-    leaving_ = true;
+    left_at_ = clock_.now();
     agent_.set_leaving(clock_.now());
     arm();
 }
--- a/test/standins/vm_host.hpp
+++ b/test/standins/vm_host.hpp
@@ -10,6 +10,7 @@
 #include "vm_agent.hpp"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cranberrydock::standins {
@@ -54,7 +55,9 @@
     const net::endpoint& address() const { return address_; }
     const vm_agent& agent() const { return agent_; }
     bool alive() const { return server_ != nullptr; }
-    bool leaving() const { return leaving_; }
+    bool leaving() const { return left_at_.has_value(); }
+    // How long after leave() the last start command came; 0 when none did.
+    base::milliseconds last_start_after_leave() const { return last_start_after_leave_; }
 
 private:
     struct held_command {
@@ -65,6 +68,7 @@
     void listen(const net::endpoint& where);
     void take(const platform::vm_command& command, const net::http_responder& respond);
     void answer(const platform::vm_reply& reply, const net::http_responder& respond);
+    void note_start_after_leave(const platform::vm_command& command);
     void arm();
 
     net::event_loop& loop_;
@@ -76,7 +80,8 @@
     base::milliseconds command_delay_{0};
     base::milliseconds answer_delay_{0};
     bool frozen_ = false;
-    bool leaving_ = false;
+    std::optional<base::time_point> left_at_;
+    base::milliseconds last_start_after_leave_{0};
     std::vector<held_command> held_;  // while frozen
     std::unique_ptr<net::timer> due_;
     platform::delayed_calls calls_;
--- a/test/standins/vm_server.cpp
+++ b/test/standins/vm_server.cpp
@@ -1,10 +1,7 @@
 // Many simulated VMs in one process.
 #include "vm_server.hpp"
 
-#include <cranberrydock/platform/store_codec.hpp>
-
 #include <nlohmann/json.hpp>
-#include <spdlog/spdlog.h>
 
 #include <utility>
 
@@ -14,10 +11,7 @@
 using net::http_request;
 using nlohmann::json;
 
-constexpr base::milliseconds platform_timeout{2'000};
-constexpr base::milliseconds register_retry_period{100};
-
-platform::member member_of(const vm_host& vm, const base::resources& capacity) {
+platform::member member_of(const vm_host& vm) {
     return {vm.id(),
             platform::member_role::worker,
             vm.leaving() ? platform::member_state::leaving : platform::member_state::live,
@@ -25,11 +19,7 @@
             vm.location().region,
             vm.location().zone,
             vm.location().rack,
-            capacity};
-}
-
-json members_document(const std::vector<platform::member>& members) {
-    return json::parse(platform::encode(members));
+            vm.agent().settings().capacity};
 }
 
 base::milliseconds milliseconds_of(const json& in, const char* name) {
@@ -40,16 +30,13 @@
 
 vm_server::vm_server(net::event_loop& loop, const fleet_settings& settings,
                      std::function<void()> ready)
-    : loop_(loop),
-      platform_(settings.platform),
-      ready_(std::move(ready)),
-      client_(net::make_http_client(loop, {})) {
+    : loop_(loop), registrar_(loop, settings.platform) {
     make_vms(settings);
     add_actions();
     add_routes();
     server_ = std::make_unique<net::http_server>(loop, net::endpoint{settings.listen_address, 0},
                                                  net::http_server_limits{}, routes_);
-    register_all();
+    register_all(std::move(ready));
 }
 
 void vm_server::make_vms(const fleet_settings& settings) {
@@ -136,46 +123,22 @@
 
 void vm_server::tell_platform(const vm_host& vm, const http_request& request) {
     const auto in = json_body(request);
-    if (platform_.port == 0 || !in.value("tell_platform", true)) {
+    if (!in.value("tell_platform", true)) {
         return;
     }
-    json body = {{"lag_ms", in.value("lag_ms", 0)}};
     if (vm.alive()) {
-        body["members"] =
-            members_document({member_of(vm, vm.agent().settings().capacity)}).at("members");
+        registrar_.put(member_of(vm), milliseconds_of(in, "lag_ms"));
     } else {
-        body["gone"] = {vm.id().str()};
+        registrar_.remove(vm.id(), milliseconds_of(in, "lag_ms"));
     }
-    post_members(body.dump(), [id = vm.id()](bool done) {
-        if (!done) {
-            spdlog::warn("event=member_not_told vm={}", id.str());
-        }
-    });
 }
 
-void vm_server::register_all() {
-    if (platform_.port == 0) {
-        loop_.post(ready_);
-        return;
-    }
+void vm_server::register_all(std::function<void()> ready) {
     std::vector<platform::member> members;
     for (const auto& it : vms_) {
-        members.push_back(member_of(*it.second, it.second->agent().settings().capacity));
+        members.push_back(member_of(*it.second));
     }
-    post_members(platform::encode(members), [this](bool done) {
-        if (done) {
-            ready_();
-            return;
-        }
-        register_again_ = loop_.after(register_retry_period, [this] { register_all(); });
-    });
-}
-
-void vm_server::post_members(const std::string& body, std::function<void(bool)> done) {
-    client_->send(platform_, {net::http_method::post, "/control/members", "", {}, body},
-                  platform_timeout, [done = std::move(done)](const net::http_result& result) {
-                      done(result && result->status == 200);
-                  });
+    registrar_.put_all(members, std::move(ready));
 }
 
 std::string vm_server::list_vms() const {
@@ -189,7 +152,8 @@
                         {"incarnation", vm.agent().incarnation().str()},
                         {"alive", vm.alive()},
                         {"running", vm.agent().running()},
-                        {"unacknowledged", vm.agent().unacknowledged()}});
+                        {"unacknowledged", vm.agent().unacknowledged()},
+                        {"last_start_after_leave_ms", vm.last_start_after_leave().count()}});
     }
     return json{{"vms", list}}.dump();
 }
--- a/test/standins/vm_server.hpp
+++ b/test/standins/vm_server.hpp
@@ -3,7 +3,8 @@
 // every place a task can run in.
 //
 //   GET /judge          what judge::json() says
-//   GET /control/vms    {"vms":[{"id","address","incarnation","alive","running"}]}
+//   GET /control/vms    {"vms":[{"id","address","region","zone","incarnation","alive","running",
+//                       "unacknowledged","last_start_after_leave_ms"}]}
 //   POST /control/vm    {"vm":"ID","action":"..."} with action one of
 //     freeze, unfreeze, silence, lose_answers, speak,
 //     delay ("command_ms", "answer_ms"), fail_everything ("on", default true),
@@ -14,11 +15,11 @@
 
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/net/event_loop.hpp>
-#include <cranberrydock/net/http_client.hpp>
 #include <cranberrydock/net/http_server.hpp>
 
 #include "control_routes.hpp"
 #include "judge.hpp"
+#include "member_registrar.hpp"
 #include "vm_host.hpp"
 
 #include <functional>
@@ -61,21 +62,17 @@
     void add_routes();
     void add_actions();
     void command_vm(const net::http_request& request);
-    void register_all();
+    void register_all(std::function<void()> ready);
     void tell_platform(const vm_host& vm, const net::http_request& request);
-    void post_members(const std::string& body, std::function<void(bool)> done);
     std::string list_vms() const;
 
     net::event_loop& loop_;
     base::monotonic_clock clock_;
-    net::endpoint platform_;
-    std::function<void()> ready_;
     judge judge_;
     std::map<base::vm_id, std::unique_ptr<vm_host>> vms_;
     std::map<std::string, action> actions_;
     route_table routes_;
-    std::unique_ptr<net::http_client> client_;
-    std::unique_ptr<net::timer> register_again_;
+    member_registrar registrar_;
     std::unique_ptr<net::http_server> server_;
 };
 
