--- /dev/null
+++ b/test/correctness/vm_obeys_the_highest_epoch_and_leases.cpp
@@ -0,0 +1,163 @@
+// The simulated VM's answers, one situation each: fencing, a lease that lapses while the VM is
+// frozen, starts sent again or overtaken by their stop, a replaced VM, a VM that leaves.
+#include "standins/judge.hpp"
+#include "standins/vm_agent.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::platform;
+
+constexpr base::milliseconds lease{1'000};
+
+class simulated_vm : public ::testing::Test {
+protected:
+    vm_reply send(std::int64_t epoch, vm_command_body body) {
+        std::optional<vm_reply> out;
+        agent_.handle({base::cell_id("c"), base::epoch(epoch), std::move(body)}, clock_.now(),
+                      [&out](const vm_reply& reply) { out = reply; });
+        return out.value();
+    }
+
+    start_command start(const std::string& attempt, const std::string& payload = "") {
+        start_command out;
+        out.incarnation = agent_.incarnation();
+        out.attempt = base::attempt_id(attempt);
+        out.task = base::task_id("task-" + attempt);
+        out.reserve = {base::millicores(1'000), base::mebibytes(600), {}, base::slot_count(1)};
+        const auto now = send(0, hello_command{}).report.now;
+        out.lease_until = vm_time(now.value() + base::duration(lease).count());
+        out.payload = payload;
+        return out;
+    }
+
+    void pass(base::milliseconds time) {
+        clock_.advance(time);
+        agent_.advance(clock_.now());
+    }
+
+    task_end end_of(const std::string& attempt) {
+        for (const auto& it : send(owner_epoch, hello_command{}).report.finished) {
+            if (it.attempt == base::attempt_id(attempt)) {
+                return it.end;
+            }
+        }
+        ADD_FAILURE() << "expected " << attempt << " to have finished";
+        return task_end::failed;
+    }
+
+    static constexpr std::int64_t owner_epoch = 5;
+    base::manual_clock clock_;
+    standins::judge judge_;
+    standins::vm_agent agent_{
+        {base::vm_id("vm"),
+         {base::millicores(16'000), base::mebibytes(1'000), {}, base::slot_count(16)},
+         {}},
+        judge_,
+        clock_.now()};
+};
+
+TEST_F(simulated_vm, ends_a_lower_epochs_watch_when_a_higher_one_comes) {
+    std::optional<vm_reply> watched;
+    watch_command watch;
+    watch.incarnation = agent_.incarnation();
+    watch.after = send(1, hello_command{}).report.number;
+    watch.wait = lease;
+    agent_.handle({base::cell_id("c"), base::epoch(1), watch}, clock_.now(),
+                  [&](const vm_reply& reply) { watched = reply; });
+    EXPECT_FALSE(watched);
+    auto late = start("a");
+    send(2, hello_command{});
+    ASSERT_TRUE(watched);
+    EXPECT_EQ(watched->verdict, vm_verdict::lower_epoch);
+    const auto refused = send(1, late);
+    EXPECT_EQ(refused.verdict, vm_verdict::lower_epoch);
+    EXPECT_TRUE(refused.report.running.empty());
+}
+
+TEST_F(simulated_vm, stops_what_lapsed_while_it_was_frozen_before_it_runs_on) {
+    send(owner_epoch, start("a", R"({"for_ms":100})"));
+    agent_.freeze(clock_.now());
+    clock_.advance(2 * lease);
+    agent_.unfreeze(clock_.now());
+    EXPECT_EQ(end_of("a"), task_end::lease_lapsed);
+    EXPECT_EQ(judge_.total(), 0) << judge_.json();
+}
+
+TEST_F(simulated_vm, completes_what_ended_within_its_lease_however_late_it_is_asked) {
+    send(owner_epoch, start("a", R"({"for_ms":100})"));
+    send(owner_epoch, start("b", R"({"for_ms":-1})"));
+    pass(2 * lease);
+    EXPECT_EQ(end_of("a"), task_end::completed);
+}
+
+TEST_F(simulated_vm, runs_an_attempt_once_however_often_it_is_sent) {
+    const auto a = start("a", R"({"for_ms":10})");
+    send(owner_epoch, a);
+    EXPECT_EQ(send(owner_epoch, a).report.running.size(), 1U);
+    pass(base::milliseconds{20});
+    watch_command acknowledge;
+    acknowledge.incarnation = agent_.incarnation();
+    acknowledge.acknowledge = {a.attempt};
+    EXPECT_TRUE(send(owner_epoch, acknowledge).report.finished.empty());
+    EXPECT_TRUE(send(owner_epoch, a).report.running.empty());
+    EXPECT_EQ(judge_.starts(), 1);
+}
+
+TEST_F(simulated_vm, does_not_run_what_was_stopped_before_its_start_came) {
+    const auto a = start("a");
+    send(owner_epoch, stop_command{agent_.incarnation(), a.attempt});
+    EXPECT_EQ(send(owner_epoch, a).verdict, vm_verdict::done);
+    EXPECT_EQ(end_of("a"), task_end::stopped);
+    EXPECT_EQ(judge_.starts(), 0);
+}
+
+TEST_F(simulated_vm, refuses_what_does_not_fit_comes_late_or_was_meant_for_its_predecessor) {
+    const auto late = start("late");
+    const auto before = start("before");
+    send(owner_epoch, start("a", R"({"for_ms":-1})"));
+    EXPECT_EQ(send(owner_epoch, start("b")).verdict, vm_verdict::does_not_fit);
+    pass(lease);
+    EXPECT_EQ(send(owner_epoch, late).verdict, vm_verdict::lease_passed);
+    agent_.replace(clock_.now());
+    EXPECT_EQ(send(owner_epoch, before).verdict, vm_verdict::other_incarnation);
+    agent_.set_leaving(clock_.now());
+    EXPECT_EQ(send(owner_epoch, start("c")).verdict, vm_verdict::leaving);
+    EXPECT_EQ(judge_.starts(), 1);
+}
+
+// The judge has to see what it is there for.
+TEST(judge, counts_each_broken_promise) {
+    standins::judge judge;
+    const base::time_point now{};
+    standins::judged_run run;
+    run.vm = base::vm_id("vm-1");
+    run.incarnation = base::incarnation_id("i1");
+    run.attempt = base::attempt_id("a1");
+    run.task = base::task_id("t1");
+    run.epoch = base::epoch(2);
+    run.repeatable = false;
+    run.lease_until = now + lease;
+    judge.started(run, now);
+    EXPECT_EQ(judge.total(), 0);
+    run.vm = base::vm_id("vm-2");
+    run.attempt = base::attempt_id("a2");
+    run.epoch = base::epoch(1);
+    run.reserved.memory = base::mebibytes(1);
+    judge.started(run, now);
+    judge.ended(run, now + 2 * lease);
+    for (const auto it : {standins::breach::overcommitted, standins::breach::task_in_two_places,
+                          standins::breach::repeated, standins::breach::start_on_lower_epoch,
+                          standins::breach::run_without_lease}) {
+        EXPECT_EQ(judge.count(it), 1) << to_string(it);
+    }
+    EXPECT_EQ(judge.evidence().size(), 5U);
+}
+
+}  // namespace
--- /dev/null
+++ b/test/failure/store_and_vm_failures_are_told_apart.cpp
@@ -0,0 +1,145 @@
+// What the HTTP adapters make of each failure: nothing is called "not written" or "not run" that
+// may have been, and a lost answer can be read back.
+#include <cranberrydock/platform/http_platform.hpp>
+
+#include "standins/platform_server.hpp"
+#include "standins/vm_host.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::platform;
+
+constexpr base::milliseconds generous{60'000};
+constexpr base::milliseconds short_wait{100};
+
+// Answers everything with one status and body.
+class fixed_answer final : public net::http_handler {
+public:
+    void handle(net::http_request /*request*/, net::http_responder respond) override {
+        respond({status, {}, body});
+    }
+    int status = 200;
+    std::string body;
+};
+
+class failures : public ::testing::Test {
+protected:
+    template <typename Value>
+    auto keep(std::optional<Value>& out) {
+        return [this, &out](auto result) {
+            out = std::move(result);
+            loop_.stop();
+        };
+    }
+
+    tl::expected<commit_result, store_error> commit(const net::endpoint& service,
+                                                    base::milliseconds timeout = generous) {
+        const auto table = make_http_table_service(*client_, service, timeout);
+        std::optional<tl::expected<commit_result, store_error>> out;
+        table->commit({{{key_, row_version(0)}}, {{key_, "written"}}}, keep(out));
+        loop_.run();
+        return *out;
+    }
+
+    std::optional<row> read() {
+        const auto table = make_http_table_service(*client_, server_.listening_on(), generous);
+        std::optional<tl::expected<std::optional<row>, store_error>> out;
+        table->read(key_, keep(out));
+        loop_.run();
+        return out->value();
+    }
+
+    vm_result hello(const net::endpoint& vm, base::milliseconds timeout = generous) {
+        const auto vms = make_http_vm_client(*client_);
+        std::optional<vm_result> out;
+        vms->send(vm, {base::cell_id("c"), base::epoch(1), hello_command{}}, timeout, keep(out));
+        loop_.run();
+        return std::move(*out);
+    }
+
+    void fault(const platform_faults& faults) { server_.state().set_faults(faults); }
+
+    const row_key key_{"cell/a"};
+    net::event_loop loop_;
+    std::unique_ptr<net::http_client> client_ = net::make_http_client(loop_, {});
+    standins::platform_server server_{loop_, {"127.0.0.1", 0}};
+};
+
+TEST_F(failures, of_the_store_say_whether_it_was_written) {
+    platform_faults faults;
+    faults.down = true;
+    fault(faults);
+    EXPECT_EQ(commit(server_.listening_on()).error(), store_error::unavailable);
+    faults = {};
+    faults.lose_unapplied = 1;
+    fault(faults);
+    EXPECT_EQ(commit(server_.listening_on()).error(), store_error::answer_lost);
+    EXPECT_FALSE(read());
+    faults = {};
+    faults.lose_applied = 1;
+    fault(faults);
+    EXPECT_EQ(commit(server_.listening_on()).error(), store_error::answer_lost);
+    ASSERT_TRUE(read());
+    EXPECT_EQ(read()->value, "written");
+    EXPECT_EQ(commit(server_.listening_on()).error(), store_error::conflict);
+}
+
+TEST_F(failures, a_slow_store_may_write_after_its_caller_gave_up) {
+    platform_faults faults;
+    faults.slow = 2 * short_wait;
+    fault(faults);
+    EXPECT_EQ(commit(server_.listening_on(), short_wait).error(), store_error::answer_lost);
+    fault({});
+    while (!read()) {  // ctest's own limit ends a test that waits in vain
+    }
+    EXPECT_EQ(read()->value, "written");
+}
+
+TEST_F(failures, follow_the_status) {
+    fixed_answer answer;
+    const net::http_server odd(loop_, {"127.0.0.1", 0}, {}, answer);
+    struct expectation {
+        int status;
+        store_error store;
+        vm_error vm;
+    };
+    for (const auto& it :
+         {expectation{200, store_error::answer_lost, vm_error::answer_lost},  // malformed
+          expectation{400, store_error::unavailable, vm_error::not_sent},
+          expectation{409, store_error::conflict, vm_error::answer_lost},
+          expectation{413, store_error::unavailable, vm_error::not_sent},
+          expectation{500, store_error::answer_lost, vm_error::answer_lost},
+          expectation{502, store_error::answer_lost, vm_error::answer_lost},
+          expectation{503, store_error::unavailable, vm_error::answer_lost}}) {
+        answer.status = it.status;
+        answer.body = "not CBOR";
+        EXPECT_EQ(commit(odd.listening_on()).error(), it.store) << it.status;
+        EXPECT_EQ(hello(odd.listening_on()).error(), it.vm) << it.status;
+    }
+}
+
+TEST_F(failures, of_a_vm_say_whether_it_can_have_seen_the_command) {
+    const base::monotonic_clock clock;
+    standins::judge judge;
+    standins::vm_host vm(loop_, clock, judge, {base::vm_id("vm"), {}, {}}, {}, {"127.0.0.1", 0});
+    vm.set_voice(standins::vm_voice::loses_answers);
+    EXPECT_EQ(hello(vm.address(), short_wait).error(), vm_error::answer_lost);
+    vm.set_voice(standins::vm_voice::speaks);
+    EXPECT_EQ(hello(vm.address())->report.epoch, base::epoch(1));
+    vm.freeze();
+    EXPECT_EQ(hello(vm.address(), short_wait).error(), vm_error::answer_lost);
+    vm.kill();
+    hello(vm.address());  // a kept connection may break first
+    EXPECT_EQ(hello(vm.address()).error(), vm_error::not_sent);
+    EXPECT_EQ(commit(vm.address()).error(), store_error::unavailable);
+}
+
+}  // namespace
