net: an oversized body is refused with 413, and calls may last over 50 seconds

Cause: (1) evhttp closed the connection on a body over the limit while its sender still wrote, so the sender saw a broken connection, that is answer_lost, and no status; (2) evhttp's client timeout of 50 s came before longer deadlines. Ruled out: a fault of the server's idle timeout; a handler that answered after 3 s under idle_timeout 1 s was still answered (trial). Before: test error/malformed_platform_messages_are_explained failed at the 9 MiB body with 'connection lost'; a trial program whose handler answers after 53 s under a deadline of 90 s gave 'lost: connection lost 50.0474 s'. After: the test passes; the trial program gave 'ok 53.0544 s'. Conclusion: lingering close on, and evhttp's timeout set beyond each call's deadline.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -29,6 +29,11 @@
     return EVHTTP_REQ_GET;
 }
 
+// evhttp counts timeouts in whole seconds.
+int whole_seconds_beyond(base::milliseconds timeout) {
+    return static_cast<int>(std::chrono::duration_cast<base::seconds>(timeout).count()) + 2;
+}
+
 http_response read_response(evhttp_request* raw) {
     http_response out;
     out.status = evhttp_request_get_response_code(raw);
@@ -89,7 +94,8 @@
                 evhttp_connection_base_new(loop_.raw(), nullptr, to.address.c_str(), to.port);
         }
         calls_.insert(one);
-        // evhttp's own timeout also closes silent connections, but only in whole seconds.
+        // evhttp's own timeout, 50 s when nothing is said, must not come before the deadline.
+        evhttp_connection_set_timeout(one->connection, whole_seconds_beyond(timeout));
         one->deadline = loop_.after(timeout, [this, one] {
             finish(one, tl::unexpected(http_error{http_failure::answer_lost, "deadline passed"}),
                    false);
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -110,6 +110,8 @@
     state_->handler = &handler;
     state_->http = evhttp_new(loop.raw());
     evhttp_set_allowed_methods(state_->http, allowed_methods);
+    // A body that is too large is read to its end, so that its sender gets the refusal.
+    evhttp_set_flags(state_->http, EVHTTP_SERVER_LINGERING_CLOSE);
     evhttp_set_max_body_size(state_->http, limits.max_body.value());
     evhttp_set_max_headers_size(state_->http, limits.max_headers.value());
     evhttp_set_timeout(state_->http, static_cast<int>(limits.idle_timeout.count()));
