--- /dev/null
+++ b/test/failure/vms_are_killed_replaced_and_leave_as_told.cpp
@@ -0,0 +1,115 @@
+// What the control routes of the VMs' process bring about: VMs that are killed, replaced, frozen,
+// silent or leaving are so on the network, and the member list shows it only after its lag.
+#include <cranberrydock/platform/http_platform.hpp>
+#include <cranberrydock/platform/memory_platform.hpp>
+
+#include "standins/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::platform;
+using standins::generous;
+
+constexpr base::milliseconds short_wait{200};
+
+class told_vms : public ::testing::Test {
+protected:
+    void SetUp() override {
+        cluster_.start_vms({});
+        const auto first = cluster_.list_vms().at("vms").at(0);
+        name_ = first.at("id");
+        address_ = net::parse_endpoint(first.at("address"));
+    }
+
+    vm_result hello(base::milliseconds timeout = generous) {
+        const auto vms = make_http_vm_client(*client_);
+        std::optional<vm_result> out;
+        vms->send(address_, {base::cell_id("c"), base::epoch(1), hello_command{}}, timeout,
+                  [&](vm_result result) {
+                      out = std::move(result);
+                      loop_.stop();
+                  });
+        loop_.run();
+        return std::move(*out);
+    }
+
+    // The VM's state in the member list; nothing when it is not there.
+    std::optional<std::string> listed() const {
+        const auto members = standins::get_json(cluster_.platform(), "/v1/members");
+        for (const auto& it : members.at("members")) {
+            if (it.at("id") == name_) {
+                return it.at("state").get<std::string>();
+            }
+        }
+        return std::nullopt;
+    }
+
+    standins::cluster cluster_;
+    net::event_loop loop_;
+    std::unique_ptr<net::http_client> client_ = net::make_http_client(loop_, {});
+    std::string name_;
+    net::endpoint address_;
+};
+
+TEST_F(told_vms, are_gone_when_killed_and_others_when_replaced) {
+    const auto before = hello().value().report.incarnation;
+    cluster_.command_vm(name_, "kill");
+    hello();  // a kept connection may break first
+    EXPECT_EQ(hello().error(), vm_error::not_sent);
+    EXPECT_TRUE(standins::wait_until([&] { return !listed(); }));
+    cluster_.command_vm(name_, "replace");
+    EXPECT_NE(hello().value().report.incarnation, before);
+    EXPECT_TRUE(standins::wait_until([&] { return listed() == "live"; }));
+}
+
+TEST_F(told_vms, say_that_they_leave_before_the_list_does) {
+    constexpr int never_in_this_test = 3'600'000;
+    cluster_.command_vm(name_, "leave", {{"lag_ms", never_in_this_test}});
+    EXPECT_TRUE(hello().value().report.leaving);
+    EXPECT_EQ(listed(), "live");
+    cluster_.command_vm(name_, "leave");
+    EXPECT_TRUE(standins::wait_until([&] { return listed() == "leaving"; }));
+}
+
+TEST_F(told_vms, answer_nothing_while_frozen_or_silent) {
+    for (const char* const how : {"freeze", "silence", "lose_answers"}) {
+        cluster_.command_vm(name_, how);
+        EXPECT_EQ(hello(short_wait).error(), vm_error::answer_lost) << how;
+        cluster_.command_vm(name_, "unfreeze");
+        cluster_.command_vm(name_, "speak");
+        EXPECT_TRUE(hello().has_value()) << how;
+    }
+}
+
+TEST_F(told_vms, report_a_task_that_nobody_started) {
+    cluster_.command_vm(name_, "start_rogue", {{"task", "stray"}});
+    const auto running = hello().value().report.running;
+    ASSERT_EQ(running.size(), 1U);
+    EXPECT_EQ(running[0].task, base::task_id("stray"));
+    EXPECT_EQ(cluster_.judge().at("total"), 0);
+}
+
+TEST(member_list, shows_each_change_after_its_lag) {
+    base::manual_clock clock;
+    memory_platform platform(clock);
+    member one;
+    one.id = base::vm_id("vm-1");
+    platform.set_members({one}, base::milliseconds{0});
+    EXPECT_EQ(platform.read_members()->size(), 1U);
+    platform.remove_members({one.id}, base::milliseconds{500});
+    clock.advance(base::milliseconds{499});
+    EXPECT_EQ(platform.read_members()->size(), 1U);
+    clock.advance(base::milliseconds{1});
+    EXPECT_TRUE(platform.read_members()->empty());
+}
+
+}  // namespace
