--- a/packages/config/src/version_chain.cpp
+++ b/packages/config/src/version_chain.cpp
@@ -107,14 +107,10 @@
     }
 
     void on(const outage_asked& asked) {
-        const bool given = !store_reachable_ && in_force_ != nullptr && !unresolved_ &&
-                           (!patch_ || !patch_->unresolved());
-        if (given) {
-            hold_until_ =
-                now_ + settings_.promise + settings_.promise * promise_margin_percent / 100;
-        }
+        const bool given = !store_reachable_ && in_force_ != nullptr && !commit_is_open();
         outage_promised answer{asked.by, asked.call, given, {}, {}};
         if (given) {
+            commit_nothing_for(settings_.promise);
             answer.version = evidence_.highest();
             answer.lasting = settings_.promise;
         }
