--- a/packages/config/include/cranberrydock/config/version_chain.hpp
+++ b/packages/config/include/cranberrydock/config/version_chain.hpp
@@ -166,6 +166,8 @@
 public:
     explicit version_chain(version_chain_settings settings);
     ~version_chain();
+    version_chain(const version_chain&) = delete;
+    version_chain& operator=(const version_chain&) = delete;
     version_chain(version_chain&&) noexcept;
     version_chain& operator=(version_chain&&) noexcept;
 
--- a/test/correctness/configuration_chain_outlives_late_answers.cpp
+++ b/test/correctness/configuration_chain_outlives_late_answers.cpp
@@ -121,6 +121,16 @@
     EXPECT_FALSE(promises_outage());
 }
 
+TEST_F(configuration_chain, puts_nothing_in_force_before_the_first_evidence) {
+    give(version_announced{base::config_version(4), "{}"});
+    EXPECT_EQ(chain_.in_force(), nullptr);
+    give(peer_version{base::daemon_id("other"), base::config_version(4),
+                      peer_evidence{now_, milliseconds(300)}});
+    ASSERT_NE(chain_.in_force(), nullptr);
+    EXPECT_EQ(chain_.in_force()->version, base::config_version(4));
+    EXPECT_EQ(chain_.newest_at(), now_ - milliseconds(300));
+}
+
 TEST_F(configuration_chain, keeps_the_version_in_force_when_it_can_not_read_a_newer_one) {
     begin_commit();
     const auto effects = give(version_announced{base::config_version(4), R"({"teems":{}})"});
