--- a/packages/mesh/src/websocket_mesh.cpp
+++ b/packages/mesh/src/websocket_mesh.cpp
@@ -37,6 +37,7 @@
           retired_(loop),
           parts_{loop, clock, metrics, settings_, *websockets_, retired_},
           listener_(loop, settings_.listen, *this),
+          last_watch_(clock.now()),
           beat_(loop.every(settings_.heartbeat_period, [this] { send_heartbeats(); })),
           watch_(
               loop.every(settings_.silence_deadline / watches_per_deadline, [this] { watch(); })) {}
@@ -172,11 +173,21 @@
     }
 
     void watch() {
+        const base::time_point now = parts_.clock.now();
+        // After a pause of this daemon nothing could be heard: what waits in the sockets comes
+        // first.
+        const bool was_paused =
+            now - std::exchange(last_watch_, now) > settings_.silence_deadline / 2;
         for (const auto& it : current_links()) {
-            it->watch();
+            if (!was_paused) {
+                it->watch();
+            }
             it->count_bytes();
         }
-        const base::time_point now = parts_.clock.now();
+        close_old_strangers(now);
+    }
+
+    void close_old_strangers(base::time_point now) {
         strangers held;
         for (auto& it : std::exchange(strangers_, {})) {
             if (now - it.since < settings_.silence_deadline) {
@@ -218,6 +229,7 @@
     connections unproved_;  // accepted, not proved yet
     strangers strangers_;
     std::map<base::daemon_id, std::shared_ptr<link>> links_;
+    base::time_point last_watch_;
     std::unique_ptr<net::timer> beat_;
     std::unique_ptr<net::timer> watch_;
 };
--- /dev/null
+++ b/test/error/mesh_port_withstands_bad_input.cpp
@@ -0,0 +1,150 @@
+// Whatever reaches the mesh port, from strangers or from a peer gone wrong, is refused and counted,
+// and the links of others go on.
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <standins/mesh_node.hpp>
+#include <standins/tcp_relay.hpp>
+#include <sys/socket.h>
+
+#include <string>
+
+namespace {
+
+using namespace cranberrydock;
+using standins::mesh_node;
+using standins::mesh_world;
+using standins::tcp_relay;
+
+// A TCP client that sends raw bytes and waits for the other end to close.
+class raw_client {
+public:
+    raw_client(mesh_world& world, const net::endpoint& to, const std::string& bytes)
+        : world_(world),
+          bev_(bufferevent_socket_new(world.loop.raw(), -1,
+                                      BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bufferevent_setcb(bev_, nullptr, nullptr, &raw_client::on_event, this);
+        bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        bufferevent_write(bev_, bytes.data(), bytes.size());
+        bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    }
+    raw_client(const raw_client&) = delete;
+    raw_client& operator=(const raw_client&) = delete;
+    ~raw_client() { bufferevent_free(bev_); }
+
+    bool closed = false;
+
+private:
+    static void on_event(bufferevent* /*bev*/, short what, void* self) {
+        auto* client = static_cast<raw_client*>(self);
+        client->closed = (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+        client->world_.changed();
+    }
+
+    mesh_world& world_;
+    bufferevent* bev_;
+};
+
+const char* const upgrade =
+    "GET /mesh HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+// A masked binary frame with a mask of zeros, so that the payload stands as it is.
+std::string frame_of(const std::string& payload) {
+    return std::string("\x82", 1) + static_cast<char>(0x80 | payload.size()) +
+           std::string(4, '\0') + payload;
+}
+
+class mesh_port : public ::testing::Test {
+protected:
+    void SetUp() override { ASSERT_TRUE(standins::link_up(world_, a_, b_)); }
+
+    std::uint64_t refused(const char* reason) const {
+        return b_.counter("mesh_authentications_failed_total",
+                          std::string("reason=\"") + reason + "\"");
+    }
+
+    // The input is refused for that reason, its connection closed, and the link still works.
+    void expect_refused(const std::string& bytes, const char* reason) {
+        const std::uint64_t before = refused(reason);
+        raw_client client(world_, b_.mesh->listening_on(), bytes);
+        EXPECT_TRUE(world_.run_until([&] { return client.closed && refused(reason) > before; }));
+        expect_link_works();
+    }
+
+    void expect_link_works() {
+        const std::size_t n = b_.messages.size();
+        ASSERT_TRUE(a_.mesh->send(b_.id, mesh::cells_offered{}));
+        EXPECT_TRUE(world_.run_until([&] { return b_.messages.size() == n + 1; }));
+    }
+
+    mesh_world world_;
+    mesh_node a_{world_, {"a"}};
+    mesh_node b_{world_, {"b"}};
+};
+
+TEST_F(mesh_port, refuses_what_is_no_websocket) {
+    expect_refused("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "opening");
+    expect_refused("POST /mesh HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n", "opening");
+    expect_refused(std::string(100'000, '\xfe'), "opening");
+    expect_refused("\r\n\r\n\r\n\r\n", "opening");
+}
+
+TEST_F(mesh_port, refuses_frames_that_prove_nothing) {
+    expect_refused(upgrade + frame_of("hello"), "proof");
+    expect_refused(upgrade + frame_of(""), "proof");
+    expect_refused(upgrade + frame_of("\xa1\x68protocol"), "proof");  // truncated CBOR
+    expect_refused(upgrade + frame_of(std::string(60, '\x81')), "proof");
+    expect_refused(upgrade + std::string("\xff\xff\xff\xff\xff\xff\xff\xff"), "opening");
+}
+
+TEST_F(mesh_port, closes_who_says_nothing) {
+    mesh_node::options hasty{"c"};
+    hasty.silence_deadline = base::milliseconds{100};
+    mesh_node c(world_, hasty);
+    raw_client silent(world_, c.mesh->listening_on(), "");
+    raw_client unproved(world_, c.mesh->listening_on(), upgrade);
+    EXPECT_TRUE(world_.run_until([&] { return silent.closed && unproved.closed; }));
+    EXPECT_EQ(c.counter("mesh_authentications_failed_total", "reason=\"deadline\""), 2U);
+}
+
+TEST_F(mesh_port, refuses_damaged_frames_of_a_peer_and_keeps_the_link) {
+    tcp_relay relay(world_.loop, b_.mesh->listening_on());
+    a_.mesh->set_peers({b_.as_peer(relay.listening_on())});
+    b_.mesh->set_peers({a_.as_peer()});
+    ASSERT_TRUE(world_.run_until([&] { return a_.up && b_.up; }));
+    const int downs = a_.downs;
+    relay.damage_answers(true);
+    ASSERT_TRUE(b_.mesh->send(a_.id, mesh::cells_offered{}));
+    ASSERT_TRUE(world_.run_until(
+        [&] { return a_.counter("mesh_frames_refused_total", "reason=\"malformed\"") >= 3; }));
+    EXPECT_TRUE(a_.messages.empty());
+    relay.damage_answers(false);
+    const int heartbeats = a_.heartbeats;
+    ASSERT_TRUE(world_.run_until([&] { return a_.heartbeats > heartbeats; }));
+    EXPECT_EQ(a_.downs, downs);
+    expect_link_works();
+}
+
+TEST_F(mesh_port, closes_a_connection_with_an_oversized_frame) {
+    mesh_node::options narrow{"c"};
+    narrow.max_frame = base::byte_count{1'000};
+    mesh_node c(world_, narrow);
+    a_.mesh->set_peers({b_.as_peer(), c.as_peer()});
+    c.mesh->set_peers({a_.as_peer()});
+    ASSERT_TRUE(world_.run_until([&] { return c.up && a_.ups >= 2; }));
+    ASSERT_TRUE(a_.mesh->send(
+        c.id, mesh::config_announcement{base::config_version(1), std::string(2'000, 'x')}));
+    ASSERT_TRUE(world_.run_until([&] { return c.downs == 1; }));
+    EXPECT_EQ(c.counter("mesh_frames_refused_total", "reason=\"protocol\""), 1U);
+    EXPECT_TRUE(c.messages.empty());
+    EXPECT_TRUE(world_.run_until([&] { return c.up; }));
+    expect_link_works();
+}
+
+}  // namespace
--- /dev/null
+++ b/test/failure/mesh_links_recover_from_lost_peers_and_connections.cpp
@@ -0,0 +1,109 @@
+// Connections that go silent or break are noticed and opened anew; a daemon that comes back under a
+// new id is linked with; a wrong secret gets nowhere.
+#include <gtest/gtest.h>
+#include <standins/mesh_node.hpp>
+#include <standins/tcp_relay.hpp>
+
+#include <optional>
+
+namespace {
+
+using namespace cranberrydock;
+using standins::mesh_node;
+using standins::mesh_world;
+using standins::tcp_relay;
+
+constexpr base::milliseconds deadline{400};
+
+mesh_node::options quick(const char* id) {
+    mesh_node::options out{id};
+    out.silence_deadline = deadline;
+    return out;
+}
+
+class mesh_links : public ::testing::Test {
+protected:
+    void link_through_relay() {
+        a_.mesh->set_peers({b_->as_peer(relay_.listening_on())});
+        b_->mesh->set_peers({a_.as_peer()});
+        ASSERT_TRUE(world_.run_until([&] { return a_.up && b_->up; }));
+    }
+
+    void expect_delivery() {
+        ASSERT_TRUE(a_.mesh->send(b_->id, mesh::cells_offered{}));
+        ASSERT_TRUE(b_->mesh->send(a_.id, mesh::cells_offered{}));
+        EXPECT_TRUE(
+            world_.run_until([&] { return !a_.messages.empty() && !b_->messages.empty(); }));
+    }
+
+    mesh_world world_;
+    mesh_node a_{world_, quick("a")};
+    std::optional<mesh_node> b_{std::in_place, world_, quick("b")};
+    tcp_relay relay_{world_.loop, b_->mesh->listening_on()};
+};
+
+TEST_F(mesh_links, notice_a_silent_connection_and_open_it_anew) {
+    link_through_relay();
+    const base::time_point before = world_.clock.now();
+    relay_.silence_open_connections();
+    ASSERT_TRUE(world_.run_until([&] { return a_.downs > 0 && b_->downs > 0; }));
+    // Not at once: the other end may be slow.
+    EXPECT_GE(world_.clock.now() - before, deadline / 2);
+    EXPECT_GT(a_.counter("mesh_links_down_total", "reason=\"silent\""), 0U);
+    ASSERT_TRUE(world_.run_until([&] { return a_.up && b_->up; }));
+    EXPECT_GE(relay_.accepted(), 4U);
+    expect_delivery();
+}
+
+TEST_F(mesh_links, open_a_broken_connection_anew) {
+    link_through_relay();
+    relay_.cut_open_connections();
+    ASSERT_TRUE(world_.run_until([&] { return a_.downs > 0 && b_->downs > 0; }));
+    ASSERT_TRUE(world_.run_until([&] { return a_.up && b_->up; }));
+    expect_delivery();
+}
+
+TEST_F(mesh_links, link_with_a_daemon_that_comes_back_under_a_new_id) {
+    ASSERT_TRUE(standins::link_up(world_, a_, *b_));
+    const net::endpoint address = b_->mesh->listening_on();
+    b_.reset();
+    ASSERT_TRUE(world_.run_until([&] { return a_.downs > 0; }));
+    mesh_node::options again = quick("b2");
+    again.listen = address;
+    b_.emplace(world_, again);
+    b_->mesh->set_peers({a_.as_peer()});
+    // The old id is refused there, however often it is dialed.
+    ASSERT_TRUE(world_.run_until(
+        [&] { return b_->counter("mesh_authentications_failed_total", "reason=\"proof\"") > 0; }));
+    EXPECT_FALSE(a_.up);
+    a_.mesh->set_peers({b_->as_peer()});
+    ASSERT_TRUE(world_.run_until([&] { return a_.up && b_->up; }));
+    expect_delivery();
+}
+
+TEST_F(mesh_links, refuse_a_daemon_with_a_wrong_secret) {
+    mesh_node::options wrong = quick("c");
+    wrong.secret = "another secret";
+    mesh_node c(world_, wrong);
+    a_.mesh->set_peers({c.as_peer()});
+    c.mesh->set_peers({a_.as_peer()});
+    const std::string proof = "reason=\"proof\"";
+    ASSERT_TRUE(world_.run_until(
+        [&] { return c.counter("mesh_authentications_failed_total", proof) >= 3; }));
+    EXPECT_FALSE(a_.mesh->send(c.id, mesh::cells_offered{}));
+    EXPECT_EQ(a_.ups + c.ups, 0);
+    EXPECT_EQ(a_.heartbeats + c.heartbeats, 0);
+    EXPECT_EQ(c.counter("mesh_connections_opened_total", "channel=\"control\""), 0U);
+    ASSERT_TRUE(standins::link_up(world_, a_, *b_));
+    expect_delivery();
+}
+
+TEST_F(mesh_links, close_the_link_to_a_daemon_that_is_no_longer_a_peer) {
+    ASSERT_TRUE(standins::link_up(world_, a_, *b_));
+    a_.mesh->set_peers({});
+    EXPECT_EQ(a_.downs, 1);
+    EXPECT_TRUE(world_.run_until([&] { return b_->downs == 1; }));
+    EXPECT_TRUE(a_.mesh->links().empty());
+}
+
+}  // namespace
