Cell: ownership properties in a simulated world

Cause: ownership must hold under any interleaving: delays, lost and late answers, outages, pauses longer than every lease, restarts, lost messages, clocks that differ by up to 1%.

A promise is now refused only when the store works here AND the asker's row has stood for a lease; until then it costs nothing.

--- a/packages/cell/include/cranberrydock/cell/ownership.hpp
+++ b/packages/cell/include/cranberrydock/cell/ownership.hpp
@@ -162,6 +162,8 @@
     std::vector<cell_epoch> cells;
 };
 
+// Given when the store is unavailable here, or the asker's row was renewed within a lease as seen
+// from here; then this daemon takes nothing from the asker for `lasting`.
 struct promise_silence {
     base::daemon_id to;
     std::int64_t call = 0;
--- a/packages/cell/src/ownership_events.cpp
+++ b/packages/cell/src/ownership_events.cpp
@@ -166,7 +166,7 @@
     if (answer.given) {
         answer.lasting = settings_.lease;
         given_.give(event.by, now + settings_.lease);
-    } else if (store_answers(now)) {
+    } else if (may_replace_soon(event.by, now)) {
         given_.refuse(event.by, now);
     }
     out_.push_back(answer);
@@ -206,10 +206,18 @@
            now - *store_answered_ <= scans_until_unavailable * settings_.scan_period;
 }
 
+// The store works for us, and the owner's row has stood as long as it may: somebody should take
+// over instead of promising silence. Before that a promise costs nothing, and it carries the owner
+// over a store that comes and goes.
+bool ownership::machine::may_replace_soon(const base::daemon_id& owner,
+                                          base::time_point now) const {
+    return store_answers(now) && view_.quiet(owner) >= settings_.lease;
+}
+
 // Refused as well by whoever took one of the cells, or may have (a take whose answer was lost, or
 // is still awaited, can be applied late), and by whoever knows of a later owner than the asker.
 bool ownership::machine::may_promise(const silence_asked& event, base::time_point now) const {
-    if (store_answers(now)) {
+    if (may_replace_soon(event.by, now)) {
         return false;
     }
     return std::none_of(event.cells.begin(), event.cells.end(), [&](const auto& it) {
--- a/packages/cell/src/ownership_machine.hpp
+++ b/packages/cell/src/ownership_machine.hpp
@@ -74,6 +74,7 @@
     bool store_answers(base::time_point now) const;
     bool configured(const base::cell_id& id) const;
     bool is_being_taken(const base::cell_id& id) const;
+    bool may_replace_soon(const base::daemon_id& owner, base::time_point now) const;
     bool may_promise(const silence_asked& event, base::time_point now) const;
     std::set<base::daemon_id> others_to_ask(base::time_point now) const;
     detail::surroundings around() const { return {view_, vms_, given_, heard_}; }
--- a/packages/cell/src/silence.hpp
+++ b/packages/cell/src/silence.hpp
@@ -1,8 +1,8 @@
 // Promises of silence, both ways: what others have promised to this daemon while it can't renew,
 // and what it has promised to them.
 //
-// "The store is unavailable to me and I take nothing from you for `lasting`." The promiser keeps it
-// even when the store comes back to it. It counts `lasting` from the question's receipt and the
+// "I take nothing from you for `lasting`." The promiser keeps it even when the store comes back to
+// it. It counts `lasting` from the question's receipt and the
 // asker from the question's sending, so it ends later at the promiser, whatever the delay.
 #pragma once
 
--- a/test/standins/ownership_world.cpp
+++ b/test/standins/ownership_world.cpp
@@ -15,16 +15,18 @@
 constexpr milliseconds heartbeat_period{500};
 constexpr milliseconds list_period{1'000};
 constexpr milliseconds list_lag{5'000};
+constexpr milliseconds longest_drain{5'000};
 constexpr milliseconds latest_effect{4'000};  // of a commit whose answer was lost
-constexpr double lost_share = 0.4;
+constexpr double lost_share = 0.4;            // of answers to commits
+constexpr double lost_on_mesh = 0.8;
 constexpr double clock_error = 0.01;
 
 }  // namespace
 
 std::ostream& operator<<(std::ostream& out, const fault& one) {
     static constexpr const char* names[] = {
-        "freeze",    "replace",    "restart",       "stop",     "store_down",
-        "store_cut", "store_slow", "lossy_answers", "mesh_cut", "mesh_lossy"};
+        "freeze",     "replace",     "restart",       "stop",     "store_down", "store_cut",
+        "store_slow", "writes_slow", "lossy_answers", "mesh_cut", "mesh_lossy"};
     return out << names[static_cast<std::size_t>(one.kind)] << " of " << one.who << " at "
                << one.at.count() << " ms for " << one.lasting.count() << " ms";
 }
@@ -205,7 +207,7 @@
         }
     } else if (const auto* what = std::get_if<cell::drain_cell>(&effect)) {
         const auto id = what->cell;
-        after(random_delay(milliseconds(0), milliseconds(1'500)),
+        after(random_delay(milliseconds(0), longest_drain),
               [this, from, id] { deliver(from, cell::cell_drained{id}); });
     } else if (std::holds_alternative<cell::stop_finished>(effect)) {
         ++stops_finished_;
@@ -247,7 +249,8 @@
 
 void ownership_world::commit(const daemon_ptr& from, const cell::commit& what) {
     const bool slow = active_[fault_kind::store_slow] > 0;
-    const auto there = random_delay(milliseconds(1), milliseconds(slow ? 1'500 : 60));
+    const bool late = slow || active_[fault_kind::writes_slow] > 0;
+    const auto there = random_delay(milliseconds(1), milliseconds(late ? 1'500 : 60));
     const auto back = random_delay(milliseconds(1), milliseconds(slow ? 1'500 : 60));
     after(there, [this, from, what, back] {
         cell::commit_finished event;
@@ -291,7 +294,7 @@
 void ownership_world::ask(const daemon_ptr& from, const cell::ask_silence& what) {
     for (const auto& it : what.to) {
         const auto to = find(it);
-        const bool lost = active_[fault_kind::mesh_lossy] > 0 && chance(lost_share);
+        const bool lost = active_[fault_kind::mesh_lossy] > 0 && chance(lost_on_mesh);
         if (!to || lost || !mesh_reached(from, to)) {
             continue;
         }
@@ -305,7 +308,7 @@
 
 void ownership_world::answer(const daemon_ptr& from, const cell::promise_silence& what) {
     const auto asked = questions_.at(what.call);
-    const bool lost = active_[fault_kind::mesh_lossy] > 0 && chance(lost_share);
+    const bool lost = active_[fault_kind::mesh_lossy] > 0 && chance(lost_on_mesh);
     if (lost || !mesh_reached(from, asked.asker)) {
         return;
     }
@@ -421,6 +424,11 @@
     return result;
 }
 
+std::size_t ownership_world::owner_of(std::size_t cell) const {
+    const auto owner = find(rows_.at(cells_.at(cell).id).owner);
+    return owner ? owner->slot : 0;
+}
+
 milliseconds ownership_world::longest_handover() const {
     return std::chrono::duration_cast<milliseconds>(longest_handover_);
 }
--- a/test/standins/ownership_world.hpp
+++ b/test/standins/ownership_world.hpp
@@ -27,6 +27,7 @@
     store_down,     // for all
     store_cut,      // for `who` alone
     store_slow,     // for all
+    writes_slow,    // for all: commits reach the store late, scans don't
     lossy_answers,  // of commits, for all
     mesh_cut,       // for `who`
     mesh_lossy,     // promises and questions get lost, for all
@@ -73,6 +74,8 @@
     // Moments (cell and step) at which nobody could place, since the last call.
     std::size_t moments_without_owner() { return std::exchange(moments_without_owner_, 0); }
     std::string owners() const;
+    // The place (fault::who) of the daemon that owns the cell of that index.
+    std::size_t owner_of(std::size_t cell) const;
 
 private:
     using micros = base::duration;
