--- a/packages/cell/include/cranberrydock/cell/cell_machine.hpp
+++ b/packages/cell/include/cranberrydock/cell/cell_machine.hpp
@@ -67,6 +67,10 @@
     // The team's jobs after `after` in the order of their ids, at most `limit`.
     std::vector<base::job_view> list(const base::team_id& team, const base::job_id& after,
                                      std::size_t limit) const;
+    // Everything that the next owner must know and that is surely written down already: a journal
+    // that begins with these records can do without all earlier rows.
+    std::vector<work_record> snapshot() const;
+
     std::vector<vm_view> vms() const;
     std::vector<broken_promise> broken_promises() const;
     std::vector<policy::team_load> loads() const;
--- a/packages/cell/src/cell_machine.cpp
+++ b/packages/cell/src/cell_machine.cpp
@@ -3,6 +3,7 @@
 
 #include "cell_context.hpp"
 #include "job_views.hpp"
+#include "snapshot.hpp"
 #include "stage_admit.hpp"
 #include "stage_collect.hpp"
 #include "stage_dispatch.hpp"
@@ -189,6 +190,10 @@
     return out;
 }
 
+std::vector<work_record> cell_machine::snapshot() const {
+    return records_of(state_->context.book);
+}
+
 std::vector<vm_view> cell_machine::vms() const {
     std::vector<vm_view> out;
     for (const auto& it : state_->context.vms.all()) {
--- a/packages/daemon/src/cell_journal.cpp
+++ b/packages/daemon/src/cell_journal.cpp
@@ -1,21 +1,197 @@
 // A cell's journal in the platform's table service.
 #include "cell_journal.hpp"
 
+#include <cranberrydock/cell/record_codec.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace cranberrydock::daemon {
+namespace {
+
+constexpr std::size_t rows_per_page = 100;
+constexpr std::size_t rows_per_delete = 100;
+constexpr std::size_t rows_before_compaction = 512;
+constexpr base::milliseconds read_again{200};
+constexpr base::milliseconds tick_period{100};
 
-cell_journal::cell_journal(const cell_start& /*start*/, net::event_loop& loop,
-                           platform::table_service& /*table*/, const base::clock& /*clock*/,
-                           journal_event_sink sink)
-    : loop_(loop), sink_(std::move(sink)) {}
+}  // namespace
+
+cell_journal::cell_journal(const cell_start& start, net::event_loop& loop,
+                           platform::table_service& table, const base::clock& clock,
+                           journal_client& client)
+    : cell_(start.cell),
+      guard_(start.guard),
+      loop_(loop),
+      table_(table),
+      clock_(clock),
+      client_(client),
+      writer_({start.cell, start.epoch, start.guard}),
+      ticks_(loop.every(tick_period, [this] { tick(); })) {}
 
 void cell_journal::read(journal_read_callback done) {
-    soon_ = loop_.after(base::duration{0}, [done = std::move(done)] { done({}); });
+    read_done_ = std::move(done);
+    read_page({});
+}
+
+void cell_journal::read_page(const platform::row_key& after) {
+    std::weak_ptr<cell_journal*> self = self_;
+    table_.scan(
+        cell::journal_prefix(cell_), after, rows_per_page,
+        [self, after](const tl::expected<std::vector<platform::row>, platform::store_error>& page) {
+            const auto journal = self.lock();
+            if (!journal) {
+                return;
+            }
+            if (page) {
+                (*journal)->take_page(*page);
+                return;
+            }
+            (*journal)->again_ = (*journal)->loop_.after(
+                read_again, [journal = *journal, after] { journal->read_page(after); });
+        });
+}
+
+void cell_journal::take_page(const std::vector<platform::row>& rows) {
+    for (const auto& it : rows) {
+        auto records = cell::decode_records(it.value);
+        if (!records) {
+            // Kept, so that nothing is lost; an operator has to look.
+            spdlog::error("event=journal_row_unreadable row={} findings=\"{}\"", it.key.str(),
+                          records.error().text());
+            continue;
+        }
+        rows_.push_back(it.key);
+        read_records_.insert(read_records_.end(), std::make_move_iterator(records->begin()),
+                             std::make_move_iterator(records->end()));
+    }
+    if (rows.size() == rows_per_page) {
+        read_page(rows.back().key);
+        return;
+    }
+    read_done_(std::exchange(read_records_, {}));
+}
+
+void cell_journal::append(cell::record_id id, const cell::work_record& record) {
+    carry_out(writer_.append(id, record, clock_.now()));
+}
+
+void cell_journal::tick() {
+    carry_out(writer_.tick(clock_.now()));
+    if (rows_.size() >= rows_before_compaction && !compaction_ && writer_.idle()) {
+        begin_compaction();
+    }
+}
+
+void cell_journal::carry_out(const std::vector<cell::journal_effect>& effects) {
+    for (const auto& it : effects) {
+        std::visit([this](const auto& effect) { carry_out(effect); }, it);
+    }
+}
+
+void cell_journal::carry_out(const cell::journal_commit& effect) {
+    std::weak_ptr<cell_journal*> self = self_;
+    table_.commit(
+        effect.what,
+        [self](const tl::expected<platform::commit_result, platform::store_error>& result) {
+            if (const auto journal = self.lock()) {
+                (*journal)->carry_out(
+                    (*journal)->writer_.committed(result, (*journal)->clock_.now()));
+            }
+        });
+}
+
+void cell_journal::carry_out(const cell::journal_read& effect) {
+    std::weak_ptr<cell_journal*> self = self_;
+    table_.read(
+        effect.key,
+        [self](const tl::expected<std::optional<platform::row>, platform::store_error>& result) {
+            if (const auto journal = self.lock()) {
+                (*journal)->carry_out(
+                    (*journal)->writer_.read_back(result, (*journal)->clock_.now()));
+            }
+        });
+}
+
+void cell_journal::carry_out(const cell::records_durable& effect) {
+    rows_.push_back(effect.row);
+    for (const auto& id : effect.records) {
+        if (compaction_ && compaction_->awaited.erase(id) > 0) {
+            continue;
+        }
+        client_.on_record(cell::record_durable{id});
+    }
+    if (compaction_ && compaction_->awaited.empty()) {
+        delete_old_rows();
+    }
+}
+
+void cell_journal::carry_out(const cell::records_failed& effect) {
+    for (const auto& id : effect.records) {
+        if (compaction_ && compaction_->awaited.count(id) > 0) {
+            // The old rows stay; the snapshot is tried again later.
+            compaction_.reset();
+            continue;
+        }
+        if (id.value() > 0) {
+            client_.on_record(cell::record_failed{id, effect.may_be_written});
+        }
+    }
+}
+
+// Only while nothing is on its way: then the snapshot holds all that the rows hold.
+void cell_journal::begin_compaction() {
+    compaction_ = std::make_unique<compaction>();
+    compaction_->old_rows = rows_;
+    const auto records = client_.snapshot();
+    spdlog::info("event=journal_compaction cell={} rows={} records={}", cell_.str(), rows_.size(),
+                 records.size());
+    // All are awaited before the first is written, so that none can complete the wait alone.
+    const std::int64_t first = next_own_record_;
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        compaction_->awaited.insert(cell::record_id(next_own_record_--));
+    }
+    std::int64_t id = first;
+    for (const auto& it : records) {
+        append(cell::record_id(id--), it);
+    }
+    if (compaction_ && compaction_->awaited.empty()) {
+        delete_old_rows();
+    }
 }
 
-void cell_journal::append(cell::record_id id, const cell::work_record& /*record*/) {
-    loop_.post([this, id] { sink_(cell::record_failed{id, false}); });
+void cell_journal::delete_old_rows() {
+    auto& old = compaction_->old_rows;
+    if (old.empty()) {
+        compaction_.reset();
+        return;
+    }
+    const std::size_t n = std::min(old.size(), rows_per_delete);
+    platform::transaction what;
+    what.conditions = {guard_};
+    for (std::size_t i = 0; i < n; ++i) {
+        what.writes.push_back({old[i], std::nullopt});
+    }
+    std::weak_ptr<cell_journal*> self = self_;
+    table_.commit(what, [self, n](const auto& result) {
+        const auto journal = self.lock();
+        if (!journal || !(*journal)->compaction_) {
+            return;
+        }
+        auto& rows = (*journal)->compaction_->old_rows;
+        if (!result) {
+            // Rows that are left are read once more by the next owner, which does no harm.
+            (*journal)->compaction_.reset();
+            return;
+        }
+        const auto gone = static_cast<std::ptrdiff_t>(n);
+        (*journal)->rows_.erase((*journal)->rows_.begin(), (*journal)->rows_.begin() + gone);
+        rows.erase(rows.begin(), rows.begin() + gone);
+        (*journal)->delete_old_rows();
+    });
 }
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -23,8 +23,7 @@
       listener_(listener),
       scheduler_(policy::make_scheduler()),
       machine_(std::move(settings), *scheduler_, metrics),
-      journal_(start, loop, table, clock,
-               [this](const cell::cell_event& event) { handle(event); }) {
+      journal_(start, loop, table, clock, *this) {
     journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
 }
 
--- a/packages/daemon/src/owned_cell.hpp
+++ b/packages/daemon/src/owned_cell.hpp
@@ -27,7 +27,7 @@
     virtual void superseded(const base::cell_id& cell, base::epoch seen) = 0;
 };
 
-class owned_cell {
+class owned_cell final : private journal_client {
 public:
     owned_cell(const cell_start& start, cell::cell_settings settings, net::event_loop& loop,
                platform::vm_client& vms, platform::table_service& table, const base::clock& clock,
@@ -41,6 +41,9 @@
     const cell::cell_machine& machine() const { return machine_; }
 
 private:
+    void on_record(const cell::cell_event& event) override { handle(event); }
+    std::vector<cell::work_record> snapshot() const override { return machine_.snapshot(); }
+
     void carry_out(const cell::command_vm& effect);
     void carry_out(const cell::append_record& effect);
     void carry_out(const cell::reply& effect);
--- a/packages/platform/src/document.cpp
+++ b/packages/platform/src/document.cpp
@@ -1,5 +1,5 @@
 // Reads typed fields out of a JSON or CBOR document.
-#include "document.hpp"
+#include <cranberrydock/platform/document.hpp>
 
 namespace cranberrydock::platform::detail {
 namespace {
--- a/packages/platform/src/store_codec.cpp
+++ b/packages/platform/src/store_codec.cpp
@@ -1,8 +1,7 @@
 // The table service and the member list on the wire.
+#include <cranberrydock/platform/document.hpp>
 #include <cranberrydock/platform/store_codec.hpp>
 
-#include "document.hpp"
-
 #include <event2/http.h>
 
 #include <cstdlib>
--- a/packages/platform/src/vm_codec.cpp
+++ b/packages/platform/src/vm_codec.cpp
@@ -1,8 +1,7 @@
 // The VM protocol in CBOR.
+#include <cranberrydock/platform/document.hpp>
 #include <cranberrydock/platform/vm_codec.hpp>
 
-#include "document.hpp"
-
 namespace cranberrydock::platform {
 namespace {
 
