cranberryctl: submit, jobs, configuration, keys, teams, queues, cells, VMs, explain, promises, check-settings

One file a command behind an abstract class, a table of them in run.cpp; options by gflags, checked before its own parser, which would end the process on a mistake with the exit code of a refusal.

--- /dev/null
+++ b/packages/ctl/src/base64.cpp
@@ -0,0 +1,40 @@
+// Base64 through OpenSSL.
+#include "base64.hpp"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace cranberrydock::ctl {
+namespace {
+
+constexpr std::size_t bytes_per_group = 3;
+constexpr std::size_t digits_per_group = 4;
+
+const unsigned char* raw(const std::string& text) {
+    return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+unsigned char* raw(std::string& text) {
+    return reinterpret_cast<unsigned char*>(text.data());
+}
+
+}  // namespace
+
+std::string to_base64(const std::string& bytes) {
+    const std::size_t groups = (bytes.size() + bytes_per_group - 1) / bytes_per_group;
+    std::string out(groups * digits_per_group + 1, '\0');  // OpenSSL ends it with a zero
+    out.resize(static_cast<std::size_t>(
+        EVP_EncodeBlock(raw(out), raw(bytes), static_cast<int>(bytes.size()))));
+    return out;
+}
+
+std::string from_base64(const std::string& text) {
+    std::string out(text.size() / digits_per_group * bytes_per_group, '\0');
+    const int n = EVP_DecodeBlock(raw(out), raw(text), static_cast<int>(text.size()));
+    const auto padding = std::count(text.begin(), text.end(), '=');
+    out.resize(static_cast<std::size_t>(std::max<std::ptrdiff_t>(n - padding, 0)));
+    return out;
+}
+
+}  // namespace cranberrydock::ctl
--- /dev/null
+++ b/packages/ctl/src/cancel_command.cpp
@@ -0,0 +1,29 @@
+// cancel: ends a job early.
+#include "job_text.hpp"
+#include "show.hpp"
+
+namespace cranberrydock::ctl {
+namespace {
+
+class cancel_command final : public command {
+public:
+    command_description describe() const override {
+        return {"cancel", "ID", "cancels a job; what of it runs is stopped", {}, 1, 1};
+    }
+
+    exit_code run(const std::vector<std::string>& arguments,
+                  const command_context& context) const override {
+        api_request request;
+        request.method = net::http_method::del;
+        request.path = "/v1/jobs/" + path_part(arguments[0]);
+        return show(request, job_text, context);
+    }
+};
+
+}  // namespace
+
+command_ptr make_cancel() {
+    return std::make_unique<cancel_command>();
+}
+
+}  // namespace cranberrydock::ctl
--- /dev/null
+++ b/packages/ctl/src/check_settings_command.cpp
@@ -0,0 +1,42 @@
+// check-settings: reads a daemon's settings file as the daemon would, without starting it.
+#include <cranberrydock/config/settings.hpp>
+
+#include "command.hpp"
+
+namespace cranberrydock::ctl {
+namespace {
+
+json finding_json(const base::finding& it) {
+    return {
+        {"place", it.place}, {"expected", it.expected}, {"found", it.found}, {"advice", it.advice}};
+}
+
+class check_settings_command final : public command {
+public:
+    command_description describe() const override {
+        return {"check-settings", "FILE", "checks a daemon's settings file as a whole", {}, 1, 1};
+    }
+
+    exit_code run(const std::vector<std::string>& arguments,
+                  const command_context& context) const override {
+        const auto read = config::read_settings_file(arguments[0]);
+        json found = json::array();
+        if (read) {
+            context.out.result({{"findings", found}}, arguments[0] + ": no findings\n");
+            return exit_code::ok;
+        }
+        for (const auto& it : read.error().list()) {
+            found.push_back(finding_json(it));
+        }
+        context.out.result({{"findings", found}}, read.error().text());
+        return exit_code::refused;
+    }
+};
+
+}  // namespace
+
+command_ptr make_check_settings() {
+    return std::make_unique<check_settings_command>();
+}
+
+}  // namespace cranberrydock::ctl
--- /dev/null
+++ b/packages/ctl/src/config_edit.cpp
@@ -0,0 +1,70 @@
+// Changes of the configuration.
+#include "config_edit.hpp"
+
+namespace cranberrydock::ctl {
+namespace {
+
+constexpr int ok = 200;
+constexpr int conflict = 409;
+constexpr int most_attempts = 5;  // against operators who are faster
+
+}  // namespace
+
+tl::expected<shown_version, exit_code> read_newest(const command_context& context) {
+    api_request request;
+    request.path = "/v1/config";
+    const auto response = context.api.call(request);
+    if (!response) {
+        return tl::unexpected(context.out.failed(response.error(), ""));
+    }
+    const json document = json::parse(response->body, nullptr, false);
+    const bool complete = document.is_object() && document.contains("version") &&
+                          document["version"].is_number_integer() && document.contains("document");
+    if (response->status != ok || !complete) {
+        return tl::unexpected(context.out.refused(*response));
+    }
+    return shown_version{document["version"].get<std::int64_t>(), document["document"]};
+}
+
+tl::expected<std::int64_t, exit_code> send_patch(const std::string& patch, bool keeps_its_meaning,
+                                                 const command_context& context) {
+    const auto& given_base = context.settings.edit.base;
+    for (int attempt = 1;; ++attempt) {
+        std::int64_t base = given_base.value_or(0);
+        if (!given_base) {
+            const auto newest = read_newest(context);
+            if (!newest) {
+                return tl::unexpected(newest.error());
+            }
+            base = newest->version;
+        }
+        api_request request;
+        request.method = net::http_method::patch;
+        request.path = "/v1/config";
+        request.query = "base=" + std::to_string(base);
+        request.body = patch;
+        request.headers = {{"Content-Type", "application/merge-patch+json"}};
+        request.repeatable = false;
+        const auto response = context.api.call(request);
+        if (!response) {
+            return tl::unexpected(context.out.failed(
+                response.error(), "look whether the patch is there: cranberryctl config history"));
+        }
+        const json document = json::parse(response->body, nullptr, false);
+        const bool accepted = response->status == ok && document.is_object() &&
+                              document.contains("version") &&
+                              document["version"].is_number_integer();
+        if (accepted) {
+            return document["version"].get<std::int64_t>();
+        }
+        const bool again = response->status == conflict && keeps_its_meaning && !given_base &&
+                           attempt < most_attempts;
+        if (!again) {
+            return tl::unexpected(context.out.refused(*response));
+        }
+        output::note("another operator was faster than this change to version " +
+                     std::to_string(base) + "; sending it again");
+    }
+}
+
+}  // namespace cranberrydock::ctl
--- /dev/null
+++ b/packages/ctl/src/queue_list_command.cpp
@@ -0,0 +1,39 @@
+// queue list: the queues of the newest version.
+#include "config_edit.hpp"
+
+namespace cranberrydock::ctl {
+namespace {
+
+class queue_list_command final : public command {
+public:
+    command_description describe() const override {
+        return {"queue list", "", "lists the queues; empty fields have their default", {}, 0, 0};
+    }
+
+    exit_code run(const std::vector<std::string>& /*arguments*/,
+                  const command_context& context) const override {
+        const auto newest = read_newest(context);
+        if (!newest) {
+            return newest.error();
+        }
+        const json all = newest->document.value("queues", json::object());
+        text_table table({"queue", "policy", "open", "open_team", "max_queued_per_team",
+                          "max_attempts", "default_deadline_ms"});
+        for (const auto& it : all.items()) {
+            table.add({it.key(), text_at(it.value(), "policy"), text_at(it.value(), "open"),
+                       text_at(it.value(), "open_team"), text_at(it.value(), "max_queued_per_team"),
+                       text_at(it.value(), "max_attempts"),
+                       text_at(it.value(), "default_deadline_ms")});
+        }
+        context.out.result(all, table.text());
+        return exit_code::ok;
+    }
+};
+
+}  // namespace
+
+command_ptr make_queue_list() {
+    return std::make_unique<queue_list_command>();
+}
+
+}  // namespace cranberrydock::ctl
