--- a/packages/policy/src/cell_scheduler.cpp
+++ b/packages/policy/src/cell_scheduler.cpp
@@ -177,6 +177,9 @@
     const vm_index vm = vms_.index_of(where);
     vms_.take(vm, with_a_slot(reserved));
     start(added, vm, with_a_slot(reserved));
+    if (added.gang != nullptr) {
+        queues_.gang_changed(*added.gang);
+    }
     roster_.refresh_share(*added.kind);
     queues_.team_changed(*added.kind->team);
 }
@@ -216,6 +219,7 @@
     kind.used -= one->reserved;
     if (one->gang != nullptr) {
         --one->gang->running;
+        queues_.gang_changed(*one->gang);
     }
     vms_.charge(where, base::resources{} - one->excess);
     vms_.give(where, one->reserved);
--- a/packages/policy/src/cell_scheduler_decide.cpp
+++ b/packages/policy/src/cell_scheduler_decide.cpp
@@ -52,6 +52,10 @@
 
 void cell_scheduler::end_reservations(base::time_point now) {
     while (const auto ended = reservations_.take_out_ended(now)) {
+        if (ended->entry.counts()) {
+            ended->entry.task->room_kept = false;
+            queues_.reservation_changed(*ended->in);
+        }
         for (const hold& it : ended->holds) {
             room_grew(it.vm);
         }
@@ -203,7 +207,8 @@
     ++head.task->reservations;
     if (slots <= one->kind().team->rules.allowance &&
         reservations_.make(head, *one, needs, now + lasts)) {
-        queues_.unblock(*one);
+        head.task->room_kept = true;
+        queues_.reservation_changed(*one);
     }
 }
 
--- a/packages/policy/src/fair_share.cpp
+++ b/packages/policy/src/fair_share.cpp
@@ -31,8 +31,8 @@
     return dominant(used) / weight;
 }
 
-double fair_share::entitled(double weights, base::slot_count elsewhere) const {
-    return weights <= 0 ? 0 : (1 + part_of_slots(elsewhere)) / weights;
+double fair_share::entitled(double weights) {
+    return weights <= 0 ? 0 : 1 / weights;
 }
 
 double fair_share::part_of_slots(base::slot_count n) const {
--- a/packages/policy/src/fair_share.hpp
+++ b/packages/policy/src/fair_share.hpp
@@ -22,9 +22,10 @@
     // A kind's weighted share within its team.
     double of_kind(const base::resources& used, double weight) const;
 
-    // The weighted share at which every team has what it is entitled to, when `weights` is the sum
-    // over the teams that want something and `elsewhere` their use in other cells.
-    double entitled(double weights, base::slot_count elsewhere) const;
+    // The weighted share at which every team has what it is entitled to of this cell, when
+    // `weights` is the sum over the teams that want something here. What teams use in other cells
+    // does not raise it: else one of them could be entitled to all of this cell.
+    static double entitled(double weights);
 
 private:
     double part_of_slots(base::slot_count n) const;
--- a/packages/policy/src/ready_order.hpp
+++ b/packages/policy/src/ready_order.hpp
@@ -15,8 +15,8 @@
 // What a lane's head asks for.
 struct demand {
     base::resources need;
-    // Not 0: only this entry has the demand, since it has more conditions than its need (VMs to
-    // avoid, or a gang, whose smallest task `need` then is).
+    // Not 0: only this entry has the demand, since more than its need counts (VMs to avoid, room
+    // that is kept for it, or a gang, whose smallest task `need` then is).
     std::uint64_t entry = 0;
 
     friend bool operator<(const demand& a, const demand& b);
--- a/packages/policy/src/records.hpp
+++ b/packages/policy/src/records.hpp
@@ -70,7 +70,8 @@
     lane* in = nullptr;
     std::uint64_t stay = 0;
     std::uint64_t entry = 0;
-    int reservations = 0;  // how often room was kept for it
+    int reservations = 0;    // how often room was kept for it
+    bool room_kept = false;  // room is kept for its entry now
 
     // Running: where, what is reserved, and how much it uses above that.
     bool running = false;
--- a/packages/policy/src/roster.cpp
+++ b/packages/policy/src/roster.cpp
@@ -56,12 +56,10 @@
         it->rules.allowance = base::slot_count(0);
         it->rules.used_elsewhere = base::slot_count(0);
     }
-    used_elsewhere_ = base::slot_count(0);
     for (const team_rules& rules : teams) {
         team_record& it = team_of(rules.team);
         it.rules = rules;
         it.configured = true;
-        used_elsewhere_ += rules.used_elsewhere;
     }
     refresh_all_shares();
 }
@@ -137,7 +135,7 @@
 }
 
 bool roster::below_share(const team_record& team) const {
-    return team.share < shares_.entitled(active_weight_, used_elsewhere_);
+    return team.share < fair_share::entitled(active_weight_);
 }
 
 team_record& roster::team_of(const base::team_id& id) {
--- a/packages/policy/src/roster.hpp
+++ b/packages/policy/src/roster.hpp
@@ -52,7 +52,6 @@
     std::map<base::team_id, std::unique_ptr<team_record>> teams_;
     std::unordered_map<base::queue_name, std::unique_ptr<queue_record>> queues_;
     double active_weight_ = 0;  // sum over the teams that have tasks here
-    base::slot_count used_elsewhere_;
     std::uint32_t lanes_ = 0;
 };
 
--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -35,9 +35,7 @@
         enter(one);
     } else {
         one.gang->queued.push_back(&one);
-        if (one.gang->complete() && one.gang->queued.front()->entry == 0) {
-            enter(*one.gang->queued.front());
-        }
+        gang_changed(*one.gang);
     }
     refresh(*one.in);
 }
@@ -49,15 +47,19 @@
     if (one.gang != nullptr) {
         auto& queued = one.gang->queued;
         queued.erase(std::find(queued.begin(), queued.end(), &one));
-        if (!queued.empty() && !one.gang->complete()) {
-            withdraw(*queued.front());
-        } else if (!queued.empty() && queued.front()->entry == 0) {
-            enter(*queued.front());
-        }
+        gang_changed(*one.gang);
     }
     refresh(from);
 }
 
+void task_queues::gang_changed(gang_record& gang) {
+    if (gang.queued.empty()) {
+        return;
+    }
+    enter_or_withdraw(gang);
+    refresh(*gang.queued.front()->in);
+}
+
 void task_queues::take_head(lane& from, base::time_point now) {
     const queue_entry entry = *from.head();
     from.pop_head();
@@ -75,11 +77,27 @@
 lane* task_queues::next() const {
     lane* urgent = order_.first_urgent();
     if (urgent != nullptr && roster_->below_share(*urgent->kind().team)) {
-        return urgent;
+        return before_urgent(*urgent);
     }
     return order_.first();
 }
 
+// Urgent work goes before other teams' work, not before its own team's kinds with a smaller share.
+lane* task_queues::before_urgent(lane& urgent) const {
+    lane* result = &urgent;
+    for (const auto& kind : urgent.kind().team->kinds) {
+        if (kind->share >= urgent.kind().share) {
+            continue;
+        }
+        for (const auto& it : kind->lanes) {
+            if (it->group != nullptr && !it->group->blocked && it->rank < result->rank) {
+                result = it.get();
+            }
+        }
+    }
+    return result;
+}
+
 std::vector<task_record*> task_queues::members(const queue_entry& entry) {
     return entry.task->gang == nullptr ? std::vector<task_record*>{entry.task}
                                        : entry.task->gang->queued;
@@ -116,6 +134,11 @@
     }
 }
 
+void task_queues::reservation_changed(lane& one) {
+    unpark(one);
+    place_in_order(one);
+}
+
 void task_queues::team_changed(team_record& team) {
     for (const auto& kind : team.kinds) {
         for (const auto& it : kind->lanes) {
@@ -164,6 +187,19 @@
     one.in->push({one.kind->queue->policy->position(one.timing), one.entry, &one});
 }
 
+// Keeps the gang's invariant: its first task has an entry just while the gang is complete.
+void task_queues::enter_or_withdraw(gang_record& gang) {
+    if (gang.queued.empty()) {
+        return;
+    }
+    task_record& first = *gang.queued.front();
+    if (!gang.complete()) {
+        withdraw(first);
+    } else if (first.entry == 0) {
+        enter(first);
+    }
+}
+
 void task_queues::withdraw(task_record& one) {
     if (one.entry != 0) {
         one.entry = 0;
@@ -228,7 +264,7 @@
             result.need = min_of(result.need, reserve_for(*it));
         }
     }
-    if (one.gang != nullptr || !one.avoid.empty()) {
+    if (one.gang != nullptr || !one.avoid.empty() || one.room_kept) {
         result.entry = entry.number;
     }
     return result;
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -20,6 +20,8 @@
     void join(task_record& one);
     // Takes a queued task out, without its having started.
     void leave(task_record& one);
+    // What runs of the gang has changed, and with it perhaps whether its queued tasks may start.
+    void gang_changed(gang_record& gang);
     // Takes out the head of a lane, all tasks of it, because they start now. `team_changed` must
     // follow, which enters the lane's next head.
     void take_head(lane& from, base::time_point now);
@@ -36,6 +38,9 @@
     void park(lane& one, base::time_point now);
     void block(lane& one, base::time_point now) { order_.block(*one.group, now); }
     void unblock(lane& one);
+    // Room is kept for the lane's head now, or no longer is: it is decided apart from other heads
+    // with the same need.
+    void reservation_changed(lane& one);
     // A VM may now have this room.
     void room_grew(const base::resources& room) { order_.unblock_fitting(room); }
     // The team's use or allowance has changed.
@@ -52,10 +57,12 @@
 
 private:
     void enter(task_record& one);
+    void enter_or_withdraw(gang_record& gang);
     void withdraw(task_record& one);
     void count_queued(task_record& one, bool joins);
     void refresh(lane& one);
     void unpark(lane& one);
+    lane* before_urgent(lane& urgent) const;
     void place_in_order(lane& one);
     demand demand_of(const queue_entry& entry) const;
     lane_rank rank_of(const lane& one, const queue_entry& head) const;
--- /dev/null
+++ b/test/property/scheduler_lets_nobody_wait_without_bound.cpp
@@ -0,0 +1,212 @@
+// Waiting is bounded while the cell is full: a team that has a share and nothing running is served
+// within the time that tasks take to end, whatever the sizes; batch goes on under a flood of urgent
+// work; two gangs that can't both run don't lock each other out; and other work beside a gang's
+// reservation does not delay it.
+#include "scheduler_model.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace base = cranberrydock::base;
+namespace policy = cranberrydock::policy;
+using cranberrydock::test::scheduler_model;
+using cranberrydock::test::size_of;
+
+namespace {
+
+constexpr std::int64_t vm_cores = 8;
+constexpr base::duration step = base::milliseconds(50);
+constexpr base::duration longest_run = base::seconds(2);
+const policy::scheduler_settings settings;
+
+// A full cell: tasks run for a random time up to `longest_run`, and each team keeps a backlog.
+class full_cell {
+public:
+    explicit full_cell(int teams) {
+        model.sched->set_queues({{base::queue_name("urgent"), policy::queue_kind::latency, 1000},
+                                 {base::queue_name("batch"), policy::queue_kind::batch, 1000},
+                                 {base::queue_name("gang"), policy::queue_kind::gang, 1000}});
+        std::vector<policy::team_rules> rules;
+        rules.reserve(static_cast<std::size_t>(teams));
+        for (int i = 0; i < teams; ++i) {
+            rules.push_back({team(i), 1.0 + *rc::gen::inRange(0, 4), base::slot_count(10'000),
+                             base::slot_count(*rc::gen::inRange(0, 500))});
+        }
+        model.set_teams(rules);
+        const int vms = *rc::gen::inRange(2, 8);
+        for (int i = 0; i < vms; ++i) {
+            model.put_vm({base::vm_id("vm" + std::to_string(i)), base::rack_name("r"),
+                          size_of(vm_cores, 64), policy::vm_state::usable});
+        }
+    }
+
+    static base::team_id team(int i) { return base::team_id("team" + std::to_string(i)); }
+
+    policy::task task_for(int who, const char* queue, std::int64_t cores) {
+        policy::task one;
+        one.id = base::task_id("t" + std::to_string(next_++));
+        one.job = base::job_id("j" + one.id.str());
+        one.team = team(who);
+        one.queue = base::queue_name(queue);
+        one.kind = base::kind_name(queue);
+        one.need = size_of(cores);
+        one.accepted = now;
+        return one;
+    }
+
+    void keep_backlog(int who, const char* queue, std::int64_t cores, std::size_t tasks) {
+        std::size_t queued = 0;
+        for (const auto& [id, it] : model.queued) {
+            const bool same = it.team == team(who) && it.queue.str() == queue && it.gang_size == 1;
+            queued += same ? 1 : 0;
+        }
+        for (; queued < tasks; ++queued) {
+            model.enqueue(task_for(who, queue, cores), now);
+        }
+    }
+
+    void enqueue_gang(int who, std::size_t size, std::int64_t cores) {
+        policy::task one = task_for(who, "gang", cores);
+        one.gang_size = size;
+        for (std::size_t i = 0; i < size; ++i) {
+            one.id = base::task_id("t" + std::to_string(next_++));
+            model.enqueue(one, now);
+        }
+    }
+
+    // Ends what is due, then decides.
+    void advance() {
+        now += step;
+        std::vector<base::task_id> due;
+        for (const auto& [id, when] : ends_) {
+            if (when <= now) {
+                due.push_back(id);
+            }
+        }
+        for (const base::task_id& id : due) {
+            ends_.erase(id);
+            model.end(id, policy::end_kind::completed, now);
+        }
+        model.decide(now, 1000);
+        for (const auto& [id, it] : model.running) {
+            if (ends_.count(id) == 0U) {
+                ends_[id] = now + longest_run / *rc::gen::inRange(1, 8);
+            }
+        }
+    }
+
+    std::size_t running_of(int who, const char* queue) const {
+        std::size_t n = 0;
+        for (const auto& [id, it] : model.running) {
+            n += it.what.team == team(who) && it.what.queue.str() == queue ? 1 : 0;
+        }
+        return n;
+    }
+
+    // The latest end of what runs now.
+    base::time_point all_ended() const {
+        base::time_point last = now;
+        for (const auto& [id, when] : ends_) {
+            last = std::max(last, when);
+        }
+        return last;
+    }
+
+    scheduler_model model{settings};
+    base::time_point now{};
+
+private:
+    int next_ = 0;
+    std::map<base::task_id, base::time_point> ends_;
+};
+
+TEST(scheduler, serves_each_team_with_a_share_within_a_bound) {
+    EXPECT_TRUE(rc::check("any sizes and weights", [] {
+        constexpr int teams = 3;
+        full_cell cell(teams);
+        std::vector<std::int64_t> cores;
+        cores.reserve(teams);
+        for (int i = 0; i < teams; ++i) {
+            cores.push_back(*rc::gen::inRange<std::int64_t>(1, vm_cores + 1));
+        }
+        // Room is kept for one team after another; each time its VM has to become free.
+        const base::duration bound =
+            teams * (settings.patience + longest_run + base::milliseconds(200));
+        std::vector<base::time_point> last_seen(teams, cell.now);
+        while (cell.now < base::time_point(base::seconds(30))) {
+            for (int i = 0; i < teams; ++i) {
+                cell.keep_backlog(i, "batch", cores[static_cast<std::size_t>(i)], 5);
+            }
+            cell.advance();
+            for (int i = 0; i < teams; ++i) {
+                auto& last = last_seen[static_cast<std::size_t>(i)];
+                last = cell.running_of(i, "batch") > 0 ? cell.now : last;
+                RC_ASSERT(cell.now - last <= bound);
+            }
+        }
+    }));
+}
+
+TEST(scheduler, lets_batch_go_on_under_a_flood_of_urgent_work) {
+    EXPECT_TRUE(rc::check("any sizes", [] {
+        full_cell cell(2);
+        const auto urgent = *rc::gen::inRange<std::int64_t>(1, 5);
+        const auto batch = *rc::gen::inRange<std::int64_t>(1, vm_cores + 1);
+        const int batch_team = *rc::gen::inRange(0, 2);
+        base::time_point last = cell.now;
+        while (cell.now < base::time_point(base::seconds(30))) {
+            cell.keep_backlog(0, "urgent", urgent, 50);
+            cell.keep_backlog(batch_team, "batch", batch, 5);
+            cell.advance();
+            last = cell.running_of(batch_team, "batch") > 0 ? cell.now : last;
+            RC_ASSERT(cell.now - last <= 2 * (settings.patience + longest_run + base::seconds(1)));
+        }
+    }));
+}
+
+TEST(scheduler, starts_gangs_in_a_full_cell_and_neither_locks_out_the_other) {
+    EXPECT_TRUE(rc::check("any sizes", [] {
+        full_cell cell(3);
+        const std::size_t vms = cell.model.vms.size();
+        const auto small = *rc::gen::inRange<std::int64_t>(1, 4);
+        cell.keep_backlog(2, "batch", small, 100);
+        cell.advance();
+        // Each needs more than half of the cell.
+        cell.enqueue_gang(0, vms / 2 + 1, vm_cores);
+        cell.enqueue_gang(1, vms / 2 + 1, vm_cores);
+        std::vector<base::time_point> started(2);
+        while (cell.now < base::time_point(base::seconds(15))) {
+            cell.keep_backlog(2, "batch", small, 100);
+            cell.advance();
+            for (int i = 0; i < 2; ++i) {
+                auto& at = started[static_cast<std::size_t>(i)];
+                at = at == base::time_point{} && cell.running_of(i, "gang") > 0 ? cell.now : at;
+            }
+        }
+        for (const base::time_point at : started) {
+            RC_ASSERT(at != base::time_point{});
+        }
+    }));
+}
+
+TEST(scheduler, does_not_delay_a_gang_with_work_beside_its_reservation) {
+    EXPECT_TRUE(rc::check("any sizes", [] {
+        full_cell cell(2);
+        const std::size_t vms = cell.model.vms.size();
+        const auto small = *rc::gen::inRange<std::int64_t>(1, 4);
+        cell.keep_backlog(1, "batch", small, 100);
+        cell.advance();
+        cell.enqueue_gang(0, vms, *rc::gen::inRange<std::int64_t>(vm_cores / 2, vm_cores + 1));
+        const base::time_point enqueued = cell.now;
+        while (cell.running_of(0, "gang") == 0 && cell.now < enqueued + base::seconds(60)) {
+            cell.keep_backlog(1, "batch", small, 100);
+            cell.advance();
+        }
+        // From the reservation on only what ran then can be in the gang's way.
+        RC_ASSERT(cell.now - enqueued <=
+                  settings.patience + longest_run + base::milliseconds(200) + 3 * step);
+    }));
+}
+
+}  // namespace
