--- /dev/null
+++ b/test/performance/workload.hpp
@@ -0,0 +1,176 @@
+// What the scheduler's benchmarks share: a clock of events that drives a scheduler directly, tasks
+// with seeded sizes and run times, and the printing of results. No cluster simulator: VMs run what
+// they are told for as long as the workload says.
+#pragma once
+
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberrydock::test {
+
+constexpr std::uint64_t workload_seed = 20261204;
+
+inline void print(const std::string& name, double value, const char* unit) {
+    std::printf("%s %.4g %s\n", name.c_str(), value, unit);
+}
+
+// The value at quantile `q` of `values`, 0 when there are none.
+inline double quantile(std::vector<double> values, double q) {
+    if (values.empty()) {
+        return 0;
+    }
+    const auto n = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(n), values.end());
+    return values[n];
+}
+
+inline double seconds_of(base::duration d) {
+    return std::chrono::duration<double>(d).count();
+}
+
+inline base::duration duration_of(double seconds) {
+    return base::duration(static_cast<base::duration::rep>(seconds * 1e6));
+}
+
+inline base::resources amounts(std::int64_t millicores, std::int64_t mebibytes,
+                               std::int64_t slots = 1) {
+    return {base::millicores(millicores), base::mebibytes(mebibytes), base::accelerator_count(0),
+            base::slot_count(slots)};
+}
+
+// The VMs of the letters: 64 GB and 16 cores each, 8 to a rack.
+inline policy::vm standard_vm(int n) {
+    return {base::vm_id("vm" + std::to_string(n)), base::rack_name("r" + std::to_string(n / 8)),
+            amounts(16'000, 65'536, 64), policy::vm_state::usable};
+}
+
+// A task with what it really needs, which the scheduler learns only from reports.
+struct workload_task {
+    policy::task declared;
+    base::resources real;
+    base::duration run_time{0};
+};
+
+// What became of a task.
+struct task_result {
+    workload_task task;
+    base::time_point started{};
+    base::time_point ended{};
+};
+
+// Drives one scheduler through arrivals and endings.
+class event_loop_of_a_cell {
+public:
+    explicit event_loop_of_a_cell(std::unique_ptr<policy::scheduler> sched)
+        : sched_(std::move(sched)) {}
+
+    policy::scheduler& sched() { return *sched_; }
+
+    // Called for each task that has ended, was refused or was given up.
+    std::function<void(const task_result&)> on_ended = [](const task_result&) {};
+    std::function<void(const workload_task&, const base::refusal&)> on_refused =
+        [](const workload_task&, const base::refusal&) {};
+    // Called for each task that starts.
+    std::function<void(const workload_task&, base::time_point)> on_started =
+        [](const workload_task&, base::time_point) {};
+
+    void arrive_at(base::time_point when, workload_task task) {
+        events_.push({when, number_++, event::arrival, std::move(task), {}});
+    }
+
+    // Runs all events up to `until`; one decision call an instant.
+    void run_until(base::time_point until) {
+        while (!events_.empty() && events_.top().when <= until) {
+            now_ = events_.top().when;
+            while (!events_.empty() && events_.top().when == now_) {
+                const event one = events_.top();
+                events_.pop();
+                one.what == event::arrival ? arrive(one.task) : end(one);
+            }
+            decide();
+        }
+        now_ = until;
+    }
+
+    base::time_point now() const { return now_; }
+    std::size_t running() const { return running_; }
+    const base::resources& reserved() const { return reserved_; }
+
+private:
+    struct event {
+        enum kind { arrival, ending };
+
+        base::time_point when;
+        std::uint64_t number;
+        kind what;
+        workload_task task;
+        task_result result;
+        base::resources reserve{};
+
+        friend bool operator<(const event& a, const event& b) {
+            return std::tie(b.when, b.number) < std::tie(a.when, a.number);
+        }
+    };
+
+    void arrive(const workload_task& one) {
+        const auto taken = sched_->enqueue(one.declared, now_);
+        if (!taken) {
+            on_refused(one, taken.error());
+            return;
+        }
+        queued_.emplace(one.declared.id, one);
+    }
+
+    void end(const event& one) {
+        const workload_task& task = one.result.task;
+        --running_;
+        reserved_ -= one.reserve;
+        sched_->ended({task.declared.id, policy::end_kind::completed, task.real, task.run_time},
+                      now_);
+        on_ended(one.result);
+    }
+
+    void decide() {
+        constexpr std::size_t no_limit = 1'000'000;
+        for (const policy::decision& it : sched_->decide(now_, no_limit)) {
+            if (const auto* place = std::get_if<policy::placement>(&it)) {
+                start(*place);
+            } else if (const auto* given_up = std::get_if<policy::giving_up>(&it)) {
+                const auto task = queued_.find(given_up->task);
+                on_refused(task->second, given_up->why);
+                queued_.erase(task);
+            }
+        }
+    }
+
+    void start(const policy::placement& place) {
+        const auto it = queued_.find(place.task);
+        const workload_task task = it->second;
+        queued_.erase(it);
+        ++running_;
+        reserved_ += place.reserve;
+        on_started(task, now_);
+        const base::time_point end = now_ + task.run_time;
+        events_.push({end, number_++, event::ending, {}, {task, now_, end}, place.reserve});
+    }
+
+    std::unique_ptr<policy::scheduler> sched_;
+    std::priority_queue<event> events_;
+    std::unordered_map<base::task_id, workload_task> queued_;
+    base::time_point now_{};
+    std::uint64_t number_ = 0;
+    std::size_t running_ = 0;
+    base::resources reserved_;
+};
+
+}  // namespace cranberrydock::test
