policy: teams are ordered, lanes only within their team

Cause: each change of a team's share moved each of its lanes in a set of all lanes, twice a step. What: the order holds teams by share; a lane moves only when its own head changes.

--- a/packages/policy/src/cell_scheduler_decide.cpp
+++ b/packages/policy/src/cell_scheduler_decide.cpp
@@ -54,7 +54,7 @@
     while (const auto ended = reservations_.take_out_ended(now)) {
         if (ended->entry.counts()) {
             ended->entry.task->room_kept = false;
-            queues_.reservation_changed(*ended->in);
+            queues_.enter_anew(*ended->in);
         }
         for (const hold& it : ended->holds) {
             room_grew(it.vm);
@@ -208,7 +208,7 @@
     if (slots <= one->kind().team->rules.allowance &&
         reservations_.make(head, *one, needs, now + lasts)) {
         head.task->room_kept = true;
-        queues_.reservation_changed(*one);
+        queues_.enter_anew(*one);
     }
 }
 
--- a/packages/policy/src/lane.cpp
+++ b/packages/policy/src/lane.cpp
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-bool operator<(const lane_rank& a, const lane_rank& b) {
-    return std::tie(a.team, a.kind, a.position, a.lane) <
-           std::tie(b.team, b.kind, b.position, b.lane);
+bool goes_before(const lane& a, const lane& b) {
+    return std::make_tuple(a.kind().share, a.position, a.number()) <
+           std::make_tuple(b.kind().share, b.position, b.number());
 }
 
 void lane::push(const queue_entry& one) {
--- a/packages/policy/src/lane.hpp
+++ b/packages/policy/src/lane.hpp
@@ -12,16 +12,6 @@
 
 struct demand_group;
 
-// The order of lanes: first the team, then the kind within it, then the head's own position.
-struct lane_rank {
-    double team = 0;
-    double kind = 0;
-    std::int64_t position = 0;
-    std::uint32_t lane = 0;  // unique, so that no two lanes are equal
-
-    friend bool operator<(const lane_rank& a, const lane_rank& b);
-};
-
 // A task's, or a whole gang's, place in a lane. It counts while its task still names it; task
 // records are reused and never freed, so that asking is safe at any time.
 struct queue_entry {
@@ -52,7 +42,7 @@
 
     // Where it stands in the order; kept by `ready_order`.
     demand_group* group = nullptr;  // null: not in the order
-    lane_rank rank;
+    std::int64_t position = 0;      // of its head
     std::uint64_t head_number = 0;  // the entry that it stands there for; 0: none
     // Its team's allowance has no room for the head; kept by the scheduler.
     bool parked = false;
@@ -68,4 +58,8 @@
     std::size_t withdrawn_ = 0;         // entries that no longer count
 };
 
+// Whether `a` is next before `b`: by the kinds' shares, then by the heads' positions. Both are
+// lanes of one team.
+bool goes_before(const lane& a, const lane& b);
+
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/ready_order.cpp
+++ b/packages/policy/src/ready_order.cpp
@@ -1,4 +1,4 @@
-// The order as sets of lanes: one a demand, and one over the demands' first lanes.
+// The order as a set of teams, each with its lanes, beside the groups of equal demand.
 #include "ready_order.hpp"
 
 #include <algorithm>
@@ -14,6 +14,16 @@
     return {one.need.cores, one.need.memory, one.need.accelerators, one.need.slots, one.entry};
 }
 
+bool urgent(const lane& one) {
+    return one.kind().queue->policy->urgent();
+}
+
+// Order is of no matter in the vectors of lanes.
+void erase_from(std::vector<lane*>& lanes, lane* one) {
+    *std::find(lanes.begin(), lanes.end(), one) = lanes.back();
+    lanes.pop_back();
+}
+
 }  // namespace
 
 bool operator<(const demand& a, const demand& b) {
@@ -23,25 +33,24 @@
     return amounts_of(a) == amounts_of(b);
 }
 
-void ready_order::put(lane& one, const lane_rank& rank, const demand& what) {
-    demand_group* group = one.group;
-    if (group != nullptr && group->what == what) {
-        drop_fronts(*group);
-        group->lanes.erase(&one);
-        group->urgent.erase(&one);
-    } else {
-        remove(one);
-        group = &groups_.try_emplace(what).first->second;
-        group->what = what;
-        drop_fronts(*group);
+bool ready_order::share_order::operator()(const team_record* a, const team_record* b) const {
+    return std::tie(a->order.share, a->rules.team) < std::tie(b->order.share, b->rules.team);
+}
+
+void ready_order::put(lane& one, std::int64_t position, const demand& what) {
+    one.position = position;
+    if (one.group != nullptr && one.group->what == what) {
+        return;
     }
-    one.rank = rank;
-    one.group = group;
-    group->lanes.insert(&one);
-    if (one.kind().queue->policy->urgent()) {
-        group->urgent.insert(&one);
+    remove(one);
+    demand_group& group = groups_.try_emplace(what).first->second;
+    group.what = what;
+    group.lanes.push_back(&one);
+    one.group = &group;
+    one.kind().team->order.lanes.push_back(&one);
+    if (!group.blocked) {
+        count_open(one, true);
     }
-    enter_fronts(*group);
 }
 
 void ready_order::remove(lane& one) {
@@ -49,27 +58,62 @@
         return;
     }
     demand_group& group = *one.group;
-    drop_fronts(group);
-    group.lanes.erase(&one);
-    group.urgent.erase(&one);
+    if (!group.blocked) {
+        count_open(one, false);
+    }
+    erase_from(group.lanes, &one);
+    erase_from(one.kind().team->order.lanes, &one);
     one.group = nullptr;
-    enter_fronts(group);
-    erase_if_empty(group);
+    if (group.lanes.empty()) {
+        unblock(group);
+        groups_.erase(demand(group.what));
+    }
+}
+
+void ready_order::share_changed(team_record& team) {
+    if (team.order.share == team.share) {
+        return;
+    }
+    if (team.order.ready) {
+        teams_.erase(&team);
+    }
+    if (team.order.urgent) {
+        urgent_teams_.erase(&team);
+    }
+    team.order.ready = false;
+    team.order.urgent = false;
+    team.order.share = team.share;
+    refresh_membership(team);
 }
 
 lane* ready_order::first() const {
-    return fronts_.empty() ? nullptr : *fronts_.begin();
+    return teams_.empty() ? nullptr : first_of(**teams_.begin(), false);
+}
+
+team_record* ready_order::first_urgent() const {
+    return urgent_teams_.empty() ? nullptr : *urgent_teams_.begin();
 }
 
-lane* ready_order::first_urgent() const {
-    return urgent_fronts_.empty() ? nullptr : *urgent_fronts_.begin();
+lane* ready_order::first_of(const team_record& team, bool urgent_only) {
+    lane* result = nullptr;
+    for (lane* it : team.order.lanes) {
+        if (it->group->blocked || (urgent_only && !urgent(*it))) {
+            continue;
+        }
+        if (result == nullptr || goes_before(*it, *result)) {
+            result = it;
+        }
+    }
+    return result;
 }
 
 void ready_order::block(demand_group& group, base::time_point now) {
     if (group.blocked) {
         return;
     }
-    drop_fronts(group);
+    for (lane* it : group.lanes) {
+        count_open(*it, false);
+    }
     group.blocked = true;
     if (!group.starving_since) {
         group.starving_since = now;
@@ -82,8 +126,11 @@
         return;
     }
     group.blocked = false;
-    blocked_.erase(std::find(blocked_.begin(), blocked_.end(), &group));
-    enter_fronts(group);
+    *std::find(blocked_.begin(), blocked_.end(), &group) = blocked_.back();
+    blocked_.pop_back();
+    for (lane* it : group.lanes) {
+        count_open(*it, true);
+    }
 }
 
 void ready_order::unblock_fitting(const base::resources& room) {
@@ -94,43 +141,24 @@
     }
 }
 
-void ready_order::unblock_all() {
-    while (!blocked_.empty()) {
-        unblock(*blocked_.back());
-    }
-}
-
-void ready_order::drop_fronts(demand_group& group) {
-    if (group.front != nullptr) {
-        fronts_.erase(group.front);
-        group.front = nullptr;
-    }
-    if (group.urgent_front != nullptr) {
-        urgent_fronts_.erase(group.urgent_front);
-        group.urgent_front = nullptr;
-    }
+void ready_order::count_open(lane& one, bool opens) {
+    team_order& order = one.kind().team->order;
+    const int change = opens ? 1 : -1;
+    order.open += change;
+    order.open_urgent += urgent(one) ? change : 0;
+    refresh_membership(*one.kind().team);
 }
 
-void ready_order::enter_fronts(demand_group& group) {
-    if (group.blocked) {
-        return;
-    }
-    if (!group.lanes.empty()) {
-        group.front = *group.lanes.begin();
-        fronts_.insert(group.front);
+void ready_order::refresh_membership(team_record& team) {
+    team_order& order = team.order;
+    if (order.ready != (order.open > 0)) {
+        order.ready = order.open > 0;
+        order.ready ? void(teams_.insert(&team)) : void(teams_.erase(&team));
     }
-    if (!group.urgent.empty()) {
-        group.urgent_front = *group.urgent.begin();
-        urgent_fronts_.insert(group.urgent_front);
-    }
-}
-
-void ready_order::erase_if_empty(demand_group& group) {
-    if (!group.lanes.empty()) {
-        return;
+    if (order.urgent != (order.open_urgent > 0)) {
+        order.urgent = order.open_urgent > 0;
+        order.urgent ? void(urgent_teams_.insert(&team)) : void(urgent_teams_.erase(&team));
     }
-    unblock(group);
-    groups_.erase(group.what);
 }
 
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/ready_order.hpp
+++ b/packages/policy/src/ready_order.hpp
@@ -1,6 +1,7 @@
-// Which lane is next. Lanes are ordered by rank within groups of equal demand: when no VM has room
-// for a demand, its whole group steps aside until room for it appears, so that a full cell is not
-// searched again for each lane. Costs O(log lanes) each, whatever the lanes' lengths.
+// Which lane is next: the team with the lowest share, then its lane with the lowest rank. Lanes
+// whose heads have the same demand form a group: when no VM has room for a demand, its whole group
+// steps aside until room for it appears, so that a full cell is not searched again for each lane.
+// Costs O(log teams) and a look at one team's lanes, whatever the lanes' lengths.
 #pragma once
 
 #include "lane.hpp"
@@ -23,50 +24,50 @@
     friend bool operator==(const demand& a, const demand& b);
 };
 
-struct lane_order {
-    bool operator()(const lane* a, const lane* b) const { return a->rank < b->rank; }
-};
-
 // Lanes whose heads have the same demand.
 struct demand_group {
     demand what;
-    std::set<lane*, lane_order> lanes;
-    std::set<lane*, lane_order> urgent;  // those of urgent queues among `lanes`
-    lane* front = nullptr;               // the first of `lanes` as entered in the fronts, or null
-    lane* urgent_front = nullptr;
+    std::vector<lane*> lanes;
     bool blocked = false;
     std::optional<base::time_point> starving_since;  // blocked, and nothing placed since then
 };
 
 class ready_order {
 public:
-    // Enters the lane, or moves it to its new rank and demand.
-    void put(lane& one, const lane_rank& rank, const demand& what);
+    // Enters the lane, or moves it to its head's position and demand.
+    void put(lane& one, std::int64_t position, const demand& what);
     void remove(lane& one);
+    // The team's share has changed.
+    void share_changed(team_record& team);
 
     // The first lane that is not blocked; null when there is none.
     lane* first() const;
-    lane* first_urgent() const;
+    // The first lane that is not blocked of the team with the lowest share among those that have
+    // urgent work which is not blocked; null when there is none.
+    team_record* first_urgent() const;
+    static lane* first_of(const team_record& team, bool urgent_only);
 
     // No VM has room for the group's demand now.
     void block(demand_group& group, base::time_point now);
     void unblock(demand_group& group);
     // Unblocks the groups whose demand fits into `room`.
     void unblock_fitting(const base::resources& room);
-    void unblock_all();
 
     const std::vector<demand_group*>& blocked() const { return blocked_; }
 
 private:
-    void drop_fronts(demand_group& group);
-    void enter_fronts(demand_group& group);
-    void erase_if_empty(demand_group& group);
+    struct share_order {
+        bool operator()(const team_record* a, const team_record* b) const;
+    };
+    using team_set = std::set<team_record*, share_order>;
+
+    void count_open(lane& one, bool opens);
+    void refresh_membership(team_record& team);
 
     std::map<demand, demand_group> groups_;
     std::vector<demand_group*> blocked_;
-    // The first lane of each group that is not blocked.
-    std::set<lane*, lane_order> fronts_;
-    std::set<lane*, lane_order> urgent_fronts_;
+    team_set teams_;         // with lanes that are not blocked
+    team_set urgent_teams_;  // with urgent ones among those
 };
 
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/records.hpp
+++ b/packages/policy/src/records.hpp
@@ -26,6 +26,16 @@
     bool configured = false;  // false: takes nothing new, what it has is still served
 };
 
+// A team's standing in the order of who is next; kept by `ready_order`.
+struct team_order {
+    double share = 0;          // as the order has it
+    std::vector<lane*> lanes;  // that have a head, parked ones apart
+    int open = 0;              // lanes among them that are not blocked
+    int open_urgent = 0;       // of urgent queues among those
+    bool ready = false;        // in the order, since `open` is not 0
+    bool urgent = false;       // in the order of urgent work, since `open_urgent` is not 0
+};
+
 struct team_record {
     team_rules rules;
     bool configured = false;  // false: takes nothing new, what it has queued is given up
@@ -36,6 +46,7 @@
     std::size_t tasks_queued = 0;
     double share = 0;  // weighted dominant share; the team with the lowest is next
     std::vector<std::unique_ptr<kind_record>> kinds;
+    team_order order;
 
     bool active() const { return tasks_running + tasks_queued > 0; }
     base::slot_count slots_free() const { return rules.allowance - used.slots - slots_held; }
--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -72,30 +72,22 @@
         entry.task->gang->queued.clear();
     }
     from.group->starving_since.reset();
+    refresh(from);
 }
 
 lane* task_queues::next() const {
-    lane* urgent = order_.first_urgent();
-    if (urgent != nullptr && roster_->below_share(*urgent->kind().team)) {
-        return before_urgent(*urgent);
+    const team_record* urgent = order_.first_urgent();
+    if (urgent != nullptr && roster_->below_share(*urgent)) {
+        return next_of_urgent(*urgent);
     }
     return order_.first();
 }
 
 // Urgent work goes before other teams' work, not before its own team's kinds with a smaller share.
-lane* task_queues::before_urgent(lane& urgent) const {
-    lane* result = &urgent;
-    for (const auto& kind : urgent.kind().team->kinds) {
-        if (kind->share >= urgent.kind().share) {
-            continue;
-        }
-        for (const auto& it : kind->lanes) {
-            if (it->group != nullptr && !it->group->blocked && it->rank < result->rank) {
-                result = it.get();
-            }
-        }
-    }
-    return result;
+lane* task_queues::next_of_urgent(const team_record& team) {
+    lane* first = ready_order::first_of(team, false);
+    lane* urgent = ready_order::first_of(team, true);
+    return first->kind().share < urgent->kind().share ? first : urgent;
 }
 
 std::vector<task_record*> task_queues::members(const queue_entry& entry) {
@@ -134,16 +126,16 @@
     }
 }
 
-void task_queues::reservation_changed(lane& one) {
+void task_queues::enter_anew(lane& one) {
     unpark(one);
     place_in_order(one);
 }
 
 void task_queues::team_changed(team_record& team) {
-    for (const auto& kind : team.kinds) {
-        for (const auto& it : kind->lanes) {
-            unpark(*it);
-            place_in_order(*it);
+    order_.share_changed(team);
+    for (std::size_t i = parked_.size(); i > 0; --i) {
+        if (parked_[i - 1]->kind().team == &team) {
+            enter_anew(*parked_[i - 1]);
         }
     }
 }
@@ -157,12 +149,17 @@
 lane* task_queues::starving(base::time_point now, const std::vector<std::uint64_t>& except) const {
     lane* result = nullptr;
     const auto times_kept = [](lane& it) { return it.head()->task->reservations; };
+    const auto goes_first = [&](lane& a, lane& b) {
+        const auto key = [&](lane& it) {
+            return std::make_tuple(times_kept(it), it.kind().team->share, it.kind().share,
+                                   it.position, it.number());
+        };
+        return key(a) < key(b);
+    };
     const auto consider = [&](lane& it) {
         const bool has_one =
             std::find(except.begin(), except.end(), it.head()->number) != except.end();
-        if (!has_one &&
-            (result == nullptr || std::make_tuple(times_kept(it), it.rank) <
-                                      std::make_tuple(times_kept(*result), result->rank))) {
+        if (!has_one && (result == nullptr || goes_first(it, *result))) {
             result = &it;
         }
     };
@@ -253,7 +250,7 @@
         order_.remove(one);
         return;
     }
-    order_.put(one, rank_of(one, *head), demand_of(*head));
+    order_.put(one, head->position, demand_of(*head));
 }
 
 demand task_queues::demand_of(const queue_entry& entry) const {
@@ -270,8 +267,4 @@
     return result;
 }
 
-lane_rank task_queues::rank_of(const lane& one, const queue_entry& head) const {
-    return {one.kind().team->share, one.kind().share, head.position, one.number()};
-}
-
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -22,8 +22,7 @@
     void leave(task_record& one);
     // What runs of the gang has changed, and with it perhaps whether its queued tasks may start.
     void gang_changed(gang_record& gang);
-    // Takes out the head of a lane, all tasks of it, because they start now. `team_changed` must
-    // follow, which enters the lane's next head.
+    // Takes out the head of a lane, all tasks of it, because they start now.
     void take_head(lane& from, base::time_point now);
 
     // The lane whose head is to be decided next; null when nothing can be.
@@ -38,9 +37,9 @@
     void park(lane& one, base::time_point now);
     void block(lane& one, base::time_point now) { order_.block(*one.group, now); }
     void unblock(lane& one);
-    // Room is kept for the lane's head now, or no longer is: it is decided apart from other heads
-    // with the same need.
-    void reservation_changed(lane& one);
+    // Decides the lane's head anew: room is kept for it now, or no longer is, or its team's
+    // allowance may have room.
+    void enter_anew(lane& one);
     // A VM may now have this room.
     void room_grew(const base::resources& room) { order_.unblock_fitting(room); }
     // The team's use or allowance has changed.
@@ -62,10 +61,9 @@
     void count_queued(task_record& one, bool joins);
     void refresh(lane& one);
     void unpark(lane& one);
-    lane* before_urgent(lane& urgent) const;
+    static lane* next_of_urgent(const team_record& team);
     void place_in_order(lane& one);
     demand demand_of(const queue_entry& entry) const;
-    lane_rank rank_of(const lane& one, const queue_entry& head) const;
 
     roster* roster_;
     const vm_table* vms_;
