policy: a demand that was blocked is searched only on VMs whose room has grown since

Cause: one ended task makes room for many waiting demands; each searched all VMs although only that VM could have room for it. Cost no longer grows with VMs. It still grows with the number of distinct waiting demands (1,000 queued have few), which is bounded by the lanes and not by their lengths.

--- a/packages/policy/src/cell_scheduler.cpp
+++ b/packages/policy/src/cell_scheduler.cpp
@@ -248,7 +248,7 @@
 }
 
 void cell_scheduler::room_grew(vm_index i) {
-    queues_.room_grew(vms_.room(i));
+    queues_.room_grew(i, vms_.room(i));
     for (const reservation& one : reservations_.list()) {
         const bool holds_here = std::any_of(one.holds.begin(), one.holds.end(),
                                             [&](const hold& it) { return it.vm == i; });
--- a/packages/policy/src/cell_scheduler.hpp
+++ b/packages/policy/src/cell_scheduler.hpp
@@ -55,8 +55,7 @@
 
     bool give_up_head_if_useless(lane& next, decision_round& round);
     std::vector<placement_wish> wishes_of(const queue_entry& head) const;
-    std::vector<vm_index> take_room(const queue_entry& head,
-                                    const std::vector<placement_wish>& wishes);
+    std::vector<vm_index> take_room(lane& next, const std::vector<placement_wish>& wishes);
     void start_all(lane& from, const std::vector<placement_wish>& wishes,
                    const std::vector<vm_index>& where, decision_round& round);
     void give_up(task_record& one, const base::refusal& why, decision_round& round);
--- a/packages/policy/src/cell_scheduler_decide.cpp
+++ b/packages/policy/src/cell_scheduler_decide.cpp
@@ -65,7 +65,7 @@
 void cell_scheduler::open_probes(base::time_point now) {
     placer_.set_probes(health_.due_probes(now));
     for (const vm_index i : placer_.probes()) {
-        queues_.room_grew(vms_.room_for_probe(i));
+        queues_.room_grew(i, vms_.room_for_probe(i));
     }
 }
 
@@ -110,7 +110,7 @@
         queues_.park(next, round.now);
         return true;
     }
-    const std::vector<vm_index> where = take_room(head, wishes);
+    const std::vector<vm_index> where = take_room(next, wishes);
     if (where.empty()) {
         queues_.block(next, round.now);
         return true;
@@ -141,13 +141,16 @@
 }
 
 // Work for which room is kept may use it, or find room elsewhere.
-std::vector<vm_index> cell_scheduler::take_room(const queue_entry& head,
+std::vector<vm_index> cell_scheduler::take_room(lane& next,
                                                 const std::vector<placement_wish>& wishes) {
+    const queue_entry head = *next.head();
     if (reservations_.find(head.number) == nullptr) {
-        return placer_.take(wishes);
+        const demand_group& group = *next.group;
+        const bool only_need_counts = group.what.entry == 0 && group.candidates;
+        return placer_.take(wishes, only_need_counts ? &*group.candidates : nullptr);
     }
     reservation own = reservations_.take_out(head.number);
-    std::vector<vm_index> where = placer_.take(wishes);
+    std::vector<vm_index> where = placer_.take(wishes, nullptr);
     if (where.empty()) {
         reservations_.put_back(std::move(own));
         return where;
--- a/packages/policy/src/placer.cpp
+++ b/packages/policy/src/placer.cpp
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-std::vector<vm_index> placer::take(const std::vector<placement_wish>& wishes) {
+std::vector<vm_index> placer::take(const std::vector<placement_wish>& wishes,
+                                   const std::vector<vm_index>* candidates) {
     std::vector<vm_index> taken;
     if (wishes.size() == 1) {
         if (const auto probe = take_probe(wishes.front())) {
@@ -26,7 +27,7 @@
         }
     }
     for (const placement_wish& it : wishes) {
-        const auto vm = find(it);
+        const auto vm = find(it, candidates);
         if (!vm) {
             break;
         }
@@ -42,15 +43,16 @@
     return {};
 }
 
-std::optional<vm_index> placer::find(const placement_wish& wish) const {
+std::optional<vm_index> placer::find(const placement_wish& wish,
+                                     const std::vector<vm_index>* candidates) const {
     const task_record& one = *wish.task;
     const auto job = racks_.find(one.job);
     const rack_counts* same_job = job == racks_.end() ? nullptr : &job->second;
-    const auto vm = vms_->best({wish.reserve, one.avoid, scorer_of(one), same_job});
+    const auto vm = vms_->best({wish.reserve, one.avoid, scorer_of(one), same_job, candidates});
     if (vm || one.avoid.empty() || !all_avoided(wish)) {
         return vm;
     }
-    return vms_->best({wish.reserve, avoid_none, scorer_of(one), same_job});
+    return vms_->best({wish.reserve, avoid_none, scorer_of(one), same_job, nullptr});
 }
 
 // A probe is a task that can be run again elsewhere when it fails.
--- a/packages/policy/src/placer.hpp
+++ b/packages/policy/src/placer.hpp
@@ -26,15 +26,17 @@
     const std::vector<vm_index>& probes() const { return probes_; }
 
     // Takes room for every wish and returns the VMs in the wishes' order; for none, and empty, when
-    // there is no room for all.
-    std::vector<vm_index> take(const std::vector<placement_wish>& wishes);
+    // there is no room for all. With `candidates` only those VMs are searched; null: all.
+    std::vector<vm_index> take(const std::vector<placement_wish>& wishes,
+                               const std::vector<vm_index>* candidates);
 
     // The task runs on the VM, or no longer does: what spreading over racks goes by.
     void note_running(task_record& one);
     void note_ended(const task_record& one);
 
 private:
-    std::optional<vm_index> find(const placement_wish& wish) const;
+    std::optional<vm_index> find(const placement_wish& wish,
+                                 const std::vector<vm_index>* candidates) const;
     std::optional<vm_index> take_probe(const placement_wish& wish);
     bool all_avoided(const placement_wish& wish) const;
 
--- a/packages/policy/src/ready_order.cpp
+++ b/packages/policy/src/ready_order.cpp
@@ -18,6 +18,9 @@
     return one.kind().queue->policy->urgent();
 }
 
+// With more candidates than this all VMs are searched.
+constexpr std::size_t most_candidates = 32;
+
 // Order is of no matter in the vectors of lanes.
 void erase_from(std::vector<lane*>& lanes, lane* one) {
     *std::find(lanes.begin(), lanes.end(), one) = lanes.back();
@@ -118,29 +121,46 @@
     if (!group.starving_since) {
         group.starving_since = now;
     }
-    blocked_.push_back(&group);
+    if (!group.candidates) {
+        limited_.push_back(&group);
+    }
+    group.candidates.emplace();
 }
 
 void ready_order::unblock(demand_group& group) {
+    if (group.candidates) {
+        *std::find(limited_.begin(), limited_.end(), &group) = limited_.back();
+        limited_.pop_back();
+        group.candidates.reset();
+    }
+    open(group);
+}
+
+void ready_order::room_grew(vm_index i, const base::resources& room) {
+    for (std::size_t n = limited_.size(); n > 0; --n) {
+        demand_group& group = *limited_[n - 1];
+        if (!base::fits(group.what.need, room)) {
+            continue;
+        }
+        if (group.candidates->size() >= most_candidates) {
+            unblock(group);
+            continue;
+        }
+        group.candidates->push_back(i);
+        open(group);
+    }
+}
+
+void ready_order::open(demand_group& group) {
     if (!group.blocked) {
         return;
     }
     group.blocked = false;
-    *std::find(blocked_.begin(), blocked_.end(), &group) = blocked_.back();
-    blocked_.pop_back();
     for (lane* it : group.lanes) {
         count_open(*it, true);
     }
 }
 
-void ready_order::unblock_fitting(const base::resources& room) {
-    for (std::size_t i = blocked_.size(); i > 0; --i) {
-        if (base::fits(blocked_[i - 1]->what.need, room)) {
-            unblock(*blocked_[i - 1]);
-        }
-    }
-}
-
 void ready_order::count_open(lane& one, bool opens) {
     team_order& order = one.kind().team->order;
     const int change = opens ? 1 : -1;
--- a/packages/policy/src/ready_order.hpp
+++ b/packages/policy/src/ready_order.hpp
@@ -29,6 +29,9 @@
     demand what;
     std::vector<lane*> lanes;
     bool blocked = false;
+    // VMs that may have room for the demand: those whose room has grown since it was blocked. None:
+    // any VM may have, since it was not blocked yet.
+    std::optional<std::vector<vm_index>> candidates;
     std::optional<base::time_point> starving_since;  // blocked, and nothing placed since then
 };
 
@@ -50,10 +53,11 @@
     // No VM has room for the group's demand now.
     void block(demand_group& group, base::time_point now);
     void unblock(demand_group& group);
-    // Unblocks the groups whose demand fits into `room`.
-    void unblock_fitting(const base::resources& room);
+    // The VM's room has grown: unblocks the groups whose demand fits.
+    void room_grew(vm_index i, const base::resources& room);
 
-    const std::vector<demand_group*>& blocked() const { return blocked_; }
+    // Groups that are blocked, or have been and may find room only on their candidates.
+    const std::vector<demand_group*>& limited() const { return limited_; }
 
 private:
     struct share_order {
@@ -61,11 +65,12 @@
     };
     using team_set = std::set<team_record*, share_order>;
 
+    void open(demand_group& group);
     void count_open(lane& one, bool opens);
     void refresh_membership(team_record& team);
 
     std::map<demand, demand_group> groups_;
-    std::vector<demand_group*> blocked_;
+    std::vector<demand_group*> limited_;
     team_set teams_;         // with lanes that are not blocked
     team_set urgent_teams_;  // with urgent ones among those
 };
--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -163,8 +163,9 @@
             result = &it;
         }
     };
-    for (const demand_group* group : order_.blocked()) {
-        if (group->starving_since && *group->starving_since + settings_.patience <= now) {
+    for (const demand_group* group : order_.limited()) {
+        if (group->blocked && group->starving_since &&
+            *group->starving_since + settings_.patience <= now) {
             for (lane* it : group->lanes) {
                 consider(*it);
             }
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -40,8 +40,8 @@
     // Decides the lane's head anew: room is kept for it now, or no longer is, or its team's
     // allowance may have room.
     void enter_anew(lane& one);
-    // A VM may now have this room.
-    void room_grew(const base::resources& room) { order_.unblock_fitting(room); }
+    // The VM has this room now, which may be more than before.
+    void room_grew(vm_index i, const base::resources& room) { order_.room_grew(i, room); }
     // The team's use or allowance has changed.
     void team_changed(team_record& team);
     // All shares have changed.
--- a/packages/policy/src/vm_table.cpp
+++ b/packages/policy/src/vm_table.cpp
@@ -150,26 +150,38 @@
 std::optional<vm_index> vm_table::best(const placement_request& request) const {
     double lowest = std::numeric_limits<double>::infinity();
     std::optional<vm_index> result;
-    for (std::uint32_t i = 0; i < rooms_.size(); ++i) {
+    const auto consider = [&](std::uint32_t i) {
         if (!base::fits(request.need, rooms_[i])) {
-            continue;
-        }
-        const slot& it = slots_[i];
-        if (std::find(request.avoid.begin(), request.avoid.end(), it.what.id) !=
-            request.avoid.end()) {
-            continue;
+            return;
         }
-        const std::size_t in_rack = request.same_job ? request.same_job->in(it.rack) : 0;
-        const double cost =
-            request.scorer.cost(request.need, {rooms_[i], it.what.capacity, in_rack});
+        const double cost = cost_of(request, i);
         if (cost < lowest) {
             lowest = cost;
             result = vm_index(i);
         }
+    };
+    if (request.candidates != nullptr) {
+        for (const vm_index it : *request.candidates) {
+            consider(it.value());
+        }
+        return result;
+    }
+    for (std::uint32_t i = 0; i < rooms_.size(); ++i) {
+        consider(i);
     }
     return result;
 }
 
+// Infinite for a VM that the task should avoid.
+double vm_table::cost_of(const placement_request& request, std::uint32_t i) const {
+    const slot& it = slots_[i];
+    if (std::find(request.avoid.begin(), request.avoid.end(), it.what.id) != request.avoid.end()) {
+        return std::numeric_limits<double>::infinity();
+    }
+    const std::size_t in_rack = request.same_job ? request.same_job->in(it.rack) : 0;
+    return request.scorer.cost(request.need, {rooms_[i], it.what.capacity, in_rack});
+}
+
 void vm_table::refresh_room(vm_index i) {
     const slot& it = slots_[i.value()];
     rooms_[i.value()] = open(i) ? it.what.capacity - it.used - it.held : no_room;
--- a/packages/policy/src/vm_table.hpp
+++ b/packages/policy/src/vm_table.hpp
@@ -29,7 +29,8 @@
     const base::resources& need;
     const std::vector<base::vm_id>& avoid;
     const placement_scorer& scorer;
-    const rack_counts* same_job = nullptr;  // none: the job has nothing running
+    const rack_counts* same_job = nullptr;              // null: the job has nothing running
+    const std::vector<vm_index>* candidates = nullptr;  // null: all VMs
 };
 
 class vm_table {
@@ -102,6 +103,7 @@
         std::size_t vms = 0;
     };
 
+    double cost_of(const placement_request& request, std::uint32_t i) const;
     void refresh_room(vm_index i);
     void recycle_if_unused(vm_index i);
     void count_capacity(const base::resources& capacity, bool added);
