--- /dev/null
+++ b/test/performance/baseline_scheduler.hpp
@@ -0,0 +1,105 @@
+// What the scheduler is compared with: one queue for all, in order of arrival or with urgent work
+// strictly first, and the first VM that has room. It refuses nothing and gives nothing up.
+#pragma once
+
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberrydock::test {
+
+enum class baseline_order { fifo, strict_priority };
+
+class baseline_scheduler final : public policy::scheduler {
+public:
+    explicit baseline_scheduler(baseline_order order) : order_(order) {}
+
+    void set_queues(const std::vector<policy::queue_rules>& queues) override {
+        for (const policy::queue_rules& it : queues) {
+            kinds_[it.name] = it.kind;
+        }
+    }
+    void set_teams(const std::vector<policy::team_rules>& /*teams*/) override {}
+    void put_vm(const policy::vm& one) override { vms_.push_back({one, one.capacity}); }
+    void remove_vm(const base::vm_id& /*id*/) override {}
+    void report_usage(const base::task_id& /*task*/, const base::resources& /*used*/) override {}
+
+    tl::expected<void, base::refusal> enqueue(const policy::task& one,
+                                              base::time_point /*now*/) override {
+        const bool first = order_ == baseline_order::strict_priority &&
+                           kinds_[one.queue] == policy::queue_kind::latency;
+        queued_.emplace(position{first ? 0 : 1, number_++}, one);
+        return {};
+    }
+    void adopt(const policy::task& /*one*/, const base::vm_id& /*where*/,
+               const base::resources& /*reserved*/) override {}
+    bool cancel(const base::task_id& /*id*/) override { return false; }
+
+    void ended(const policy::task_ended& what, base::time_point /*now*/) override {
+        const auto it = running_.find(what.id);
+        vms_[it->second.vm].room += it->second.need;
+        running_.erase(it);
+    }
+
+    std::vector<policy::decision> decide(base::time_point /*now*/, std::size_t most) override {
+        constexpr int most_passed_over = 16;
+        std::vector<policy::decision> decided;
+        int passed_over = 0;
+        for (auto it = queued_.begin();
+             it != queued_.end() && decided.size() < most && passed_over < most_passed_over;) {
+            const auto vm = first_fit(it->second.need);
+            if (vm == vms_.size()) {
+                ++passed_over;
+                ++it;
+                continue;
+            }
+            vms_[vm].room -= it->second.need;
+            running_[it->second.id] = {vm, it->second.need};
+            decided.emplace_back(
+                policy::placement{it->second.id, vms_[vm].what.id, it->second.need});
+            it = queued_.erase(it);
+        }
+        return decided;
+    }
+
+    std::vector<policy::team_load> loads() const override { return {}; }
+    policy::waiting_reason why_waiting(const base::task_id& /*id*/) const override { return {}; }
+
+private:
+    struct position {
+        int priority;
+        std::uint64_t number;
+        friend bool operator<(const position& a, const position& b) {
+            return a.priority != b.priority ? a.priority < b.priority : a.number < b.number;
+        }
+    };
+    struct vm_room {
+        policy::vm what;
+        base::resources room;
+    };
+    struct running_task {
+        std::size_t vm;
+        base::resources need;
+    };
+
+    std::size_t first_fit(const base::resources& need) const {
+        std::size_t i = 0;
+        while (i < vms_.size() && !base::fits(need, vms_[i].room)) {
+            ++i;
+        }
+        return i;
+    }
+
+    baseline_order order_;
+    std::uint64_t number_ = 0;
+    std::unordered_map<base::queue_name, policy::queue_kind> kinds_;
+    std::map<position, policy::task> queued_;
+    std::vector<vm_room> vms_;
+    std::unordered_map<base::task_id, running_task> running_;
+};
+
+}  // namespace cranberrydock::test
--- a/test/performance/workload.hpp
+++ b/test/performance/workload.hpp
@@ -13,6 +13,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -49,11 +50,19 @@
 }
 
 // The VMs of the letters: 64 GB and 16 cores each, 8 to a rack.
+constexpr std::int64_t vm_millicores = 16'000;
+constexpr base::mebibytes vm_memory(65'536);
+constexpr int vms_a_rack = 8;
+
 inline policy::vm standard_vm(int n) {
-    return {base::vm_id("vm" + std::to_string(n)), base::rack_name("r" + std::to_string(n / 8)),
-            amounts(16'000, 65'536, 64), policy::vm_state::usable};
+    return {base::vm_id("vm" + std::to_string(n)),
+            base::rack_name("r" + std::to_string(n / vms_a_rack)),
+            amounts(vm_millicores, vm_memory.value(), 64), policy::vm_state::usable};
 }
 
+// How late a VM reports what a task uses.
+constexpr base::duration report_lag = base::seconds(2);
+
 // A task with what it really needs, which the scheduler learns only from reports.
 struct workload_task {
     policy::task declared;
@@ -95,7 +104,7 @@
             while (!events_.empty() && events_.top().when == now_) {
                 const event one = events_.top();
                 events_.pop();
-                one.what == event::arrival ? arrive(one.task) : end(one);
+                handle(one);
             }
             decide();
         }
@@ -103,25 +112,40 @@
     }
 
     base::time_point now() const { return now_; }
-    std::size_t running() const { return running_; }
-    const base::resources& reserved() const { return reserved_; }
+    // Starts that brought the real use of a VM's memory above its capacity, and all starts.
+    std::size_t starts_over_memory = 0;
+    std::size_t starts = 0;
 
 private:
     struct event {
-        enum kind { arrival, ending };
+        enum kind { arrival, report, ending };
 
         base::time_point when;
         std::uint64_t number;
         kind what;
         workload_task task;
         task_result result;
-        base::resources reserve{};
+        base::vm_id vm{};
 
         friend bool operator<(const event& a, const event& b) {
             return std::tie(b.when, b.number) < std::tie(a.when, a.number);
         }
     };
 
+    void handle(const event& one) {
+        switch (one.what) {
+            case event::arrival:
+                arrive(one.task);
+                break;
+            case event::report:
+                sched_->report_usage(one.result.task.declared.id, one.result.task.real);
+                break;
+            case event::ending:
+                end(one);
+                break;
+        }
+    }
+
     void arrive(const workload_task& one) {
         const auto taken = sched_->enqueue(one.declared, now_);
         if (!taken) {
@@ -133,8 +157,7 @@
 
     void end(const event& one) {
         const workload_task& task = one.result.task;
-        --running_;
-        reserved_ -= one.reserve;
+        memory_in_use_[one.vm] -= task.real.memory;
         sched_->ended({task.declared.id, policy::end_kind::completed, task.real, task.run_time},
                       now_);
         on_ended(one.result);
@@ -157,11 +180,15 @@
         const auto it = queued_.find(place.task);
         const workload_task task = it->second;
         queued_.erase(it);
-        ++running_;
-        reserved_ += place.reserve;
+        ++starts;
+        memory_in_use_[place.vm] += task.real.memory;
+        starts_over_memory += memory_in_use_[place.vm] > vm_memory ? 1 : 0;
         on_started(task, now_);
         const base::time_point end = now_ + task.run_time;
-        events_.push({end, number_++, event::ending, {}, {task, now_, end}, place.reserve});
+        if (task.run_time > report_lag) {
+            events_.push({now_ + report_lag, number_++, event::report, {}, {task, now_, end}, {}});
+        }
+        events_.push({end, number_++, event::ending, {}, {task, now_, end}, place.vm});
     }
 
     std::unique_ptr<policy::scheduler> sched_;
@@ -169,8 +196,7 @@
     std::unordered_map<base::task_id, workload_task> queued_;
     base::time_point now_{};
     std::uint64_t number_ = 0;
-    std::size_t running_ = 0;
-    base::resources reserved_;
+    std::unordered_map<base::vm_id, base::mebibytes> memory_in_use_;
 };
 
 }  // namespace cranberrydock::test
