--- a/packages/mesh/include/cranberrydock/mesh/bulk_transfer.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/bulk_transfer.hpp
@@ -24,13 +24,10 @@
     std::int64_t transfer = 0;  // from 1, rising
     std::int64_t offset = 0;    // of these bytes in the message
     std::int64_t total = 0;     // bytes of the message
-    std::string digest;         // SHA-256 of the message, in the chunk at offset 0; else empty
-    std::string bytes;          // at least one
+    std::string digest;  // base::sha256_hex of the message, in the chunk at offset 0; else empty
+    std::string bytes;   // at least one
 };
 
-// SHA-256 as 32 bytes.
-std::string sha256(const std::string& bytes);
-
 class bulk_sender {
 public:
     static constexpr std::size_t chunk_bytes = 32 * 1024;
--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/mesh/messages.hpp>
+#include <cranberrydock/mesh/round_trip_history.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
 
@@ -25,6 +26,7 @@
     bool up = false;  // heard from within the deadline
     base::time_point last_heard{};
     base::microseconds round_trip{0};  // smoothed; 0 before the first
+    round_trip_summary round_trips;
     base::byte_count sent;
     base::byte_count received;
 };
--- a/packages/mesh/src/bulk_transfer.cpp
+++ b/packages/mesh/src/bulk_transfer.cpp
@@ -1,11 +1,9 @@
 // Cutting messages into chunks and putting them together again.
 #include <cranberrydock/base/check.hpp>
+#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/mesh/bulk_transfer.hpp>
 
-#include <openssl/evp.h>
-
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace cranberrydock::mesh::detail {
@@ -17,19 +15,11 @@
 
 }  // namespace
 
-std::string sha256(const std::string& bytes) {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> out{};
-    unsigned n = 0;
-    const int made = EVP_Digest(bytes.data(), bytes.size(), out.data(), &n, EVP_sha256(), nullptr);
-    CRANBERRYDOCK_CHECK(made == 1, "OpenSSL gave no SHA-256");
-    return {reinterpret_cast<const char*>(out.data()), n};
-}
-
 void bulk_sender::add(std::string message) {
     CRANBERRYDOCK_CHECK(!message.empty(), "a bulk message holds at least one byte");
     outgoing fresh;
     fresh.transfer = ++last_transfer_;
-    fresh.digest = sha256(message);
+    fresh.digest = base::sha256_hex(message);
     fresh.message = std::move(message);
     waiting_ += fresh.message.size();
     queue_.push_back(std::move(fresh));
@@ -87,7 +77,7 @@
         return chunk_outcome{};
     }
     std::string whole = std::move(into.bytes);
-    const bool right = sha256(whole) == into.digest;
+    const bool right = base::sha256_hex(whole) == into.digest;
     held_ -= whole.size();
     open_total_ -= into.total;
     open_.erase(next.transfer);
--- a/packages/mesh/src/link.cpp
+++ b/packages/mesh/src/link.cpp
@@ -100,6 +100,7 @@
     out.up = up_;
     out.last_heard = control_.last_heard();
     out.round_trip = control_.timing().smoothed();
+    out.round_trips = round_trips_.summary();
     out.sent = sent();
     out.received = received();
     return out;
@@ -145,10 +146,13 @@
 }
 
 void link::receive(link_channel& which, const beat_frame& what) {
-    which.timing().heard(what.timing, parts_.clock.now());
+    const auto sample = which.timing().heard(what.timing, parts_.clock.now());
     if (which.which() != channel::control) {
         return;
     }
+    if (sample) {
+        round_trips_.add(*sample);
+    }
     auto state = decode(what.state);
     if (!state) {
         refuse_frame(which, malformed, state.error());
--- a/packages/mesh/src/link.hpp
+++ b/packages/mesh/src/link.hpp
@@ -4,6 +4,7 @@
 
 #include <cranberrydock/mesh/bulk_transfer.hpp>
 #include <cranberrydock/mesh/mesh.hpp>
+#include <cranberrydock/mesh/round_trip_history.hpp>
 
 #include "context.hpp"
 #include "link_channel.hpp"
@@ -80,6 +81,7 @@
     bool heard_ = false;  // a heartbeat, on the control connection in use
     base::byte_count counted_sent_{0};
     base::byte_count counted_received_{0};
+    round_trip_history round_trips_;  // of the control channel, over all its connections
     link_channel control_;
     link_channel bulk_;
     // Of the bulk connection in use.
--- a/test/property/bulk_transfers_arrive_whole_or_not_at_all.cpp
+++ b/test/property/bulk_transfers_arrive_whole_or_not_at_all.cpp
@@ -1,6 +1,7 @@
 // Large messages cut into chunks: whatever the sizes, the turns and the moments of the credits,
 // each arrives whole, and never more than the window is under way. A lost, doubled, swapped or
 // damaged chunk never yields a wrong message.
+#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/mesh/bulk_transfer.hpp>
 
 #include <gtest/gtest.h>
@@ -143,7 +144,7 @@
 }
 
 TEST(bulk, refuses_more_than_its_bounds) {
-    const std::string digest = mesh::detail::sha256("x");
+    const std::string digest = base::sha256_hex("x");
     bulk_receiver receiver(base::byte_count{1'000}, base::byte_count{1'500});
     EXPECT_FALSE(receiver.receive({1, 0, 1'001, digest, "x"}).has_value());
     EXPECT_TRUE(receiver.receive({2, 0, 1'000, digest, "x"}).has_value());
