--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -35,9 +35,7 @@
         enter(one);
     } else {
         one.gang->queued.push_back(&one);
-        if (one.gang->complete() && one.gang->queued.front()->entry == 0) {
-            enter(*one.gang->queued.front());
-        }
+        gang_changed(*one.gang);
     }
     refresh(*one.in);
 }
@@ -49,15 +47,19 @@
     if (one.gang != nullptr) {
         auto& queued = one.gang->queued;
         queued.erase(std::find(queued.begin(), queued.end(), &one));
-        if (!queued.empty() && !one.gang->complete()) {
-            withdraw(*queued.front());
-        } else if (!queued.empty() && queued.front()->entry == 0) {
-            enter(*queued.front());
-        }
+        gang_changed(*one.gang);
     }
     refresh(from);
 }
 
+void task_queues::gang_changed(gang_record& gang) {
+    if (gang.queued.empty()) {
+        return;
+    }
+    enter_or_withdraw(gang);
+    refresh(*gang.queued.front()->in);
+}
+
 void task_queues::take_head(lane& from, base::time_point now) {
     const queue_entry entry = *from.head();
     from.pop_head();
@@ -70,16 +72,24 @@
         entry.task->gang->queued.clear();
     }
     from.group->starving_since.reset();
+    refresh(from);
 }
 
 lane* task_queues::next() const {
-    lane* urgent = order_.first_urgent();
-    if (urgent != nullptr && roster_->below_share(*urgent->kind().team)) {
-        return urgent;
+    const team_record* urgent = order_.first_urgent();
+    if (urgent != nullptr && roster_->below_share(*urgent)) {
+        return next_of_urgent(*urgent);
     }
     return order_.first();
 }
 
+// Urgent work goes before other teams' work, not before its own team's kinds with a smaller share.
+lane* task_queues::next_of_urgent(const team_record& team) {
+    lane* first = ready_order::first_of(team, false);
+    lane* urgent = ready_order::first_of(team, true);
+    return first->kind().share < urgent->kind().share ? first : urgent;
+}
+
 std::vector<task_record*> task_queues::members(const queue_entry& entry) {
     return entry.task->gang == nullptr ? std::vector<task_record*>{entry.task}
                                        : entry.task->gang->queued;
@@ -116,11 +126,16 @@
     }
 }
 
+void task_queues::enter_anew(lane& one) {
+    unpark(one);
+    place_in_order(one);
+}
+
 void task_queues::team_changed(team_record& team) {
-    for (const auto& kind : team.kinds) {
-        for (const auto& it : kind->lanes) {
-            unpark(*it);
-            place_in_order(*it);
+    order_.share_changed(team);
+    for (std::size_t i = parked_.size(); i > 0; --i) {
+        if (parked_[i - 1]->kind().team == &team) {
+            enter_anew(*parked_[i - 1]);
         }
     }
 }
@@ -134,17 +149,23 @@
 lane* task_queues::starving(base::time_point now, const std::vector<std::uint64_t>& except) const {
     lane* result = nullptr;
     const auto times_kept = [](lane& it) { return it.head()->task->reservations; };
+    const auto goes_first = [&](lane& a, lane& b) {
+        const auto key = [&](lane& it) {
+            return std::make_tuple(times_kept(it), it.kind().team->share, it.kind().share,
+                                   it.position, it.number());
+        };
+        return key(a) < key(b);
+    };
     const auto consider = [&](lane& it) {
         const bool has_one =
             std::find(except.begin(), except.end(), it.head()->number) != except.end();
-        if (!has_one &&
-            (result == nullptr || std::make_tuple(times_kept(it), it.rank) <
-                                      std::make_tuple(times_kept(*result), result->rank))) {
+        if (!has_one && (result == nullptr || goes_first(it, *result))) {
             result = &it;
         }
     };
-    for (const demand_group* group : order_.blocked()) {
-        if (group->starving_since && *group->starving_since + settings_.patience <= now) {
+    for (const demand_group* group : order_.limited()) {
+        if (group->blocked && group->starving_since &&
+            *group->starving_since + settings_.patience <= now) {
             for (lane* it : group->lanes) {
                 consider(*it);
             }
@@ -164,6 +185,19 @@
     one.in->push({one.kind->queue->policy->position(one.timing), one.entry, &one});
 }
 
+// Keeps the gang's invariant: its first task has an entry just while the gang is complete.
+void task_queues::enter_or_withdraw(gang_record& gang) {
+    if (gang.queued.empty()) {
+        return;
+    }
+    task_record& first = *gang.queued.front();
+    if (!gang.complete()) {
+        withdraw(first);
+    } else if (first.entry == 0) {
+        enter(first);
+    }
+}
+
 void task_queues::withdraw(task_record& one) {
     if (one.entry != 0) {
         one.entry = 0;
@@ -217,7 +251,7 @@
         order_.remove(one);
         return;
     }
-    order_.put(one, rank_of(one, *head), demand_of(*head));
+    order_.put(one, head->position, demand_of(*head));
 }
 
 demand task_queues::demand_of(const queue_entry& entry) const {
@@ -228,14 +262,10 @@
             result.need = min_of(result.need, reserve_for(*it));
         }
     }
-    if (one.gang != nullptr || !one.avoid.empty()) {
+    if (one.gang != nullptr || !one.avoid.empty() || one.room_kept) {
         result.entry = entry.number;
     }
     return result;
 }
 
-lane_rank task_queues::rank_of(const lane& one, const queue_entry& head) const {
-    return {one.kind().team->share, one.kind().share, head.position, one.number()};
-}
-
 }  // namespace cranberrydock::policy
