--- /dev/null
+++ b/test/failure/a_killed_owners_work_is_finished_by_the_next.cpp
@@ -0,0 +1,61 @@
+// The owner of a cell is killed while requests of every kind run and wait. Each caller gets its own
+// whole answer, work that may not be repeated runs once, and an accepted job finishes.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock::standins;
+
+constexpr int ok = 200;
+constexpr int accepted = 202;
+constexpr int callers = 24;
+constexpr int task_ms = 1'500;
+
+call_work numbered(int i) {
+    call_work out;
+    out.queue = i % 3 == 0 ? "previews" : "mosaics";
+    out.repeatable = i % 2 == 0;
+    out.key = "work-" + std::to_string(i);
+    out.for_ms = task_ms;
+    out.answer = "answer-" + std::to_string(i);
+    return out;
+}
+
+TEST(killed_owner, work_is_finished_by_the_next) {
+    crew daemons;
+    constexpr std::size_t caller_entry = 2;  // owns neither cell of northcoast
+    std::vector<std::future<call_result>> calls;
+    for (int i = 0; i < callers; ++i) {
+        calls.push_back(daemons.submit_later(caller_entry, numbered(i)));
+    }
+    call_work job = numbered(callers);
+    job.job = true;
+    job.more = {{"tasks", 6}};
+    const call_result taken = daemons.submit(caller_entry, job);
+    ASSERT_EQ(taken.status, accepted) << taken.body;
+    // Some of the work runs by now, and some still waits.
+    ASSERT_TRUE(wait_until([&] { return daemons.judge().at("starts") > callers / 4; }));
+
+    const auto owner = daemons.owner_of("nc-a");
+    ASSERT_TRUE(owner.has_value());
+    daemons.kill(*owner);
+
+    for (int i = 0; i < callers; ++i) {
+        const call_result result = calls[static_cast<std::size_t>(i)].get();
+        EXPECT_EQ(result.status, ok) << result.body;
+        EXPECT_EQ(result.answer(), "answer-" + std::to_string(i));
+    }
+    // Sending the job again joins it; once it is done the same call brings its answers.
+    EXPECT_TRUE(wait_until([&] {
+        const call_result again = daemons.submit(caller_entry, job);
+        return again.status == ok && again.body.at("answers").size() == 6;
+    }));
+    EXPECT_EQ(daemons.breaches(), "");
+}
+
+}  // namespace
--- /dev/null
+++ b/test/standins/crew.cpp
@@ -0,0 +1,192 @@
+// Several daemons over one stand-in platform and fleet.
+#include "crew.hpp"
+
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+namespace cranberrydock::standins {
+namespace {
+
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int conflict = 409;
+
+std::string settings_text(const crew_member& member, const net::endpoint& platform,
+                          const std::string& more) {
+    return "[identity]\nvm = \"" + member.vm + "\"\nregion = \"" + member.region + "\"\nzone = \"" +
+           member.zone +
+           "\"\n[listen]\nhttp = \"127.0.0.1:0\"\nmesh = \"127.0.0.1:0\"\n[platform]\nkind = "
+           "\"http\"\naddress = \"" +
+           platform.text() + "\"\n[mesh]\nsecret = \"the secret of this test's daemons\"\n" + more;
+}
+
+json queue(const std::string& policy) {
+    return {{"policy", policy}, {"open", true}, {"open_team", "survey"}};
+}
+
+std::string body_of(const call_work& what) {
+    const json payload = {{"work", "echo"}, {"for_ms", what.for_ms}, {"answer", what.answer}};
+    json body = {{"queue", what.queue},
+                 {"kind", "test"},
+                 {"repeatable", what.repeatable},
+                 {"payload", payload.dump()}};
+    body.update(what.more);
+    return body.dump();
+}
+
+std::vector<net::http_header> headers_of(const std::string& key, const std::string& bearer) {
+    std::vector<net::http_header> out;
+    if (!key.empty()) {
+        out.push_back({"Idempotency-Key", key});
+    }
+    if (!bearer.empty()) {
+        out.push_back({"Authorization", "Bearer " + bearer});
+    }
+    return out;
+}
+
+call_result result_of(const net::http_result& result) {
+    if (!result) {
+        return {};
+    }
+    return {result->status, json::parse(result->body, nullptr, false)};
+}
+
+call_result submit_to(const net::endpoint& entry, const call_work& what) {
+    return result_of(call(entry, {net::http_method::post, what.job ? "/v1/jobs" : "/v1/requests",
+                                  "", headers_of(what.key, what.bearer), body_of(what)}));
+}
+
+}  // namespace
+
+json default_configuration() {
+    return {
+        {"teams", {{"survey", {{"home_region", "northcoast"}, {"share", 1}, {"upper_limit", 48}}}}},
+        {"queues",
+         {{"previews", queue("latency")},
+          {"mosaics", queue("must_finish")},
+          {"batches", queue("batch")},
+          {"gangs", queue("gang")}}},
+        {"cells",
+         {{"nc-a", {{"region", "northcoast"}, {"zone", "northcoast-a"}}},
+          {"nc-b", {{"region", "northcoast"}, {"zone", "northcoast-b"}}},
+          {"sv-a", {{"region", "southvale"}, {"zone", "southvale-a"}}}}}};
+}
+
+std::string call_result::answer() const {
+    if (!body.is_object() || !body.contains("answers") || body["answers"].empty()) {
+        return "";
+    }
+    return body["answers"][0].value("content", "");
+}
+
+crew::crew(crew_shape shape) : shape_(std::move(shape)) {
+    if (shape_.configuration.is_null()) {
+        shape_.configuration = default_configuration();
+    }
+    start_vms(shape_.fleet);
+    daemons_.resize(shape_.members.size());
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        start(i);
+    }
+    patch(0, shape_.configuration);
+    for (const auto& it : shape_.configuration.at("cells").items()) {
+        if (!wait_until_owned(it.key())) {
+            throw std::runtime_error("cell " + it.key() + " got no owner");
+        }
+    }
+}
+
+void crew::start(std::size_t i) {
+    const crew_member& member = shape_.members.at(i);
+    daemons_.at(i) =
+        start_daemon(member.vm, settings_text(member, platform(), shape_.more_settings));
+}
+
+void crew::restart(std::size_t i) {
+    start(i);
+}
+
+void crew::kill(std::size_t i) {
+    daemons_.at(i).running->signal(SIGKILL);
+    daemons_.at(i).running->wait_until_ended(generous);
+}
+
+call_result crew::submit(std::size_t entry, const call_work& what) const {
+    return submit_to(daemons_.at(entry).address, what);
+}
+
+std::future<call_result> crew::submit_later(std::size_t entry, const call_work& what) const {
+    return std::async(std::launch::async, submit_to, daemons_.at(entry).address, what);
+}
+
+call_result crew::get_job(std::size_t entry, const std::string& job,
+                          const std::string& bearer) const {
+    return result_of(call(daemons_.at(entry).address, {net::http_method::get, "/v1/jobs/" + job, "",
+                                                       headers_of("", bearer), ""}));
+}
+
+std::int64_t crew::patch(std::size_t entry, const json& change, const std::string& bearer) const {
+    std::int64_t version = 0;
+    const bool done = wait_until([&] {
+        const net::endpoint& to = daemons_.at(entry).address;
+        const auto headers = headers_of("", bearer);
+        const auto current =
+            result_of(call(to, {net::http_method::get, "/v1/config", "", headers, ""}));
+        if (current.status != ok) {
+            return false;
+        }
+        const std::string base =
+            "base=" + std::to_string(current.body.at("version").get<std::int64_t>());
+        const auto result = result_of(
+            call(to, {net::http_method::patch, "/v1/config", base, headers, change.dump()}));
+        if (result.status == ok) {
+            version = result.body.at("version");
+            return true;
+        }
+        if (result.status != conflict) {
+            throw std::runtime_error("patch refused: " + result.body.dump());
+        }
+        return false;
+    });
+    if (!done) {
+        throw std::runtime_error("the patch was not accepted in time");
+    }
+    return version;
+}
+
+std::optional<std::size_t> crew::owner_of(const std::string& cell) const {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        const auto seen =
+            result_of(call(daemons_[i].address, {net::http_method::get, "/v1/cells", "", {}, ""},
+                           base::milliseconds{2'000}));
+        if (seen.status != ok) {
+            continue;
+        }
+        for (const auto& it : seen.body.at("cells")) {
+            if (it.at("cell") == cell && it.at("here") == true) {
+                return i;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+bool crew::wait_until_owned(const std::string& cell) const {
+    return wait_until([&] { return owner_of(cell).has_value(); });
+}
+
+std::string crew::metrics(std::size_t entry) const {
+    const auto result =
+        call(daemons_.at(entry).address, {net::http_method::get, "/metrics", "", {}, ""});
+    return result ? result->body : "";
+}
+
+std::string crew::breaches() const {
+    const json verdict = judge();
+    return verdict.at("total") == 0 ? "" : verdict.dump();
+}
+
+}  // namespace cranberrydock::standins
