--- a/packages/cell/src/stage_admit.cpp
+++ b/packages/cell/src/stage_admit.cpp
@@ -20,15 +20,6 @@
             "use a new key for new work"};
 }
 
-bool has_task(const work_state& work, std::size_t index) {
-    const std::string name = work.what.job.str() + "/" + std::to_string(index);
-    return std::any_of(work.tasks.begin(), work.tasks.end(), [&](const task_state& it) {
-        const std::string& id = it.id.str();
-        return id.compare(0, name.size(), name) == 0 &&
-               (id.size() == name.size() || id[name.size()] == '@');
-    });
-}
-
 bool all_answered(const work_state& work) {
     return std::all_of(work.tasks.begin(), work.tasks.end(),
                        [](const task_state& it) { return it.answer.has_value(); });
@@ -92,11 +83,11 @@
     context_.trace(work, "admit", context_.settings.owner.str(), "taken in");
     const std::vector<task_state> earlier = work.tasks;
     for (std::size_t i = 0; i < work.what.task_count; ++i) {
-        if (has_task(work, i)) {
-            continue;
-        }
         task_state task;
         task.id = name_task(work.what, i, context_.settings.epoch);
+        if (context_.book.same_index(work, task.id) != nullptr) {
+            continue;
+        }
         context_.book.add_task(work, std::move(task));
     }
     if (work.what.durable) {
--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -163,14 +163,10 @@
 
 // A running attempt that this owner did not start: an earlier owner's, or nobody's.
 void collect_stage::adopt(vm_state& vm, const platform::running_task& seen) {
-    task_ref ref = context_.book.find_task(seen.task);
+    const task_ref ref = task_of_stray(seen.task, seen.team);
     if (!ref) {
-        work_state& work = work_of_stray(seen.task, seen.team);
-        task_state fresh;
-        fresh.id = seen.task;
-        fresh.phase = task_phase::held;
-        context_.book.add_task(work, std::move(fresh));
-        ref = context_.book.find_task(seen.task);
+        stop_stray(vm, seen.attempt);
+        return;
     }
     if (ref.task->current) {
         context_.promise_broken("task_in_two_places", "task " + seen.task.str() + " runs on " +
@@ -229,17 +225,39 @@
     return out;
 }
 
-work_state& collect_stage::work_of_stray(const base::task_id& task, const base::team_id& team) {
-    const base::job_id job = job_of(task);
-    if (work_state* const found = context_.book.find(job); found != nullptr) {
-        return *found;
-    }
-    work_state stray;
-    stray.what.job = job;
-    stray.what.team = team;
-    stray.known = false;
-    stray.accepted = context_.now;
-    return context_.book.add(std::move(stray));
+// Where an earlier owner's task belongs here: to the task of that name, in the place of one that
+// was queued anew for a retry, or to a work that is known only from it. Nothing when its work has
+// gone on without it.
+task_ref collect_stage::task_of_stray(const base::task_id& id, const base::team_id& team) {
+    if (const task_ref known = context_.book.find_task(id)) {
+        return known;
+    }
+    task_state fresh;
+    fresh.id = id;
+    fresh.phase = task_phase::held;
+    work_state* work = context_.book.find(job_of(id));
+    if (work == nullptr) {
+        work_state stray;
+        stray.what.job = job_of(id);
+        stray.what.team = team;
+        stray.known = false;
+        stray.accepted = context_.now;
+        work = &context_.book.add(std::move(stray));
+    }
+    task_state* const same = context_.book.same_index(*work, id);
+    if (same == nullptr) {
+        if (work->known) {
+            return {};
+        }
+        context_.book.add_task(*work, std::move(fresh));
+        return context_.book.find_task(id);
+    }
+    if (same->phase != task_phase::queued || work->outcome) {
+        return {};
+    }
+    context_.scheduler.cancel(same->id);
+    context_.book.replace_task(*same, std::move(fresh));
+    return context_.book.find_task(id);
 }
 
 // After a VM's first report nothing can start there but what this owner starts.
@@ -268,29 +286,22 @@
 // An answer whose attempt is not known here: an earlier owner's, which a retry may come for, or one
 // that was dealt with before.
 void collect_stage::adopt_finished(vm_state& vm, const platform::finished_task& seen) {
-    const task_ref ref = context_.book.find_task(seen.task);
+    const task_ref known = context_.book.find_task(seen.task);
     const auto origin = origin_of(seen.attempt, context_.settings.cell);
     const bool earlier = origin && origin->epoch < context_.settings.epoch;
     const bool wanted = seen.end == platform::task_end::completed && earlier &&
-                        (!ref || ref.task->phase == task_phase::held);
-    if (!wanted) {
-        const bool settled = !ref || ref.work->outcome_recorded || !ref.task->answer;
+                        (!known || known.task->phase == task_phase::held);
+    const task_ref ref = wanted ? task_of_stray(seen.task, seen.team) : task_ref{};
+    if (!ref) {
+        const bool settled = !known || known.work->outcome_recorded || !known.task->answer;
         if (settled) {
             vm.acknowledge.push_back(seen.attempt);
         }
         return;
     }
-    work_state& work = ref ? *ref.work : work_of_stray(seen.task, seen.team);
-    if (!ref) {
-        task_state fresh;
-        fresh.id = seen.task;
-        fresh.phase = task_phase::held;
-        context_.book.add_task(work, std::move(fresh));
-        context_.due.add(context_.now + context_.settings.retention, forget_due{work.what.job});
-    }
-    const task_ref kept = context_.book.find_task(seen.task);
-    context_.book.begin_attempt(*kept.task, attempt_on(vm, seen.attempt));
-    end_attempt(*kept.work, *kept.task, seen);
+    context_.due.add(context_.now + context_.settings.retention, forget_due{ref.work->what.job});
+    context_.book.begin_attempt(*ref.task, attempt_on(vm, seen.attempt));
+    end_attempt(*ref.work, *ref.task, seen);
 }
 
 void collect_stage::end_attempt(work_state& work, task_state& task,
--- a/packages/cell/src/stage_collect.hpp
+++ b/packages/cell/src/stage_collect.hpp
@@ -33,7 +33,7 @@
     void count_in(const vm_state& vm, const work_state& work, task_state& task,
                   const platform::running_task& seen);
     attempt attempt_on(const vm_state& vm, const base::attempt_id& id) const;
-    work_state& work_of_stray(const base::task_id& task, const base::team_id& team);
+    task_ref task_of_stray(const base::task_id& id, const base::team_id& team);
 
     cell_context& context_;
     dispatch_stage& dispatch_;
--- a/packages/cell/src/work_book.cpp
+++ b/packages/cell/src/work_book.cpp
@@ -44,6 +44,23 @@
     return kept;
 }
 
+task_state* work_book::same_index(work_state& work, const base::task_id& id) {
+    const std::string index = index_of(id);
+    for (auto& it : work.tasks) {
+        if (index_of(it.id) == index) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
+void work_book::replace_task(task_state& old, task_state task) {
+    const task_place place = tasks_.at(old.id);
+    tasks_.erase(old.id);
+    old = std::move(task);
+    tasks_[old.id] = place;
+}
+
 void work_book::remove(const base::job_id& job) {
     const auto it = works_.find(job);
     if (it == works_.end()) {
@@ -97,6 +114,12 @@
     return base::task_id(std::move(name));
 }
 
+std::string index_of(const base::task_id& task) {
+    const std::string& name = task.str();
+    const std::size_t begin = name.rfind(index_mark) + 1;
+    return name.substr(begin, name.find(epoch_mark, begin) - begin);
+}
+
 base::job_id job_of(const base::task_id& task) {
     return base::job_id(task.str().substr(0, task.str().rfind(index_mark)));
 }
--- a/packages/cell/src/work_book.hpp
+++ b/packages/cell/src/work_book.hpp
@@ -88,6 +88,12 @@
     task_ref find_task(const base::task_id& id);
     task_ref find_attempt(const base::attempt_id& id);
 
+    // The work's task of the same index as `id` names, whichever owner named it; null without one.
+    task_state* same_index(work_state& work, const base::task_id& id);
+
+    // Puts a task in the place of another that has no attempt.
+    void replace_task(task_state& old, task_state task);
+
     // Adds one more task to a work.
     task_state& add_task(work_state& work, task_state task);
 
@@ -119,6 +125,9 @@
 // sent again to a new owner.
 base::task_id name_task(const base::work& what, std::size_t index, base::epoch epoch);
 
+// Which of its work's tasks it is, in the text that every owner gives it.
+std::string index_of(const base::task_id& task);
+
 // The job that a task belongs to.
 base::job_id job_of(const base::task_id& task);
 
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -34,6 +34,14 @@
     return refused != nullptr && refused->not_run;
 }
 
+// An owner knows only what it did itself with the work.
+base::work_outcome outcome_of_all(base::work_outcome outcome, bool maybe_run) {
+    if (auto* const refused = std::get_if<base::refusal>(&outcome); refused != nullptr) {
+        refused->not_run = refused->not_run && !maybe_run;
+    }
+    return outcome;
+}
+
 }  // namespace
 
 work_forwarder::work_forwarder(const entry::configuration_source& configuration,
@@ -80,7 +88,6 @@
     }
     work.sent_to = *owner;
     work.sent = clock_.now();
-    work.maybe_taken = true;
     work.trace.push_back({"route", owner->str(), work.sent - work.accepted, base::microseconds{0},
                           "home cell " + work.home.str()});
 }
@@ -115,11 +122,11 @@
     work.trace.insert(work.trace.end(), trace.begin(), trace.end());
     if (goes_elsewhere(outcome)) {
         metrics_.count("cranberrydock_retries_total", "reason=\"owner_changed\"");
-        work.maybe_taken = work.maybe_taken && !says_not_run(outcome);
+        work.maybe_run = work.maybe_run || !says_not_run(outcome);
         retry_later(work);
         return;
     }
-    finish(id, {outcome, work.trace});
+    finish(id, {outcome_of_all(outcome, work.maybe_run), work.trace});
 }
 
 void work_forwarder::finish(std::int64_t id, entry::routed_outcome outcome) {
@@ -136,6 +143,7 @@
             it.second.trace.push_back({"route", peer.str(), clock_.now() - it.second.accepted,
                                        clock_.now() - it.second.sent,
                                        "link lost; sent again to whoever owns the cell"});
+            it.second.maybe_run = true;
             retry_later(it.second);
         }
     }
@@ -186,7 +194,7 @@
     const pending_work& work = pending_.at(id);
     base::refusal why;
     why.retry_after = retry_soon;
-    if (work.maybe_taken) {
+    if (work.maybe_run) {
         why.reason = base::refusal_reason::outcome_unknown;
         why.detail = "the owner of cell " + work.home.str() +
                      " can't be reached; send the same request with the same Idempotency-Key again";
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -64,8 +64,8 @@
         std::optional<base::daemon_id> sent_to;  // nothing: waits to be sent
         base::time_point sent{};
         base::time_point next_try{};
-        // Whether an owner may have it: then nothing but an owner's answer says "not run".
-        bool maybe_taken = false;
+        // Whether an earlier owner may have run it: then no later owner's "not run" is the truth.
+        bool maybe_run = false;
         std::vector<base::trace_step> trace;
     };
 
