Cell: allowances, the division of a team's upper limit among cells

Cause: a team's limit holds over the fleet, while each cell starts tasks by itself.

allowance.hpp (pure division) and allowance_keeper (state machine of a cell's owner). `unheard` slots protect a part but are not counted as wanted.

Weighed for a lowered limit: each cell down to its fair part. Ruled out, as a cell below its fair part could start while the others are still above; so while the parts' sum is above the limit nobody starts and everybody gives back what is idle.

--- /dev/null
+++ b/packages/cell/src/allowance.cpp
@@ -0,0 +1,154 @@
+// Dividing a limit among cells.
+#include <cranberrydock/cell/allowance.hpp>
+
+#include "json_fields.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace cranberrydock::cell {
+
+namespace {
+
+using base::slot_count;
+
+// The max-min fair level: cells that want less keep what they want, the others get this much.
+slot_count fair_level(const allowance_row& row, slot_count upper_limit,
+                      const allowance_demand& own) {
+    std::vector<std::int64_t> wants = {own.wanted.value()};
+    for (const auto& it : row.parts) {
+        if (it.cell != own.cell) {
+            wants.push_back((it.slots + it.unmet).value());
+        }
+    }
+    std::sort(wants.begin(), wants.end());
+    std::int64_t left = upper_limit.value();
+    auto cells = static_cast<std::int64_t>(wants.size());
+    for (const auto want : wants) {
+        if (want * cells > left) {
+            break;
+        }
+        left -= want;
+        --cells;
+    }
+    return slot_count(cells > 0 ? left / cells : upper_limit.value());
+}
+
+// The most that the cell may have: when another lacks slots and is below the fair level, no more
+// than that level. What rounding leaves over stays with whoever has it.
+slot_count fair_bound(const allowance_row& row, slot_count upper_limit,
+                      const allowance_demand& own) {
+    const auto level = fair_level(row, upper_limit, own);
+    const bool others_lack = std::any_of(row.parts.begin(), row.parts.end(), [&](const auto& it) {
+        return it.cell != own.cell && it.unmet > slot_count(0) && it.slots < level;
+    });
+    return others_lack ? level : upper_limit;
+}
+
+// Whether the stated lack has changed enough to be worth a write.
+bool unmet_differs(slot_count before, slot_count now) {
+    const bool any_before = before > slot_count(0);
+    const bool any_now = now > slot_count(0);
+    return any_before != any_now || now.value() > 2 * before.value() ||
+           before.value() > 2 * now.value();
+}
+
+void set_part(allowance_row& row, const cell_part& part) {
+    auto& parts = row.parts;
+    parts.erase(std::remove_if(parts.begin(), parts.end(),
+                               [&](const auto& it) { return it.cell == part.cell; }),
+                parts.end());
+    if (part.slots > slot_count(0) || part.unmet > slot_count(0)) {
+        parts.push_back(part);
+    }
+}
+
+}  // namespace
+
+platform::row_key allowance_row_key(const base::team_id& team) {
+    return platform::row_key(allowance_prefix + team.str());
+}
+
+std::string encode(const allowance_row& row) {
+    auto parts = nlohmann::json::array();
+    for (const auto& it : row.parts) {
+        parts.push_back(
+            {{"cell", it.cell.str()}, {"slots", it.slots.value()}, {"unmet", it.unmet.value()}});
+    }
+    const nlohmann::json object = {{"team", row.team.str()}, {"parts", std::move(parts)}};
+    return object.dump();
+}
+
+tl::expected<allowance_row, base::findings> decode_allowance(const std::string& text) {
+    base::findings faults;
+    const auto object = detail::parse_object(text, faults);
+    detail::json_fields fields(object, "", faults);
+    allowance_row row;
+    row.team = fields.id<base::team_id>("team");
+    int index = 0;
+    for (const auto& it : fields.list("parts")) {
+        const auto place = fields.place_of("parts") + "/" + std::to_string(index++);
+        detail::json_fields part(it, place, faults);
+        cell_part one;
+        one.cell = part.id<base::cell_id>("cell");
+        one.slots = part.count<slot_count>("slots");
+        one.unmet = part.count<slot_count>("unmet");
+        if (one.slots < slot_count(0) || one.unmet < slot_count(0)) {
+            faults.add({place, "no negative count", it.dump(), ""});
+        }
+        row.parts.push_back(std::move(one));
+    }
+    if (!faults.empty()) {
+        return tl::make_unexpected(faults);
+    }
+    return row;
+}
+
+slot_count sum_of(const allowance_row& row) {
+    slot_count result{0};
+    for (const auto& it : row.parts) {
+        result += it.slots;
+    }
+    return result;
+}
+
+cell_part part_of(const allowance_row& row, const base::cell_id& cell) {
+    for (const auto& it : row.parts) {
+        if (it.cell == cell) {
+            return it;
+        }
+    }
+    return {cell, slot_count(0), slot_count(0)};
+}
+
+slot_count start_bound(const allowance_row& row, slot_count upper_limit,
+                       const allowance_demand& own) {
+    if (sum_of(row) > upper_limit) {
+        return slot_count(0);
+    }
+    return std::min(part_of(row, own.cell).slots, fair_bound(row, upper_limit, own));
+}
+
+std::optional<allowance_row> next_row(const allowance_row& current, slot_count upper_limit,
+                                      const allowance_demand& own) {
+    const auto part = part_of(current, own.cell);
+    const auto sum = sum_of(current);
+    const auto kept = std::min(own.in_use, part.slots);
+    auto target = part.slots;
+    if (sum > upper_limit) {
+        target -= sum - upper_limit;
+    } else {
+        target = std::min(own.wanted, upper_limit - (sum - part.slots));
+        target = std::min(target, fair_bound(current, upper_limit, own));
+    }
+    target = std::max(target, kept);
+    const auto unmet = std::max(slot_count(0), own.wanted - target);
+    if (target == part.slots && !unmet_differs(part.unmet, unmet)) {
+        return std::nullopt;
+    }
+    auto result = current;
+    set_part(result, {own.cell, target, unmet});
+    return result;
+}
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/packages/cell/src/allowance_keeper.cpp
@@ -0,0 +1,217 @@
+// The keeper of one cell's parts.
+#include <cranberrydock/cell/allowance_keeper.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cranberrydock::cell {
+
+using base::slot_count;
+
+std::vector<allowance_effect> allowance_keeper::handle(const allowance_event& event,
+                                                       base::time_point now) {
+    out_.clear();
+    std::map<base::team_id, slot_count> before;
+    for (const auto& it : teams_) {
+        before[it.first] = usable(it.second);
+    }
+    std::visit([&](const auto& one) { on(one, now); }, event);
+    for (auto& it : teams_) {
+        write(it.second, now);
+    }
+    scan(now);
+    for (const auto& it : teams_) {
+        if (usable(it.second) > before[it.first]) {
+            out_.push_back(allowance_grown{it.first});
+        }
+    }
+    return std::exchange(out_, {});
+}
+
+// ---- what may be used
+
+slot_count allowance_keeper::usable(const base::team_id& team) const {
+    const auto it = teams_.find(team);
+    return it != teams_.end() ? usable(it->second) : slot_count(0);
+}
+
+slot_count allowance_keeper::usable(const team_state& team) const {
+    if (!team.known) {
+        return slot_count(0);
+    }
+    const auto bound =
+        std::min(held(team), start_bound(team.row, team.upper_limit, demand_of(team)));
+    const auto free = bound - team.running - team.unheard;
+    return std::max(slot_count(0), free);
+}
+
+slot_count allowance_keeper::bound(const base::team_id& team) const {
+    const auto it = teams_.find(team);
+    if (it == teams_.end() || !it->second.known) {
+        return slot_count(0);
+    }
+    const auto& one = it->second;
+    return std::min(held(one), start_bound(one.row, one.upper_limit, demand_of(one)));
+}
+
+slot_count allowance_keeper::held(const team_state& team) const {
+    auto result = part_of(team.row, settings_.cell).slots;
+    if (team.in_flight) {
+        result = std::min(result, part_of(team.in_flight->row, settings_.cell).slots);
+    }
+    for (const auto& it : team.lost) {
+        result = std::min(result, part_of(it.row, settings_.cell).slots);
+    }
+    return result;
+}
+
+allowance_demand allowance_keeper::demand_of(const team_state& team) const {
+    const auto in_use = team.running + team.unheard;
+    return {settings_.cell, in_use, std::max(team.running + team.queued, team.peak)};
+}
+
+// ---- events
+
+void allowance_keeper::on(const tick&, base::time_point now) {
+    for (auto& it : teams_) {
+        auto& team = it.second;
+        if (now - team.peak_since >= settings_.idle_time) {
+            team.peak = team.running + team.queued;
+            team.peak_since = now;
+        }
+    }
+}
+
+void allowance_keeper::on(const limits_known& event, base::time_point) {
+    for (auto& it : teams_) {
+        it.second.upper_limit = slot_count(0);
+    }
+    for (const auto& it : event.limits) {
+        state_of(it.team).upper_limit = it.upper_limit;
+    }
+}
+
+void allowance_keeper::on(const demand_changed& event, base::time_point now) {
+    auto& team = state_of(event.team);
+    team.running = event.running;
+    team.unheard = event.unheard;
+    team.queued = event.queued;
+    const auto wanted = event.running + event.queued;
+    if (wanted >= team.peak) {
+        team.peak = wanted;
+        team.peak_since = now;
+    }
+}
+
+void allowance_keeper::on(const allowances_scanned& event, base::time_point) {
+    if (scan_operation_ != event.operation) {
+        return;
+    }
+    scan_operation_.reset();
+    if (!event.rows) {
+        return;
+    }
+    std::set<base::team_id> seen;
+    for (const auto& it : *event.rows) {
+        const auto row = decode_allowance(it.value);
+        if (row) {
+            seen.insert(row->team);
+            take_in(state_of(row->team), *row, it.version);
+        }
+    }
+    for (auto& it : teams_) {
+        if (seen.count(it.first) == 0) {
+            take_in(it.second, {it.first, {}}, platform::row_version(0));
+        }
+    }
+}
+
+void allowance_keeper::take_in(team_state& team, const allowance_row& row,
+                               platform::row_version version) {
+    // Rows are never deleted, so a lower version is an older one.
+    if (!team.known || version > team.version) {
+        team.row = row;
+        team.version = version;
+        team.known = true;
+        auto& lost = team.lost;
+        lost.erase(std::remove_if(lost.begin(), lost.end(),
+                                  [&](const auto& it) { return it.condition < version; }),
+                   lost.end());
+    }
+    if (!team.certain && !team.in_flight && scan_sent_ >= team.doubt_since) {
+        team.certain = true;
+    }
+}
+
+void allowance_keeper::on(const commit_finished& event, base::time_point now) {
+    for (auto& it : teams_) {
+        if (it.second.operation == event.operation) {
+            finish_write(it.second, event, now);
+            return;
+        }
+    }
+}
+
+void allowance_keeper::finish_write(team_state& team, const commit_finished& event,
+                                    base::time_point now) {
+    auto sent = std::move(*team.in_flight);
+    team.operation.reset();
+    team.in_flight.reset();
+    if (event.result) {
+        take_in(team, sent.row, event.result->versions.front());
+        return;
+    }
+    if (event.result.error() == platform::store_error::unavailable) {
+        return;
+    }
+    if (event.result.error() == platform::store_error::answer_lost &&
+        sent.condition == team.version) {
+        team.lost.push_back(std::move(sent));
+    }
+    team.certain = false;
+    team.doubt_since = now;
+    next_scan_ = now;
+}
+
+// ---- effects
+
+void allowance_keeper::write(team_state& team, base::time_point now) {
+    if (!team.certain || team.in_flight || now < team.next_write) {
+        return;
+    }
+    auto next = next_row(team.row, team.upper_limit, demand_of(team));
+    if (!next && !team.lost.empty()) {
+        next = team.row;  // another version: after it no lost write can be applied
+    }
+    if (!next) {
+        return;
+    }
+    const auto key = allowance_row_key(team.row.team);
+    team.operation = operation_ = operation_.next();
+    team.in_flight = sent_write{team.version, *next};
+    team.next_write = now + settings_.write_interval;
+    out_.push_back(
+        commit{operation_, {{{key, team.version}, settings_.guard}, {{key, encode(*next)}}}});
+}
+
+void allowance_keeper::scan(base::time_point now) {
+    if (scan_operation_ || now < next_scan_) {
+        return;
+    }
+    scan_operation_ = operation_ = operation_.next();
+    scan_sent_ = now;
+    next_scan_ = now + settings_.scan_period;
+    out_.push_back(scan_allowances{operation_});
+}
+
+allowance_keeper::team_state& allowance_keeper::state_of(const base::team_id& team) {
+    const auto it = teams_.find(team);
+    if (it != teams_.end()) {
+        return it->second;
+    }
+    auto& made = teams_[team];
+    made.row.team = team;
+    return made;
+}
+
+}  // namespace cranberrydock::cell
--- /dev/null
+++ b/test/correctness/an_allowance_counts_no_more_than_the_store_has.cpp
@@ -0,0 +1,100 @@
+// A reduction counts from its sending on, and after a lost answer until it can't be applied late; a
+// raise counts only when it is confirmed or read back.
+#include <cranberrydock/cell/allowance_keeper.hpp>
+
+#include "standins/table_model.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cranberrydock;
+using base::slot_count;
+
+namespace {
+
+const base::team_id team("t");
+const base::cell_id cell_a("a");
+
+// One keeper, whose store operations the test answers by hand.
+class allowance : public ::testing::Test {
+protected:
+    allowance() : keeper_(settings()) { run(cell::limits_known{{{team, slot_count(10)}}}, 0); }
+
+    static cell::allowance_settings settings() {
+        cell::allowance_settings result;
+        result.cell = cell_a;
+        result.guard = {platform::row_key("cell/a"), platform::row_version(0)};
+        return result;
+    }
+
+    static base::time_point at(int milliseconds) {
+        return base::time_point(base::milliseconds(milliseconds));
+    }
+
+    void demand(int running, int queued, int when) {
+        run({cell::demand_changed{team, slot_count(running), slot_count(0), slot_count(queued)}},
+            when);
+    }
+
+    // Feeds the event; answers scans at once and keeps the last commit.
+    void run(const cell::allowance_event& event, int when) {
+        for (const auto& it : keeper_.handle(event, at(when))) {
+            if (const auto* scan = std::get_if<cell::scan_allowances>(&it)) {
+                run(cell::allowances_scanned{scan->operation, table_.scan("allowance/")}, when);
+            } else if (const auto* commit = std::get_if<cell::commit>(&it)) {
+                commit_ = *commit;
+            }
+        }
+    }
+
+    void confirm(int when) {
+        run(cell::commit_finished{commit_.operation, table_.commit(commit_.what)}, when);
+    }
+
+    void lose_answer(int when) {
+        run(cell::commit_finished{commit_.operation,
+                                  tl::make_unexpected(platform::store_error::answer_lost)},
+            when);
+    }
+
+    // Holds a part of 8, wanted only at first; returns when the reduction has just been sent.
+    void reduce() {
+        demand(0, 8, 0);
+        confirm(100);
+        ASSERT_EQ(keeper_.usable(team), slot_count(8));
+        demand(0, 0, 200);
+        run(cell::tick{}, 20'000);
+        run(cell::tick{}, 30'000);
+    }
+
+    standins::table_model table_;
+    cell::allowance_keeper keeper_;
+    cell::commit commit_;
+};
+
+}  // namespace
+
+TEST_F(allowance, a_raise_counts_when_it_is_confirmed) {
+    demand(0, 5, 0);
+    EXPECT_EQ(keeper_.usable(team), slot_count(0));
+    confirm(100);
+    EXPECT_EQ(keeper_.usable(team), slot_count(5));
+}
+
+TEST_F(allowance, a_reduction_counts_from_its_sending) {
+    reduce();
+    demand(0, 8, 30'100);
+    EXPECT_EQ(keeper_.usable(team), slot_count(0));
+}
+
+TEST_F(allowance, a_lost_reduction_counts_until_it_cannot_be_applied) {
+    reduce();
+    const auto late = commit_;
+    demand(0, 8, 30'100);
+    lose_answer(30'200);
+    // The row was read back with the old part and is being written anew: until that is confirmed
+    // the late reduction may still be applied.
+    EXPECT_EQ(keeper_.usable(team), slot_count(0));
+    confirm(30'300);
+    EXPECT_EQ(keeper_.usable(team), slot_count(8));
+    EXPECT_FALSE(table_.commit(late.what));
+}
