--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -18,14 +18,12 @@
                        const base::clock& clock, base::metrics& metrics,
                        owned_cell_listener& listener)
     : id_(start.cell),
-      loop_(loop),
       vms_(vms),
       clock_(clock),
       listener_(listener),
       scheduler_(policy::make_scheduler()),
       machine_(std::move(settings), *scheduler_, metrics),
-      journal_(start, loop, table, clock,
-               [this](const cell::cell_event& event) { handle(event); }) {
+      journal_(start, loop, table, clock, *this) {
     journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
 }
 
--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/mesh/messages.hpp>
+#include <cranberrydock/mesh/round_trip_history.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
 
@@ -25,6 +26,7 @@
     bool up = false;  // heard from within the deadline
     base::time_point last_heard{};
     base::microseconds round_trip{0};  // smoothed; 0 before the first
+    round_trip_summary round_trips;
     base::byte_count sent;
     base::byte_count received;
 };
@@ -45,7 +47,7 @@
     std::string secret;  // shared by all daemons; a peer proves it before anything is read from it
     base::milliseconds heartbeat_period{500};
     base::milliseconds silence_deadline{2'000};  // a link that is silent for so long is opened anew
-    base::byte_count max_frame{16 * 1024 * 1024};
+    base::byte_count max_frame{16 * 1024 * 1024};   // of one message or frame, both ways
     base::byte_count max_queued{64 * 1024 * 1024};  // per link; more is refused, not dropped later
 };
 
