--- /dev/null
+++ b/test/property/a_journal_loses_nothing_and_writes_nothing_twice.cpp
@@ -0,0 +1,227 @@
+// A journal's writer against a model of the table service: answers are lost, writes come late, the
+// store goes, and at some point another owner takes the cell, reads the rows and compacts them.
+#include <cranberrydock/cell/journal_writer.hpp>
+#include <cranberrydock/cell/record_codec.hpp>
+
+#include "standins/table_model.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace cranberrydock;
+using cell::record_id;
+
+const base::cell_id cell_name("a");
+const platform::row_key guard("cell/a");
+
+class journal_world {
+public:
+    explicit journal_world(std::uint64_t seed) : random_(seed), writer_(settings()) {}
+
+    void step() {
+        now_ += base::milliseconds(pick(100));
+        const auto action = pick(100);
+        if (action < 35) {
+            append();
+        } else if (action < 60) {
+            answer(true);
+        } else if (action < 70) {
+            apply_late();
+        } else if (action < 99) {
+            carry_out(writer_.tick(now_));
+        } else if (pick(4) == 0) {
+            take_over();
+        }
+    }
+
+    // A store without faults, until the writer has nothing more to do.
+    bool settle() {
+        for (int i = 0; i < 1'000 && !(writer_.idle() && !operation_); ++i) {
+            now_ += base::milliseconds(100);
+            answer(false);
+            carry_out(writer_.tick(now_));
+        }
+        while (!late_.empty()) {
+            apply_late();
+        }
+        return writer_.idle();
+    }
+
+    void judge() {
+        std::multiset<std::string> found(taken_over_.begin(), taken_over_.end());
+        for (const auto& it : read_rows()) {
+            found.insert(it);
+        }
+        for (std::int64_t id = 1; id <= last_id_; ++id) {
+            const auto n = found.count(std::to_string(id));
+            const auto fate = fates_.find(record_id(id));
+            RC_ASSERT(fate != fates_.end());
+            RC_ASSERT(n <= 1U);
+            RC_ASSERT(!(fate->second == fate_kind::durable && n == 0));
+            RC_ASSERT(!(fate->second == fate_kind::not_written && n == 1));
+        }
+        RC_ASSERT(!wrote_after_takeover_);
+    }
+
+    std::size_t count(bool durable) const {
+        const auto kind = durable ? fate_kind::durable : fate_kind::unknown;
+        return static_cast<std::size_t>(std::count_if(
+            fates_.begin(), fates_.end(), [&](const auto& it) { return it.second == kind; }));
+    }
+
+private:
+    enum class fate_kind { durable, not_written, unknown };
+
+    cell::journal_settings settings() {
+        table_.commit({{}, {{guard, "1"}}});
+        cell::journal_settings result;
+        result.cell = cell_name;
+        result.epoch = base::epoch(1);
+        result.guard = {guard, table_.version(guard)};
+        result.records_per_row = 3;
+        return result;
+    }
+
+    void append() {
+        cell::not_run_record record;
+        record.task = base::task_id(std::to_string(++last_id_));
+        carry_out(writer_.append(record_id(last_id_), record, now_));
+    }
+
+    void carry_out(const std::vector<cell::journal_effect>& effects) {
+        for (const auto& it : effects) {
+            if (const auto* done = std::get_if<cell::records_durable>(&it)) {
+                settle_fate(done->records, fate_kind::durable);
+            } else if (const auto* failed = std::get_if<cell::records_failed>(&it)) {
+                settle_fate(failed->records,
+                            failed->may_be_written ? fate_kind::unknown : fate_kind::not_written);
+            } else {
+                RC_ASSERT(!operation_);
+                operation_ = it;
+            }
+        }
+    }
+
+    void settle_fate(const std::vector<record_id>& ids, fate_kind fate) {
+        for (const auto& id : ids) {
+            RC_ASSERT(fates_.emplace(id, fate).second);
+        }
+    }
+
+    void answer(bool faults) {
+        if (!operation_) {
+            return;
+        }
+        const auto what = *operation_;
+        operation_.reset();
+        const auto kind = faults ? pick(10) : 0;
+        if (const auto* read = std::get_if<cell::journal_read>(&what)) {
+            tl::expected<std::optional<platform::row>, platform::store_error> result;
+            if (kind >= 7) {
+                result = tl::make_unexpected(platform::store_error::unavailable);
+            } else if (const auto* row = table_.find(read->key)) {
+                result = *row;
+            }
+            carry_out(writer_.read_back(result, now_));
+            return;
+        }
+        const auto& commit = std::get<cell::journal_commit>(what).what;
+        tl::expected<platform::commit_result, platform::store_error> result;
+        if (kind < 4) {
+            result = apply(commit);
+        } else if (kind < 5) {
+            result = tl::make_unexpected(platform::store_error::unavailable);
+        } else {
+            result = tl::make_unexpected(platform::store_error::answer_lost);
+            if (kind < 7) {
+                apply(commit);
+            } else if (kind < 9) {
+                late_.push_back(commit);
+            }
+        }
+        carry_out(writer_.committed(result, now_));
+    }
+
+    void apply_late() {
+        if (!late_.empty()) {
+            apply(late_.front());
+            late_.pop_front();
+        }
+    }
+
+    tl::expected<platform::commit_result, platform::store_error> apply(
+        const platform::transaction& what) {
+        auto result = table_.commit(what);
+        wrote_after_takeover_ = wrote_after_takeover_ || (result && taken_);
+        return result;
+    }
+
+    std::vector<std::string> read_rows() const {
+        std::vector<std::string> result;
+        for (const auto& row : table_.scan(cell::journal_prefix(cell_name).str())) {
+            const auto records = cell::decode_records(row.value);
+            RC_ASSERT(records.has_value());
+            for (const auto& it : *records) {
+                result.push_back(std::get<cell::not_run_record>(it).task.str());
+            }
+        }
+        return result;
+    }
+
+    // The next owner reads everything, and deletes the rows once it has a snapshot of its own.
+    void take_over() {
+        table_.commit({{}, {{guard, "2"}}});
+        taken_ = true;
+        const auto records = read_rows();
+        taken_over_.insert(taken_over_.end(), records.begin(), records.end());
+        RC_ASSERT(std::is_sorted(records.begin(), records.end(), [](const auto& a, const auto& b) {
+            return std::stoll(a) < std::stoll(b);
+        }));
+        for (const auto& it : table_.scan(cell::journal_prefix(cell_name).str())) {
+            table_.commit({{}, {{it.key, std::nullopt}}});
+        }
+    }
+
+    std::int64_t pick(std::int64_t n) {
+        return std::uniform_int_distribution<std::int64_t>(0, n - 1)(random_);
+    }
+
+    std::mt19937_64 random_;
+    standins::table_model table_;
+    cell::journal_writer writer_;
+    base::time_point now_;
+    std::int64_t last_id_ = 0;
+    std::optional<cell::journal_effect> operation_;
+    std::list<platform::transaction> late_;
+    std::map<record_id, fate_kind> fates_;
+    std::vector<std::string> taken_over_;
+    bool taken_ = false;
+    bool wrote_after_takeover_ = false;
+};
+
+}  // namespace
+
+TEST(journal, loses_nothing_and_writes_nothing_twice) {
+    std::size_t durable = 0;
+    std::size_t unknown = 0;
+    EXPECT_TRUE(rc::check("durable is there once, not written is not there", [&] {
+        journal_world world(*rc::gen::arbitrary<std::uint64_t>());
+        for (int i = 0; i < 1'000; ++i) {
+            world.step();
+        }
+        RC_ASSERT(world.settle());
+        world.judge();
+        durable += world.count(true);
+        unknown += world.count(false);
+    }));
+    EXPECT_GT(durable, 1'000U);
+    EXPECT_GT(unknown, 20U);
+}
