policy: learnt sizes as used and as a multiple of what was declared, the lower counts

Cause: tasks of one kind that differ in size and declare it were all reserved for as the largest of them; a margin was added even where declarations hold.

--- a/packages/policy/src/cell_scheduler.cpp
+++ b/packages/policy/src/cell_scheduler.cpp
@@ -109,7 +109,7 @@
         return;
     }
     if (!measured(one->excess)) {
-        one->kind->estimate.add_usage(used);
+        one->kind->estimate.add_usage(used, one->need);
     }
     vms_.charge(one->where, excess - one->excess);
     one->excess = excess;
@@ -205,7 +205,7 @@
     if (what.end == end_kind::completed) {
         kind.estimate.add_run_time(what.ran_for);
         if (measured(what.peak_usage)) {
-            kind.estimate.add_usage(what.peak_usage);
+            kind.estimate.add_usage(what.peak_usage, one->need);
         }
     }
     if (vms_.known(where)) {
--- a/packages/policy/src/usage_estimate.cpp
+++ b/packages/policy/src/usage_estimate.cpp
@@ -26,18 +26,31 @@
 // Declared sizes are off by at most this factor, in either direction.
 constexpr double declared_error = 5.0;
 
-// What to reserve of one resource: `seen` is what such tasks use at most, nearly always.
+// What to reserve of one resource: `seen` is what such a task uses at most, nearly always.
 double reserved(double declared, double seen, std::size_t samples) {
     if (samples < samples_to_raise) {
         return declared;
     }
-    if (seen * margin_above_seen >= declared) {
+    if (seen > declared) {
         return std::min(seen * margin_above_seen, declared * declared_error);
     }
     if (samples < samples_to_lower) {
         return declared;
     }
-    return std::clamp(seen * margin_when_lowering, declared / declared_error, declared);
+    return std::min(declared, std::max(seen * margin_when_lowering, declared / declared_error));
+}
+
+// Used and declared amounts of one resource, as numbers.
+struct amount_pair {
+    double used = 0;
+    double declared = 0;
+
+    double ratio() const { return declared > 0 ? used / declared : 1; }
+};
+
+template <typename Unit>
+amount_pair pair_of(Unit used, Unit declared) {
+    return {static_cast<double>(used.value()), static_cast<double>(declared.value())};
 }
 
 template <typename Unit>
@@ -50,7 +63,9 @@
 
 struct usage_estimate::window {
     quantile cores{acc::quantile_probability = cores_quantile};
+    quantile cores_ratio{acc::quantile_probability = cores_quantile};  // used to declared
     maximum memory;  // cores can be shared for a while; memory that is missing ends a task
+    maximum memory_ratio;
     quantile run_time{acc::quantile_probability = 0.5};
     std::size_t samples = 0;
     std::size_t run_times = 0;
@@ -66,9 +81,13 @@
     }
 }
 
-void usage_estimate::add_usage(const base::resources& used) {
-    learning_->cores(static_cast<double>(used.cores.value()));
-    learning_->memory(static_cast<double>(used.memory.value()));
+void usage_estimate::add_usage(const base::resources& used, const base::resources& declared) {
+    const amount_pair cores = pair_of(used.cores, declared.cores);
+    const amount_pair memory = pair_of(used.memory, declared.memory);
+    learning_->cores(cores.used);
+    learning_->cores_ratio(cores.ratio());
+    learning_->memory(memory.used);
+    learning_->memory_ratio(memory.ratio());
     ++learning_->samples;
     if (learning_->samples >= samples_a_window) {
         renew();
@@ -93,12 +112,15 @@
     if (seen.samples < samples_to_raise) {
         return declared;
     }
+    const auto cores = static_cast<double>(declared.cores.value());
+    const auto memory = static_cast<double>(declared.memory.value());
+    const double cores_seen = std::min(acc::p_square_quantile(seen.cores),
+                                       cores * acc::p_square_quantile(seen.cores_ratio));
+    const double memory_seen =
+        std::min(acc::max(seen.memory), memory * acc::max(seen.memory_ratio));
     base::resources result = declared;
-    result.cores =
-        rounded_up<base::millicores>(reserved(static_cast<double>(declared.cores.value()),
-                                              acc::p_square_quantile(seen.cores), seen.samples));
-    result.memory = rounded_up<base::mebibytes>(reserved(
-        static_cast<double>(declared.memory.value()), acc::max(seen.memory), seen.samples));
+    result.cores = rounded_up<base::millicores>(reserved(cores, cores_seen, seen.samples));
+    result.memory = rounded_up<base::mebibytes>(reserved(memory, memory_seen, seen.samples));
     return result;
 }
 
--- a/packages/policy/src/usage_estimate.hpp
+++ b/packages/policy/src/usage_estimate.hpp
@@ -19,14 +19,16 @@
     usage_estimate& operator=(const usage_estimate&) = delete;
 
     // The peak usage of a task that has completed, or the usage of one that still runs when it is
-    // above what was reserved for it.
-    void add_usage(const base::resources& used);
+    // above what was reserved for it; `declared` is what it had declared.
+    void add_usage(const base::resources& used, const base::resources& declared);
     // How long a task ran that has completed.
     void add_run_time(base::duration ran_for);
 
     // What to reserve for a task that declares `declared`: more or less cores and memory than it
-    // says once enough is known, within the bounds by which declarations are off. Slots and
-    // accelerators stay as declared, since they are counted and not measured.
+    // says once enough is known, within the bounds by which declarations are off. Usage is learnt
+    // both as it is and as a multiple of what was declared, and the lower of the two counts: the
+    // one holds when tasks are alike and declarations are not, the other when tasks differ and say
+    // so. Slots and accelerators stay as declared, since they are counted and not measured.
     base::resources reserve(const base::resources& declared) const;
 
     // The median run time; as declared, shortened to what is certain, until enough is known.
