--- a/test/performance/waiting.cpp
+++ b/test/performance/waiting.cpp
@@ -69,21 +69,8 @@
 }
 
 outcome run(std::unique_ptr<policy::scheduler> sched, double load) {
-    sched->set_queues({{base::queue_name("latency"), policy::queue_kind::latency, 10'000},
-                       {base::queue_name("must_finish"), policy::queue_kind::must_finish, 10'000},
-                       {base::queue_name("batch"), policy::queue_kind::batch, 10'000}});
-    std::vector<policy::team_rules> rules;
-    rules.reserve(teams);
-    for (int i = 0; i < teams; ++i) {
-        rules.push_back({base::team_id("team" + std::to_string(i)), 1, base::slot_count(100'000),
-                         base::slot_count(0)});
-    }
-    sched->set_teams(rules);
-    for (int i = 0; i < vms; ++i) {
-        sched->put_vm(standard_vm(i));
-    }
     outcome result;
-    event_loop_of_a_cell cell(std::move(sched));
+    event_loop_of_a_cell cell(set_up(std::move(sched), vms, std::vector<double>(teams, 1.0)));
     add_arrivals(cell, load);
     cell.on_started = [&](const workload_task& one, base::time_point now) {
         if (one.declared.deadline) {
--- a/test/performance/workload.hpp
+++ b/test/performance/workload.hpp
@@ -63,6 +63,32 @@
 // How late a VM reports what a task uses.
 constexpr base::duration report_lag = base::seconds(2);
 
+inline base::team_id team_named(int n) {
+    return base::team_id("team" + std::to_string(n));
+}
+
+// A cell with one queue of each kind, and a team for each weight.
+inline std::unique_ptr<policy::scheduler> set_up(std::unique_ptr<policy::scheduler> sched, int vms,
+                                                 const std::vector<double>& weights,
+                                                 int first_vm = 0) {
+    constexpr std::size_t most_queued = 10'000;
+    sched->set_queues(
+        {{base::queue_name("latency"), policy::queue_kind::latency, most_queued},
+         {base::queue_name("must_finish"), policy::queue_kind::must_finish, most_queued},
+         {base::queue_name("batch"), policy::queue_kind::batch, most_queued}});
+    std::vector<policy::team_rules> rules;
+    rules.reserve(weights.size());
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        rules.push_back({team_named(static_cast<int>(i)), weights[i], base::slot_count(1'000'000),
+                         base::slot_count(0)});
+    }
+    sched->set_teams(rules);
+    for (int i = 0; i < vms; ++i) {
+        sched->put_vm(standard_vm(first_vm + i));
+    }
+    return sched;
+}
+
 // A task with what it really needs, which the scheduler learns only from reports.
 struct workload_task {
     policy::task declared;
