policy: teams above their share leave a little of the cell idle for larger work below its share

Cause: small tasks fill every gap at once, so that larger tasks of teams below their share only got room by reservation, and a flooding team's small urgent tasks got half as much again as its entitlement. Conclusion: a setting, idle_for_shares = 0.02.

--- a/packages/policy/include/cranberrydock/policy/scheduler_settings.hpp
+++ b/packages/policy/include/cranberrydock/policy/scheduler_settings.hpp
@@ -20,6 +20,10 @@
     // Tasks and gangs for which room is kept at once.
     std::size_t most_reservations = 4;
 
+    // Part of the cell that teams above their share leave idle while work of teams below theirs
+    // finds no room, 0 to 1.
+    double idle_for_shares = 0.02;
+
     // Part of a cell's VMs that may be in quarantine at once, 0 to 1; rounded down.
     double most_quarantined = 0.2;
     // How long after its quarantine began a VM gets its first probe; twice as long after each
--- a/packages/policy/src/fair_share.cpp
+++ b/packages/policy/src/fair_share.cpp
@@ -20,6 +20,17 @@
                      part(used.accelerators, total_.accelerators), part(used.slots, total_.slots)});
 }
 
+double fair_share::scarcest(const base::resources& room) const {
+    double least = 1;
+    const auto consider = [&](double one, bool counts) {
+        least = counts ? std::min(least, one) : least;
+    };
+    consider(part(room.cores, total_.cores), total_.cores.value() > 0);
+    consider(part(room.memory, total_.memory), total_.memory.value() > 0);
+    consider(part(room.slots, total_.slots), total_.slots.value() > 0);
+    return least;
+}
+
 double fair_share::of_team(const base::resources& used, base::slot_count elsewhere,
                            double weight) const {
     const double here = dominant(used);
--- a/packages/policy/src/fair_share.hpp
+++ b/packages/policy/src/fair_share.hpp
@@ -15,6 +15,9 @@
     // The largest part of the capacity that `used` is, over the resources; 0 to 1.
     double dominant(const base::resources& used) const;
 
+    // The smallest part of the capacity that `room` is, over the resources; 0 to 1.
+    double scarcest(const base::resources& room) const;
+
     // A team's weighted share, with what it uses in other cells. That counts at most as a multiple
     // of its use here, so that a team that has nothing here is always first here.
     double of_team(const base::resources& used, base::slot_count elsewhere, double weight) const;
--- a/packages/policy/src/latency_policy.cpp
+++ b/packages/policy/src/latency_policy.cpp
@@ -19,8 +19,8 @@
 constexpr duration deadline_for_order = base::seconds(6);
 // Below this many waiting tasks the drain rate says too little to refuse anybody.
 constexpr std::size_t fewest_queued_to_refuse = 8;
-// Part of the spare time that may be spent waiting. Run times vary, so that tasks which start at the
-// last moment often end late: work done for nothing.
+// Part of the spare time that may be spent waiting. Run times vary, so that tasks which start at
+// the last moment often end late: work done for nothing.
 constexpr double part_to_wait = 0.25;
 constexpr base::milliseconds shortest_retry{50};
 constexpr base::milliseconds longest_retry{60'000};
@@ -51,8 +51,8 @@
         }
         const double rate = std::max(*outlook.drained_per_second, 1e-3);
         const duration wait = seconds_as_duration(static_cast<double>(outlook.queued) / rate);
-        const duration longest = seconds_as_duration(
-            std::chrono::duration<double>(spare).count() * part_to_wait);
+        const duration longest =
+            seconds_as_duration(std::chrono::duration<double>(spare).count() * part_to_wait);
         if (wait <= longest) {
             return std::nullopt;
         }
--- a/packages/policy/src/ready_order.cpp
+++ b/packages/policy/src/ready_order.cpp
@@ -54,6 +54,7 @@
     if (!group.blocked) {
         count_open(one, true);
     }
+    refresh_membership(*one.kind().team);
 }
 
 void ready_order::remove(lane& one) {
@@ -67,6 +68,7 @@
     erase_from(group.lanes, &one);
     erase_from(one.kind().team->order.lanes, &one);
     one.group = nullptr;
+    refresh_membership(*one.kind().team);
     if (group.lanes.empty()) {
         unblock(group);
         groups_.erase(demand(group.what));
@@ -83,8 +85,12 @@
     if (team.order.urgent) {
         urgent_teams_.erase(&team);
     }
+    if (team.order.held_up) {
+        held_up_.erase(&team);
+    }
     team.order.ready = false;
     team.order.urgent = false;
+    team.order.held_up = false;
     team.order.share = team.share;
     refresh_membership(team);
 }
@@ -97,6 +103,10 @@
     return urgent_teams_.empty() ? nullptr : *urgent_teams_.begin();
 }
 
+const team_record* ready_order::first_held_up() const {
+    return held_up_.empty() ? nullptr : *held_up_.begin();
+}
+
 lane* ready_order::first_of(const team_record& team, bool urgent_only) {
     lane* result = nullptr;
     for (lane* it : team.order.lanes) {
@@ -171,14 +181,15 @@
 
 void ready_order::refresh_membership(team_record& team) {
     team_order& order = team.order;
-    if (order.ready != (order.open > 0)) {
-        order.ready = order.open > 0;
-        order.ready ? void(teams_.insert(&team)) : void(teams_.erase(&team));
-    }
-    if (order.urgent != (order.open_urgent > 0)) {
-        order.urgent = order.open_urgent > 0;
-        order.urgent ? void(urgent_teams_.insert(&team)) : void(urgent_teams_.erase(&team));
-    }
+    const auto refresh = [&](team_set& teams, bool& is_in, bool belongs) {
+        if (is_in != belongs) {
+            is_in = belongs;
+            belongs ? void(teams.insert(&team)) : void(teams.erase(&team));
+        }
+    };
+    refresh(teams_, order.ready, order.open > 0);
+    refresh(urgent_teams_, order.urgent, order.open_urgent > 0);
+    refresh(held_up_, order.held_up, order.lanes.size() > static_cast<std::size_t>(order.open));
 }
 
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/ready_order.hpp
+++ b/packages/policy/src/ready_order.hpp
@@ -48,6 +48,8 @@
     // The first lane that is not blocked of the team with the lowest share among those that have
     // urgent work which is not blocked; null when there is none.
     team_record* first_urgent() const;
+    // The team with the lowest share among those that have blocked lanes; null when there is none.
+    const team_record* first_held_up() const;
     static lane* first_of(const team_record& team, bool urgent_only);
 
     // No VM has room for the group's demand now.
@@ -73,6 +75,7 @@
     std::vector<demand_group*> limited_;
     team_set teams_;         // with lanes that are not blocked
     team_set urgent_teams_;  // with urgent ones among those
+    team_set held_up_;       // with lanes that are blocked
 };
 
 }  // namespace cranberrydock::policy
--- a/packages/policy/src/records.hpp
+++ b/packages/policy/src/records.hpp
@@ -33,6 +33,7 @@
     int open = 0;              // lanes among them that are not blocked
     int open_urgent = 0;       // of urgent queues among those
     bool ready = false;        // in the order, since `open` is not 0
+    bool held_up = false;      // some of `lanes` are blocked
     bool urgent = false;       // in the order of urgent work, since `open_urgent` is not 0
 };
 
--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -80,7 +80,18 @@
     if (urgent != nullptr && roster_->below_share(*urgent)) {
         return next_of_urgent(*urgent);
     }
-    return order_.first();
+    lane* first = order_.first();
+    return first != nullptr && gives_way(*first->kind().team) ? nullptr : first;
+}
+
+// Small tasks fill every gap that ends leave, so that larger ones of teams below their share would
+// only ever get room by reservation. So a team above its share leaves a part of the cell idle for
+// them, where gaps can grow together.
+bool task_queues::gives_way(const team_record& team) const {
+    const team_record* held_up = order_.first_held_up();
+    return held_up != nullptr && held_up != &team && roster_->below_share(*held_up) &&
+           !roster_->below_share(team) &&
+           roster_->idle_part(vms_->room_in_all()) < settings_.idle_for_shares;
 }
 
 // Urgent work goes before other teams' work, not before its own team's kinds with a smaller share.
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -61,6 +61,7 @@
     void count_queued(task_record& one, bool joins);
     void refresh(lane& one);
     void unpark(lane& one);
+    bool gives_way(const team_record& team) const;
     static lane* next_of_urgent(const team_record& team);
     void place_in_order(lane& one);
     demand demand_of(const queue_entry& entry) const;
--- a/packages/policy/src/vm_table.cpp
+++ b/packages/policy/src/vm_table.cpp
@@ -183,8 +183,15 @@
 }
 
 void vm_table::refresh_room(vm_index i) {
-    const slot& it = slots_[i.value()];
-    rooms_[i.value()] = open(i) ? it.what.capacity - it.used - it.held : no_room;
+    slot& it = slots_[i.value()];
+    if (it.counted) {
+        room_in_all_ -= rooms_[i.value()];
+    }
+    it.counted = open(i);
+    rooms_[i.value()] = it.counted ? it.what.capacity - it.used - it.held : no_room;
+    if (it.counted) {
+        room_in_all_ += rooms_[i.value()];
+    }
 }
 
 void vm_table::recycle_if_unused(vm_index i) {
--- a/packages/policy/src/vm_table.hpp
+++ b/packages/policy/src/vm_table.hpp
@@ -75,6 +75,8 @@
     bool known(vm_index i) const { return slots_[i.value()].known; }
 
     std::size_t known_vms() const { return by_id_known_; }
+    // What is left in all VMs together that get new tasks.
+    const base::resources& room_in_all() const { return room_in_all_; }
     // The sum of the known VMs' capacity.
     const base::resources& capacity() const { return capacity_; }
     // Whether some known VM is large enough, were it empty.
@@ -96,6 +98,7 @@
         std::uint32_t rack = 0;
         bool known = false;
         bool barred = false;
+        bool counted = false;  // its room is part of `room_in_all_`
     };
     // Distinct capacities are few, so that "can it ever fit" need not look at each VM.
     struct capacity_class {
@@ -116,6 +119,7 @@
     std::vector<vm_index> unused_;
     std::vector<capacity_class> classes_;
     base::resources capacity_;
+    base::resources room_in_all_;  // sum of `rooms_` over the VMs that are open
     std::unordered_map<base::rack_name, std::uint32_t> racks_;
 };
 
--- a/test/performance/baseline_scheduler.hpp
+++ b/test/performance/baseline_scheduler.hpp
@@ -71,8 +71,8 @@
 
 private:
     struct position {
-        int priority;
-        std::uint64_t number;
+        int priority = 0;
+        std::uint64_t number = 0;
         friend bool operator<(const position& a, const position& b) {
             return a.priority != b.priority ? a.priority < b.priority : a.number < b.number;
         }
@@ -82,7 +82,7 @@
         base::resources room;
     };
     struct running_task {
-        std::size_t vm;
+        std::size_t vm = 0;
         base::resources need;
     };
 
--- a/test/performance/workload.hpp
+++ b/test/performance/workload.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/policy/scheduler.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
 #include <functional>
@@ -30,7 +31,8 @@
     if (values.empty()) {
         return 0;
     }
-    const auto n = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+    const auto n =
+        static_cast<std::size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(n), values.end());
     return values[n];
 }
