--- a/packages/policy/src/fair_share.cpp
+++ b/packages/policy/src/fair_share.cpp
@@ -20,6 +20,17 @@
                      part(used.accelerators, total_.accelerators), part(used.slots, total_.slots)});
 }
 
+double fair_share::scarcest(const base::resources& room) const {
+    double least = 1;
+    const auto consider = [&](double one, bool counts) {
+        least = counts ? std::min(least, one) : least;
+    };
+    consider(part(room.cores, total_.cores), total_.cores.value() > 0);
+    consider(part(room.memory, total_.memory), total_.memory.value() > 0);
+    consider(part(room.slots, total_.slots), total_.slots.value() > 0);
+    return least;
+}
+
 double fair_share::of_team(const base::resources& used, base::slot_count elsewhere,
                            double weight) const {
     const double here = dominant(used);
@@ -31,8 +42,8 @@
     return dominant(used) / weight;
 }
 
-double fair_share::entitled(double weights, base::slot_count elsewhere) const {
-    return weights <= 0 ? 0 : (1 + part_of_slots(elsewhere)) / weights;
+double fair_share::entitled(double weights) {
+    return weights <= 0 ? 0 : 1 / weights;
 }
 
 double fair_share::part_of_slots(base::slot_count n) const {
--- a/packages/policy/src/roster.hpp
+++ b/packages/policy/src/roster.hpp
@@ -40,6 +40,8 @@
     void refresh_activity(const team_record& team, bool was_active);
     // Whether the team has less than its share of the cell.
     bool below_share(const team_record& team) const;
+    // The part of the cell that is idle when `room` is left in it; 0 to 1.
+    double idle_part(const base::resources& room) const { return shares_.scarcest(room); }
 
     const std::map<base::team_id, std::unique_ptr<team_record>>& teams() const { return teams_; }
 
@@ -52,7 +54,6 @@
     std::map<base::team_id, std::unique_ptr<team_record>> teams_;
     std::unordered_map<base::queue_name, std::unique_ptr<queue_record>> queues_;
     double active_weight_ = 0;  // sum over the teams that have tasks here
-    base::slot_count used_elsewhere_;
     std::uint32_t lanes_ = 0;
 };
 
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -20,8 +20,9 @@
     void join(task_record& one);
     // Takes a queued task out, without its having started.
     void leave(task_record& one);
-    // Takes out the head of a lane, all tasks of it, because they start now. `team_changed` must
-    // follow, which enters the lane's next head.
+    // What runs of the gang has changed, and with it perhaps whether its queued tasks may start.
+    void gang_changed(gang_record& gang);
+    // Takes out the head of a lane, all tasks of it, because they start now.
     void take_head(lane& from, base::time_point now);
 
     // The lane whose head is to be decided next; null when nothing can be.
@@ -36,8 +37,11 @@
     void park(lane& one, base::time_point now);
     void block(lane& one, base::time_point now) { order_.block(*one.group, now); }
     void unblock(lane& one);
-    // A VM may now have this room.
-    void room_grew(const base::resources& room) { order_.unblock_fitting(room); }
+    // Decides the lane's head anew: room is kept for it now, or no longer is, or its team's
+    // allowance may have room.
+    void enter_anew(lane& one);
+    // The VM has this room now, which may be more than before.
+    void room_grew(vm_index i, const base::resources& room) { order_.room_grew(i, room); }
     // The team's use or allowance has changed.
     void team_changed(team_record& team);
     // All shares have changed.
@@ -52,13 +56,15 @@
 
 private:
     void enter(task_record& one);
+    void enter_or_withdraw(gang_record& gang);
     void withdraw(task_record& one);
     void count_queued(task_record& one, bool joins);
     void refresh(lane& one);
     void unpark(lane& one);
+    bool gives_way(const team_record& team) const;
+    static lane* next_of_urgent(const team_record& team);
     void place_in_order(lane& one);
     demand demand_of(const queue_entry& entry) const;
-    lane_rank rank_of(const lane& one, const queue_entry& head) const;
 
     roster* roster_;
     const vm_table* vms_;
