mesh: heartbeats carry what has changed, and far links have rare ones

Found by the new test: a used link whose active_time is shorter than the deadline was never found silent; now it stays watched until the peer is heard after its last use.

--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -25,6 +25,9 @@
     base::daemon_id peer;
     bool up = false;  // heard from within the deadline
     base::time_point last_heard{};
+    // Heartbeats come at the full rate; otherwise last_heard may lie far_period back, and whoever
+    // wants to know sooner sends the peer something.
+    bool watched = true;
     base::microseconds round_trip{0};  // smoothed; 0 before the first
     round_trip_summary round_trips;
     base::byte_count sent;
@@ -47,6 +50,15 @@
     std::string secret;  // shared by all daemons; a peer proves it before anything is read from it
     base::milliseconds heartbeat_period{500};
     base::milliseconds silence_deadline{2'000};  // a link that is silent for so long is opened anew
+    // For large fleets, where heartbeats at the full rate with every peer cost too much: only so
+    // many peers, chosen by rendezvous rank, are near, besides those that choose this daemon. 0:
+    // all are. A link that is neither near nor used within active_time has a heartbeat every
+    // far_period.
+    std::size_t near_peers = 0;
+    base::milliseconds far_period{30'000};
+    base::milliseconds active_time{10'000};
+    // Changes of teams' usage go with a link's next heartbeat, but no more often than this.
+    base::milliseconds usage_period{0};
     base::byte_count max_frame{16 * 1024 * 1024};   // of one message or frame, both ways
     base::byte_count max_queued{64 * 1024 * 1024};  // per link; more is refused, not dropped later
 };
--- a/packages/mesh/src/link.cpp
+++ b/packages/mesh/src/link.cpp
@@ -46,6 +46,9 @@
 }
 
 bool link::send(std::string bytes) {
+    used_ = true;
+    last_used_ = parts_.clock.now();
+    update_pace();
     const bool large = bytes.size() > max_control_message;
     const link_channel& by = large ? bulk_ : control_;
     if (stopped_ || !by.is_open() || !heard_) {
@@ -67,19 +70,64 @@
     return true;
 }
 
-void link::send_heartbeat(const std::string& state) {
-    const base::time_point now = parts_.clock.now();
+void link::set_near(bool near) {
+    near_ = near;
+    update_pace();
+}
+
+bool link::wants_fast() const {
+    if (near_ || !used_) {
+        return near_;
+    }
+    const bool lately = parts_.clock.now() - last_used_ < parts_.settings.active_time;
+    const bool unanswered = control_.is_open() && control_.last_heard() < last_used_;
+    return lately || unanswered;
+}
+
+void link::update_pace() {
+    const bool now = wants_fast() || peer_wants_fast_;
+    if (now == fast_) {
+        return;
+    }
+    fast_ = now;
+    fast_since_ = parts_.clock.now();
+    // The peer is to follow at once: what it expects of this end depends on it.
+    send_beat(events_.current_state());
+}
+
+void link::beat_if_due(const heartbeat& state) {
+    update_pace();
+    // Called once a period: the half keeps a far beat from slipping to the next call.
+    const base::duration far = parts_.settings.far_period - parts_.settings.heartbeat_period / 2;
+    if (fast_ || parts_.clock.now() - last_beat_ >= far) {
+        send_beat(state);
+    }
+}
+
+bool link::usage_is_due() const {
+    return !last_usage_ || parts_.clock.now() - *last_usage_ >= parts_.settings.usage_period;
+}
+
+void link::send_beat(const heartbeat& state) {
+    last_beat_ = parts_.clock.now();
     if (control_.is_open()) {
-        control_.send(encode(beat_frame{control_.timing().next(now), state}));
+        control_.send(encode(
+            beat_frame{control_.timing().next(last_beat_), wants_fast(), own_state_.next(state)}));
     }
-    if (bulk_.is_open()) {
-        bulk_.send(encode(beat_frame{bulk_.timing().next(now), {}}));
+    if (bulk_.is_open() && fast_) {
+        bulk_.send(encode(beat_frame{bulk_.timing().next(last_beat_), wants_fast(), {}}));
     }
 }
 
 void link::watch() {
-    control_.watch();
-    bulk_.watch();
+    const mesh_settings& settings = parts_.settings;
+    if (!fast_) {
+        // The bulk connection is watched again when there is something to send.
+        control_.watch(settings.far_period + settings.silence_deadline, fast_since_);
+        return;
+    }
+    control_.watch(settings.silence_deadline, fast_since_);
+    bulk_.watch(settings.silence_deadline, fast_since_);
 }
 
 void link::count_bytes() {
@@ -99,6 +147,7 @@
     out.peer = peer_.id;
     out.up = up_;
     out.last_heard = control_.last_heard();
+    out.watched = fast_;
     out.round_trip = control_.timing().smoothed();
     out.round_trips = round_trips_.summary();
     out.sent = sent();
@@ -109,8 +158,15 @@
 void link::on_channel_open(link_channel& which) {
     if (which.which() == channel::control) {
         heard_ = false;
-        control_.send(encode(
-            beat_frame{control_.timing().next(parts_.clock.now()), events_.heartbeat_bytes()}));
+        peer_wants_fast_ = true;
+        last_usage_.reset();
+        own_state_ = state_sender();
+        peer_state_ = state_receiver();
+        update_pace();
+        send_beat(events_.current_state());
+    } else {
+        outgoing_ = bulk_sender();
+        incoming_ = bulk_receiver(parts_.settings.max_frame, parts_.settings.max_queued);
     }
     update("");
 }
@@ -153,12 +209,16 @@
     if (sample) {
         round_trips_.add(*sample);
     }
-    auto state = decode(what.state);
+    auto state = peer_state_.receive(what.state);
     if (!state) {
+        // The states that follow build on this one.
         refuse_frame(which, malformed, state.error());
+        which.reopen("malformed state");
         return;
     }
     heard_ = true;
+    peer_wants_fast_ = what.wants_fast;
+    update_pace();
     update("");
     events_.on_link_message(*this, std::move(*state));
 }
--- a/packages/mesh/src/link.hpp
+++ b/packages/mesh/src/link.hpp
@@ -5,12 +5,14 @@
 #include <cranberrydock/mesh/bulk_transfer.hpp>
 #include <cranberrydock/mesh/mesh.hpp>
 #include <cranberrydock/mesh/round_trip_history.hpp>
+#include <cranberrydock/mesh/state_delta.hpp>
 
 #include "context.hpp"
 #include "link_channel.hpp"
 #include "link_frames.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cranberrydock::mesh::detail {
@@ -22,8 +24,8 @@
     virtual ~link_events() = default;
     virtual void on_link_message(link& from, message what) = 0;
     virtual void on_link_change(link& which, bool up) = 0;
-    // An encoded heartbeat for the peer.
-    virtual std::string heartbeat_bytes() = 0;
+    // The content of the next heartbeat.
+    virtual heartbeat current_state() = 0;
 };
 
 class link final : private link_channel_events {
@@ -44,8 +46,11 @@
     // Sends an encoded message; false when nothing was sent.
     bool send(std::string bytes);
 
-    // Sends a heartbeat with that content.
-    void send_heartbeat(const std::string& state);
+    // A near link has beats at the full rate even when it isn't used.
+    void set_near(bool near);
+
+    // Called every heartbeat period; sends a heartbeat with that content when one is due.
+    void beat_if_due(const heartbeat& state);
 
     // Closes silent connections.
     void watch();
@@ -70,6 +75,12 @@
     void refuse_frame(const link_channel& which, const char* reason, const base::findings& faults);
     bool refuse_send(const char* reason);
     void update(const std::string& why);
+    // Whether this end wants beats at the full rate: it is near, or was used lately.
+    bool wants_fast() const;
+    // Looks again at who wants what; tells the peer at once when the rate of beats changes.
+    void update_pace();
+    void send_beat(const heartbeat& state);
+    bool usage_is_due() const;
     base::byte_count sent() const { return control_.sent() + bulk_.sent(); }
     base::byte_count received() const { return control_.received() + bulk_.received(); }
 
@@ -81,6 +92,16 @@
     bool heard_ = false;  // a heartbeat, on the control connection in use
     base::byte_count counted_sent_{0};
     base::byte_count counted_received_{0};
+    bool near_ = true;
+    bool used_ = false;              // ever
+    base::time_point last_used_{};   // a message was sent or refused
+    bool peer_wants_fast_ = true;    // as its last beat said
+    bool fast_ = true;               // either end wants beats at the full rate
+    base::time_point fast_since_{};  // of the last change of fast_
+    base::time_point last_beat_{};
+    std::optional<base::time_point> last_usage_;  // sent on the control connection in use
+    state_sender own_state_;                      // on the control connection in use
+    state_receiver peer_state_;                   // on the control connection in use
     round_trip_history round_trips_;  // of the control channel, over all its connections
     link_channel control_;
     link_channel bulk_;
--- a/packages/mesh/src/link_channel.cpp
+++ b/packages/mesh/src/link_channel.cpp
@@ -1,6 +1,7 @@
 // Dialing, replacing and dropping the connections of one channel.
 #include "link_channel.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -52,8 +53,8 @@
     return in_use_ && in_use_->send(frame);
 }
 
-void link_channel::watch() {
-    if (in_use_ && parts_.clock.now() - in_use_->last_heard() > parts_.settings.silence_deadline) {
+void link_channel::watch(base::duration deadline, base::time_point since) {
+    if (in_use_ && parts_.clock.now() - std::max(since, in_use_->last_heard()) > deadline) {
         reopen("silent");
     }
 }
--- a/packages/mesh/src/link_channel.hpp
+++ b/packages/mesh/src/link_channel.hpp
@@ -41,8 +41,9 @@
 
     bool send(const std::string& frame);
 
-    // Closes the connection when it has been silent for the deadline.
-    void watch();
+    // Closes the connection when it has been silent for `deadline`, counted from `since` at the
+    // earliest.
+    void watch(base::duration deadline, base::time_point since);
 
     // Closes the connection in use; a new one is to take its place.
     void reopen(const std::string& why);
--- a/packages/mesh/src/link_frames.hpp
+++ b/packages/mesh/src/link_frames.hpp
@@ -16,7 +16,8 @@
 // A sign of life, with the sender's state on the control channel.
 struct beat_frame {
     beat timing;
-    std::string state;  // an encoded heartbeat; empty on the bulk channel
+    bool wants_fast = false;  // the sender wants beats at the full rate, both ways
+    std::string state;        // from state_sender; empty on the bulk channel
 };
 
 // The receiver has taken in that many bytes of chunks more.
--- a/packages/mesh/src/websocket_mesh.cpp
+++ b/packages/mesh/src/websocket_mesh.cpp
@@ -1,4 +1,5 @@
 // The mesh: a listener, the peers' links, and authenticated daemons that are not peers yet.
+#include <cranberrydock/base/rendezvous.hpp>
 #include <cranberrydock/mesh/codec.hpp>
 #include <cranberrydock/mesh/mesh.hpp>
 
@@ -56,6 +57,7 @@
                 links_.emplace(it.first, std::make_shared<link>(parts_, it.second, self));
             }
         }
+        choose_near();
         adopt_strangers();
     }
 
@@ -166,9 +168,9 @@
     }
 
     void send_heartbeats() {
-        const std::string state = heartbeat_bytes();
+        const heartbeat state = current_state();
         for (const auto& it : current_links()) {
-            it->send_heartbeat(state);
+            it->beat_if_due(state);
         }
     }
 
@@ -218,7 +220,22 @@
 
     void on_link_change(link& which, bool up) override { told_.on_link(which.to().id, up); }
 
-    std::string heartbeat_bytes() override { return encode(told_.current_state()); }
+    heartbeat current_state() override { return told_.current_state(); }
+
+    // Every daemon ranks the others in an order of its own, so that the near links are spread
+    // evenly.
+    void choose_near() {
+        std::vector<std::string> ids;
+        ids.reserve(links_.size());
+        for (const auto& it : links_) {
+            ids.push_back(it.first.str());
+        }
+        const std::size_t all = settings_.near_peers == 0 ? ids.size() : settings_.near_peers;
+        std::size_t rank = 0;
+        for (const std::size_t it : base::rendezvous_order(settings_.self.str(), ids)) {
+            links_.at(base::daemon_id(ids[it]))->set_near(rank++ < all);
+        }
+    }
 
     mesh_settings settings_;
     mesh_listener& told_;
--- /dev/null
+++ b/test/failure/far_mesh_links_are_watched_only_in_use.cpp
@@ -0,0 +1,107 @@
+// In a large fleet only a few links of each daemon have heartbeats at the full rate. The others
+// stay up on rare ones, and are watched closely as soon as they are used.
+#include <gtest/gtest.h>
+#include <standins/mesh_node.hpp>
+#include <standins/tcp_relay.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using standins::mesh_node;
+using standins::mesh_world;
+using standins::tcp_relay;
+
+constexpr std::size_t daemons = 5;  // ten links, of which at most five are near
+
+class far_links : public ::testing::Test {
+protected:
+    void SetUp() override {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            mesh_node::options options{"daemon-" + std::to_string(i)};
+            options.near_peers = 1;
+            options.far_period = base::seconds{300};  // longer than any test
+            options.active_time = base::milliseconds{200};
+            options.silence_deadline = base::milliseconds{500};
+            nodes_.push_back(std::make_unique<mesh_node>(world_, options));
+            relays_.push_back(
+                std::make_unique<tcp_relay>(world_.loop, nodes_.back()->mesh->listening_on()));
+        }
+        std::vector<mesh::peer> peers;
+        for (std::size_t i = 0; i < daemons; ++i) {
+            peers.push_back(nodes_[i]->as_peer(relays_[i]->listening_on()));
+        }
+        for (const auto& it : nodes_) {
+            it->mesh->set_peers(peers);
+        }
+        ASSERT_TRUE(world_.run_until([&] {
+            return std::all_of(nodes_.begin(), nodes_.end(), [](const auto& it) {
+                return it->ups >= static_cast<int>(daemons) - 1;
+            });
+        }));
+        ASSERT_TRUE(world_.run_until([&] { return find_far(); }));
+    }
+
+    mesh::link_status status(std::size_t from, std::size_t to) const {
+        const auto links = nodes_[from]->mesh->links();
+        return *std::find_if(links.begin(), links.end(),
+                             [&](const auto& it) { return it.peer == nodes_[to]->id; });
+    }
+
+    // A pair of which neither end watches the other; the lower one dials.
+    bool find_far() {
+        for (std::size_t low = 0; low < daemons; ++low) {
+            for (std::size_t high = low + 1; high < daemons; ++high) {
+                if (!status(low, high).watched && !status(high, low).watched) {
+                    low_ = low;
+                    high_ = high;
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    mesh_node& low() { return *nodes_[low_]; }
+    mesh_node& high() { return *nodes_[high_]; }
+
+    mesh_world world_;
+    std::vector<std::unique_ptr<mesh_node>> nodes_;
+    std::vector<std::unique_ptr<tcp_relay>> relays_;
+    std::size_t low_ = 0;
+    std::size_t high_ = 0;
+};
+
+TEST_F(far_links, stay_up_without_use_and_carry_messages) {
+    const int heard = high().heartbeats;
+    constexpr int several_deadlines = 100;  // of heartbeats on the near link
+    ASSERT_TRUE(world_.run_until([&] { return high().heartbeats > heard + several_deadlines; }));
+    EXPECT_TRUE(status(low_, high_).up);
+    EXPECT_FALSE(status(low_, high_).watched);
+    ASSERT_TRUE(low().mesh->send(high().id, mesh::cells_offered{}));
+    EXPECT_TRUE(status(low_, high_).watched);
+    ASSERT_TRUE(world_.run_until(
+        [&] { return high().messages.size() == 1 && status(high_, low_).watched; }));
+    // And both are left alone again, without a link going down over it.
+    ASSERT_TRUE(world_.run_until(
+        [&] { return !status(low_, high_).watched && !status(high_, low_).watched; }));
+    for (const auto& it : nodes_) {
+        EXPECT_EQ(it->downs, 0);
+    }
+}
+
+TEST_F(far_links, are_opened_anew_when_found_silent_in_use) {
+    relays_[high_]->silence_open_connections();
+    EXPECT_TRUE(low().mesh->send(high().id, mesh::cells_offered{}));
+    ASSERT_TRUE(world_.run_until([&] { return !status(low_, high_).up; }));
+    EXPECT_EQ(low().counter("mesh_links_down_total", "reason=\"silent\""), 1U);
+    ASSERT_TRUE(world_.run_until([&] { return status(low_, high_).up; }));
+    EXPECT_TRUE(low().mesh->send(high().id, mesh::cells_offered{}));
+    EXPECT_TRUE(world_.run_until([&] { return high().messages.size() == 1; }));
+}
+
+}  // namespace
--- /dev/null
+++ b/test/property/heartbeat_states_survive_their_deltas.cpp
@@ -0,0 +1,95 @@
+// Whatever states follow each other on a connection, the receiver has each of them whole; unchanged
+// ones cost few bytes; and damaged deltas never crash the receiver.
+#include <cranberrydock/mesh/state_delta.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <standins/message_text.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using mesh::heartbeat;
+using mesh::detail::state_receiver;
+using mesh::detail::state_sender;
+
+base::slot_count any_slots() {
+    return base::slot_count(*rc::gen::inRange(0, 4));
+}
+
+heartbeat any_state() {
+    heartbeat out;
+    out.version = base::config_version(*rc::gen::inRange(0, 5));
+    out.store_reachable = *rc::gen::arbitrary<bool>();
+    out.ready = *rc::gen::arbitrary<bool>();
+    for (int i = *rc::gen::inRange(0, 3); i > 0; --i) {
+        out.owned.push_back({base::cell_id("cell-" + std::to_string(*rc::gen::inRange(0, 4))),
+                             base::epoch(*rc::gen::inRange(0, 4))});
+    }
+    for (int i = 0; i < 12; ++i) {
+        if (*rc::gen::arbitrary<bool>()) {
+            out.usage.push_back(
+                {base::team_id("team-" + std::to_string(i)), any_slots(), any_slots()});
+        }
+    }
+    return out;
+}
+
+std::string text_of(heartbeat state) {
+    std::sort(state.usage.begin(), state.usage.end(),
+              [](const auto& a, const auto& b) { return a.team < b.team; });
+    return standins::text_of(mesh::message(std::move(state)));
+}
+
+TEST(state_delta, gives_back_every_state_of_a_sequence) {
+    EXPECT_TRUE(rc::check([] {
+        state_sender sender;
+        state_receiver receiver;
+        std::vector<mesh::team_usage> told;
+        for (int i = *rc::gen::inRange(1, 12); i > 0; --i) {
+            heartbeat state = any_state();
+            const bool with_usage = *rc::gen::arbitrary<bool>();
+            const auto got = receiver.receive(sender.next(state, with_usage));
+            RC_ASSERT(got.has_value());
+            if (with_usage) {
+                told = state.usage;
+            }
+            state.usage = told;
+            RC_ASSERT(text_of(*got) == text_of(state));
+        }
+    }));
+}
+
+TEST(state_delta, withstands_damage) {
+    EXPECT_TRUE(rc::check([] {
+        state_sender sender;
+        state_receiver receiver;
+        for (int i = *rc::gen::inRange(1, 12); i > 0; --i) {
+            std::string bytes = sender.next(any_state());
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+            const auto got = receiver.receive(bytes);
+            RC_ASSERT(got.has_value() || !got.error().empty());
+        }
+    }));
+}
+
+TEST(state_delta, costs_little_when_nothing_has_changed) {
+    heartbeat state;
+    constexpr int teams = 260;
+    constexpr std::size_t few = 32;
+    for (int i = 0; i < teams; ++i) {
+        state.usage.push_back(
+            {base::team_id("team-" + std::to_string(i)), base::slot_count(i), base::slot_count(0)});
+    }
+    state_sender sender;
+    EXPECT_GT(sender.next(state).size(), static_cast<std::size_t>(teams));
+    EXPECT_LT(sender.next(state).size(), few);
+    state.usage[3].running = base::slot_count(999);
+    EXPECT_LT(sender.next(state).size(), few);
+}
+
+}  // namespace
--- a/test/standins/mesh_node.cpp
+++ b/test/standins/mesh_node.cpp
@@ -34,6 +34,9 @@
     settings.secret = wanted.secret;
     settings.heartbeat_period = wanted.heartbeat_period;
     settings.silence_deadline = wanted.silence_deadline;
+    settings.near_peers = wanted.near_peers;
+    settings.far_period = wanted.far_period;
+    settings.active_time = wanted.active_time;
     settings.max_frame = wanted.max_frame;
     settings.max_queued = wanted.max_queued;
     mesh = mesh::make_websocket_mesh(world.loop, settings, *this, metrics, world.clock);
--- a/test/standins/mesh_node.hpp
+++ b/test/standins/mesh_node.hpp
@@ -35,6 +35,9 @@
         net::endpoint listen{"127.0.0.1", 0};
         base::milliseconds heartbeat_period{20};
         base::milliseconds silence_deadline{2'000};
+        std::size_t near_peers = 0;
+        base::milliseconds far_period{30'000};
+        base::milliseconds active_time{10'000};
         base::byte_count max_frame{16 * 1024 * 1024};
         base::byte_count max_queued{64 * 1024 * 1024};
     };
