--- a/packages/policy/src/drain_rate.cpp
+++ b/packages/policy/src/drain_rate.cpp
@@ -1,13 +1,16 @@
 // The drain rate as departures over busy time, both decaying alike, so that bursts cancel out.
 #include "drain_rate.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
 namespace cranberrydock::policy {
 namespace {
 
-constexpr double memory_seconds = 5;    // after this long an observation counts 1/e
+// After this long an observation counts 1/e; but slow queues remember their last tasks.
+constexpr double memory_seconds = 5;
+constexpr double least_kept = 1 - 1.0 / 32;
 constexpr double fewest_left = 8;       // tasks
 constexpr double shortest_busy = 0.02;  // seconds
 
@@ -20,7 +23,7 @@
 void drain_rate::left(base::time_point now, std::size_t still_waiting) {
     if (waiting_) {
         const double passed = seconds_between(last_, now);
-        const double kept = std::exp(-passed / memory_seconds);
+        const double kept = std::max(least_kept, std::exp(-passed / memory_seconds));
         left_ = left_ * kept + 1;
         busy_seconds_ = busy_seconds_ * kept + passed;
     }
--- a/packages/policy/src/vm_health.cpp
+++ b/packages/policy/src/vm_health.cpp
@@ -71,7 +71,7 @@
         return false;
     }
     if (std::find(one.failed_on.begin(), one.failed_on.end(), i) != one.failed_on.end()) {
-        return true;
+        return one.succeeded;  // once a VM, until the job has shown that it can succeed
     }
     one.failed_on.push_back(i);
     if (!one.bad()) {
--- /dev/null
+++ b/test/correctness/overload_is_refused_early_with_the_time_to_retry.cpp
@@ -0,0 +1,95 @@
+// Once the drain rate is known, an urgent task that would miss its deadline is refused on arrival,
+// and a full queue names a time to retry that follows the drain rate.
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace base = cranberrydock::base;
+namespace policy = cranberrydock::policy;
+using base::refusal_reason;
+
+namespace {
+
+constexpr std::size_t most_queued = 40;
+
+class overloaded_cell : public ::testing::Test {
+protected:
+    overloaded_cell() {
+        const base::resources room{
+            base::millicores(1000), base::mebibytes(1024), {}, base::slot_count(1)};
+        sched_->set_queues({{base::queue_name("latency"), policy::queue_kind::latency, most_queued},
+                            {base::queue_name("batch"), policy::queue_kind::batch, most_queued}});
+        sched_->set_teams({{base::team_id("a"), 1.0, base::slot_count(100), {}}});
+        sched_->put_vm({base::vm_id("vm"), base::rack_name("r"), room, policy::vm_state::usable});
+    }
+
+    tl::expected<void, base::refusal> enqueue(const char* queue, base::duration deadline) {
+        policy::task one;
+        one.id = base::task_id("t" + std::to_string(next_++));
+        one.job = base::job_id(one.id.str());
+        one.team = base::team_id("a");
+        one.queue = base::queue_name(queue);
+        one.kind = base::kind_name("plan");
+        one.need = {base::millicores(1000), base::mebibytes(512), {}, base::slot_count(1)};
+        one.accepted = now_;
+        if (deadline > base::duration::zero()) {
+            one.deadline = now_ + deadline;
+        }
+        return sched_->enqueue(one, now_);
+    }
+
+    // The one VM runs a task a `each`, for `tasks` of them, while others wait.
+    void drain(int tasks, base::duration each) {
+        for (int i = 0; i < tasks; ++i) {
+            const auto decided = sched_->decide(now_, 1);
+            ASSERT_EQ(decided.size(), 1U);
+            now_ += each;
+            sched_->ended({std::get<policy::placement>(decided[0]).task,
+                           policy::end_kind::completed,
+                           {},
+                           each},
+                          now_);
+        }
+    }
+
+    std::unique_ptr<policy::scheduler> sched_ = policy::make_scheduler();
+    base::time_point now_{};
+    int next_ = 0;
+};
+
+TEST_F(overloaded_cell, refuses_an_urgent_task_that_would_be_late) {
+    for (std::size_t i = 0; i < most_queued; ++i) {
+        ASSERT_TRUE(enqueue("latency", base::seconds(600)));
+    }
+    drain(20, base::milliseconds(100));
+    // 20 wait, 10 a second leave: two seconds.
+    const auto late = enqueue("latency", base::seconds(1));
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().reason, refusal_reason::deadline_unreachable);
+    EXPECT_TRUE(late.error().not_run);
+    EXPECT_GT(late.error().retry_after.count(), 0);
+    EXPECT_TRUE(enqueue("latency", base::seconds(60)));
+}
+
+TEST_F(overloaded_cell, names_a_time_to_retry_that_follows_the_drain_rate) {
+    std::vector<std::int64_t> retry_ms;
+    for (const base::duration each : {base::milliseconds(100), base::milliseconds(1000)}) {
+        while (enqueue("batch", base::duration::zero())) {
+        }
+        drain(30, each);
+        while (enqueue("batch", base::duration::zero())) {
+        }
+        const auto full = enqueue("batch", base::duration::zero());
+        ASSERT_FALSE(full);
+        EXPECT_EQ(full.error().reason, refusal_reason::queue_full);
+        retry_ms.push_back(full.error().retry_after.count());
+    }
+    // A tenth of the queue, 4 tasks, at 10 and then at 1 a second.
+    EXPECT_NEAR(static_cast<double>(retry_ms[0]), 400, 150);
+    EXPECT_NEAR(static_cast<double>(retry_ms[1]), 4000, 1500);
+}
+
+}  // namespace
