tests: the VM of reserves_follow_reported_usage had a single slot

The VM has 16 slots now and the assertions are unchanged. Guards seen failing again with it: charge in report_usage, raising in reserved.

--- a/test/correctness/reserves_follow_reported_usage.cpp
+++ b/test/correctness/reserves_follow_reported_usage.cpp
@@ -22,8 +22,10 @@
     learning_cell() {
         sched_->set_queues({{base::queue_name("batch"), policy::queue_kind::batch, 1000}});
         sched_->set_teams({{base::team_id("a"), 1.0, base::slot_count(1000), {}}});
+        base::resources capacity = size(32);
+        capacity.slots = base::slot_count(16);
         sched_->put_vm(
-            {base::vm_id("vm"), base::rack_name("r"), size(32), policy::vm_state::usable});
+            {base::vm_id("vm"), base::rack_name("r"), capacity, policy::vm_state::usable});
     }
 
     policy::placement start(std::int64_t declared) {
--- a/test/performance/share.cpp
+++ b/test/performance/share.cpp
@@ -112,7 +112,9 @@
 
 void report(const std::string& name, const outcome& one) {
     for (const auto& [who, it] : one.by_team_and_kind) {
-        print("in_time_of_accepted_" + name + "_" + who, it.in_time / it.accepted, "");
+        std::string label = "in_time_of_accepted_" + name;
+        label.append("_").append(who);
+        print(label, it.in_time / it.accepted, "");
     }
     double all_work = 0;
     double all_weights = 0;
@@ -128,7 +130,9 @@
         sum += ratio;
         squares += ratio * ratio;
         worst = std::min(worst, ratio);
-        print("work_to_entitlement_" + name + "_team" + std::to_string(i), ratio, "");
+        std::string label = "work_to_entitlement_" + name;
+        label.append("_team").append(std::to_string(i));
+        print(label, ratio, "");
     }
     print("jain_index_" + name, sum * sum / (squares * static_cast<double>(weights.size())), "");
     print("worst_ratio_to_entitlement_" + name, worst, "");
