--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/mesh/messages.hpp>
+#include <cranberrydock/mesh/round_trip_history.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
 
@@ -24,6 +26,7 @@
     bool up = false;  // heard from within the deadline
     base::time_point last_heard{};
     base::microseconds round_trip{0};  // smoothed; 0 before the first
+    round_trip_summary round_trips;
     base::byte_count sent;
     base::byte_count received;
 };
@@ -44,7 +47,7 @@
     std::string secret;  // shared by all daemons; a peer proves it before anything is read from it
     base::milliseconds heartbeat_period{500};
     base::milliseconds silence_deadline{2'000};  // a link that is silent for so long is opened anew
-    base::byte_count max_frame{16 * 1024 * 1024};
+    base::byte_count max_frame{16 * 1024 * 1024};   // of one message or frame, both ways
     base::byte_count max_queued{64 * 1024 * 1024};  // per link; more is refused, not dropped later
 };
 
@@ -64,8 +67,10 @@
     virtual net::endpoint listening_on() const = 0;
 };
 
-// Use and destroy on `loop`'s thread. Throws std::runtime_error when it can't listen.
+// Use and destroy on `loop`'s thread, and destroy it outside of the listener's calls. Throws
+// std::runtime_error when it can't listen.
 std::unique_ptr<mesh> make_websocket_mesh(net::event_loop& loop, const mesh_settings& settings,
-                                          mesh_listener& listener);
+                                          mesh_listener& listener, base::metrics& metrics,
+                                          const base::clock& clock);
 
 }  // namespace cranberrydock::mesh
