--- a/test/performance/workload.hpp
+++ b/test/performance/workload.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/policy/scheduler.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
 #include <functional>
@@ -30,7 +31,8 @@
     if (values.empty()) {
         return 0;
     }
-    const auto n = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+    const auto n =
+        static_cast<std::size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
     std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(n), values.end());
     return values[n];
 }
@@ -63,6 +65,32 @@
 // How late a VM reports what a task uses.
 constexpr base::duration report_lag = base::seconds(2);
 
+inline base::team_id team_named(int n) {
+    return base::team_id("team" + std::to_string(n));
+}
+
+// A cell with one queue of each kind, and a team for each weight.
+inline std::unique_ptr<policy::scheduler> set_up(std::unique_ptr<policy::scheduler> sched, int vms,
+                                                 const std::vector<double>& weights,
+                                                 int first_vm = 0) {
+    constexpr std::size_t most_queued = 10'000;
+    sched->set_queues(
+        {{base::queue_name("latency"), policy::queue_kind::latency, most_queued},
+         {base::queue_name("must_finish"), policy::queue_kind::must_finish, most_queued},
+         {base::queue_name("batch"), policy::queue_kind::batch, most_queued}});
+    std::vector<policy::team_rules> rules;
+    rules.reserve(weights.size());
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        rules.push_back({team_named(static_cast<int>(i)), weights[i], base::slot_count(1'000'000),
+                         base::slot_count(0)});
+    }
+    sched->set_teams(rules);
+    for (int i = 0; i < vms; ++i) {
+        sched->put_vm(standard_vm(first_vm + i));
+    }
+    return sched;
+}
+
 // A task with what it really needs, which the scheduler learns only from reports.
 struct workload_task {
     policy::task declared;
