Cell: a reserve that an idle cell holds of a team's limit

Cause: a part that is given back when idle makes the first start after a quiet time wait for a write, and no start at all is possible while the store is down. A cell holds its reserve until another cell lacks slots. Weighed: the even part as a floor that is never given up; ruled out, since a team whose work is all in one cell could not use its limit.

--- a/packages/cell/include/cranberrydock/cell/allowance.hpp
+++ b/packages/cell/include/cranberrydock/cell/allowance.hpp
@@ -42,6 +42,9 @@
     base::cell_id cell;
     base::slot_count in_use;  // running, and every slot of VMs not heard from yet
     base::slot_count wanted;  // running plus what queues could use; may be less than in_use
+    // Held also while idle, unless another cell lacks slots: so that a start need not wait for the
+    // store, and goes on through its outage.
+    base::slot_count reserve;
 };
 
 base::slot_count sum_of(const allowance_row& row);
--- a/packages/cell/include/cranberrydock/cell/allowance_keeper.hpp
+++ b/packages/cell/include/cranberrydock/cell/allowance_keeper.hpp
@@ -32,6 +32,7 @@
 struct team_limit {
     base::team_id team;
     base::slot_count upper_limit;
+    base::slot_count reserve;  // of this cell; see allowance_demand
 };
 
 // The limits of the configuration in force. A team that is not named has a limit of zero.
@@ -91,6 +92,7 @@
     };
     struct team_state {
         base::slot_count upper_limit;
+        base::slot_count reserve;
         base::slot_count running;
         base::slot_count unheard;
         base::slot_count queued;
--- a/packages/cell/src/allowance.cpp
+++ b/packages/cell/src/allowance.cpp
@@ -34,15 +34,15 @@
     return slot_count(cells > 0 ? left / cells : upper_limit.value());
 }
 
-// The most that the cell may have: when another lacks slots and is below the fair level, no more
-// than that level. What rounding leaves over stays with whoever has it.
-slot_count fair_bound(const allowance_row& row, slot_count upper_limit,
-                      const allowance_demand& own) {
+// The fair level, when another cell lacks slots and is below it: no cell has a right to more then.
+// What rounding leaves over stays with whoever has it.
+std::optional<slot_count> contended_level(const allowance_row& row, slot_count upper_limit,
+                                          const allowance_demand& own) {
     const auto level = fair_level(row, upper_limit, own);
-    const bool others_lack = std::any_of(row.parts.begin(), row.parts.end(), [&](const auto& it) {
+    const bool contended = std::any_of(row.parts.begin(), row.parts.end(), [&](const auto& it) {
         return it.cell != own.cell && it.unmet > slot_count(0) && it.slots < level;
     });
-    return others_lack ? level : upper_limit;
+    return contended ? std::make_optional(level) : std::nullopt;
 }
 
 // Whether the stated lack has changed enough to be worth a write.
@@ -126,7 +126,9 @@
     if (sum_of(row) > upper_limit) {
         return slot_count(0);
     }
-    return std::min(part_of(row, own.cell).slots, fair_bound(row, upper_limit, own));
+    const auto part = part_of(row, own.cell).slots;
+    const auto level = contended_level(row, upper_limit, own);
+    return level ? std::min(part, *level) : part;
 }
 
 std::optional<allowance_row> next_row(const allowance_row& current, slot_count upper_limit,
@@ -138,8 +140,9 @@
     if (sum > upper_limit) {
         target -= sum - upper_limit;
     } else {
-        target = std::min(own.wanted, upper_limit - (sum - part.slots));
-        target = std::min(target, fair_bound(current, upper_limit, own));
+        const auto level = contended_level(current, upper_limit, own);
+        const auto aim = level ? std::min(own.wanted, *level) : std::max(own.wanted, own.reserve);
+        target = std::min(aim, upper_limit - (sum - part.slots));
     }
     target = std::max(target, kept);
     const auto unmet = std::max(slot_count(0), own.wanted - target);
--- a/packages/cell/src/allowance_keeper.cpp
+++ b/packages/cell/src/allowance_keeper.cpp
@@ -67,7 +67,7 @@
 
 allowance_demand allowance_keeper::demand_of(const team_state& team) const {
     const auto in_use = team.running + team.unheard;
-    return {settings_.cell, in_use, std::max(team.running + team.queued, team.peak)};
+    return {settings_.cell, in_use, std::max(team.running + team.queued, team.peak), team.reserve};
 }
 
 // ---- events
@@ -85,9 +85,12 @@
 void allowance_keeper::on(const limits_known& event, base::time_point) {
     for (auto& it : teams_) {
         it.second.upper_limit = slot_count(0);
+        it.second.reserve = slot_count(0);
     }
     for (const auto& it : event.limits) {
-        state_of(it.team).upper_limit = it.upper_limit;
+        auto& team = state_of(it.team);
+        team.upper_limit = it.upper_limit;
+        team.reserve = it.reserve;
     }
 }
 
