Daemon: a cell's allowances come from the store

Cause: the even part of a team's limit was each cell's allowance. When a cell is added to a region, its owner starts tasks at once while the other cells still run theirs, so the team gets above its limit; and a team with all its work in one cell could never use its limit.

The even part is the cell's reserve. For unproven_renewal and two VM leases after a takeover nothing is given back, since VMs may run what the earlier owner started. The keeper gets the cell's running slots anew with each event: on a count of a moment ago it could give back slots that are in use. demand_changed carries all teams.

--- a/packages/cell/include/cranberrydock/cell/allowance_keeper.hpp
+++ b/packages/cell/include/cranberrydock/cell/allowance_keeper.hpp
@@ -40,15 +40,20 @@
     std::vector<team_limit> limits;
 };
 
-// What the cell holds and wants, whenever one of them changes. Starts that are under way count as
-// running from before they are sent.
-struct demand_changed {
+// What the cell holds and wants of one team.
+struct team_demand {
     base::team_id team;
     base::slot_count running;
     base::slot_count unheard;  // all slots of the VMs that this owner has not heard from yet
     base::slot_count queued;   // that could be started besides
 };
 
+// Whenever one of them changes. Starts that are under way count as running from before they are
+// sent.
+struct demand_changed {
+    std::vector<team_demand> teams;
+};
+
 struct allowances_scanned {
     operation_id operation;
     tl::expected<std::vector<platform::row>, platform::store_error> rows;
--- a/packages/cell/src/allowance_keeper.cpp
+++ b/packages/cell/src/allowance_keeper.cpp
@@ -95,14 +95,16 @@
 }
 
 void allowance_keeper::on(const demand_changed& event, base::time_point now) {
-    auto& team = state_of(event.team);
-    team.running = event.running;
-    team.unheard = event.unheard;
-    team.queued = event.queued;
-    const auto wanted = event.running + event.queued;
-    if (wanted >= team.peak) {
-        team.peak = wanted;
-        team.peak_since = now;
+    for (const auto& it : event.teams) {
+        auto& team = state_of(it.team);
+        team.running = it.running;
+        team.unheard = it.unheard;
+        team.queued = it.queued;
+        const auto wanted = it.running + it.queued;
+        if (wanted >= team.peak) {
+            team.peak = wanted;
+            team.peak_since = now;
+        }
     }
 }
 
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -172,6 +172,14 @@
         [worker = worker_, cell, rules = std::move(rules)] { worker->handle(cell, rules); });
 }
 
+void cell_host::set_limits(const base::cell_id& cell, std::vector<cell::team_limit> limits) {
+    worker_->loop().post([worker = worker_, cell, limits = std::move(limits)] {
+        if (auto* const found = worker->find(cell); found != nullptr) {
+            found->set_limits(limits);
+        }
+    });
+}
+
 void cell_host::set_vms(const base::cell_id& cell, std::vector<platform::member> vms) {
     worker_->loop().post([worker = worker_, cell, vms = std::move(vms)] {
         worker->handle(cell, cell::vms_listed{vms});
--- a/packages/daemon/src/cell_host.hpp
+++ b/packages/daemon/src/cell_host.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/cell/allowance_keeper.hpp>
 #include <cranberrydock/cell/cell_machine.hpp>
 #include <cranberrydock/cell/ownership.hpp>
 #include <cranberrydock/config/settings.hpp>
@@ -66,6 +67,7 @@
     void drain(const base::cell_id& cell);
     void extend_evidence(const base::cell_id& cell, base::time_point until);
     void set_rules(const base::cell_id& cell, cell::rules_changed rules);
+    void set_limits(const base::cell_id& cell, std::vector<cell::team_limit> limits);
     void set_vms(const base::cell_id& cell, std::vector<platform::member> vms);
     void drain_vm(const base::vm_id& vm, bool drain);
 
--- a/packages/daemon/src/cell_rules.cpp
+++ b/packages/daemon/src/cell_rules.cpp
@@ -39,7 +39,16 @@
     return base::slot_count(limit / n + (index < limit % n ? 1 : 0));
 }
 
-cell::rules_changed rules_for(const config::configuration& current, const base::cell_id& cell,
+std::vector<cell::team_limit> limits_for(const config::configuration& current,
+                                         const base::cell_id& cell) {
+    std::vector<cell::team_limit> out;
+    for (const auto& it : current.teams) {
+        out.push_back({it.id, it.upper_limit, even_part(current, it, cell)});
+    }
+    return out;
+}
+
+cell::rules_changed rules_for(const config::configuration& current,
                               const std::vector<mesh::team_usage>& elsewhere) {
     cell::rules_changed out;
     for (const auto& it : current.queues) {
@@ -50,7 +59,6 @@
         policy::team_rules rules;
         rules.team = it.id;
         rules.share = it.share;
-        rules.allowance = even_part(current, it, cell);
         for (const auto& usage : elsewhere) {
             rules.used_elsewhere += usage.team == it.id ? usage.running : base::slot_count(0);
         }
--- a/packages/daemon/src/cell_rules.hpp
+++ b/packages/daemon/src/cell_rules.hpp
@@ -2,6 +2,7 @@
 // share and part of its upper limit.
 #pragma once
 
+#include <cranberrydock/cell/allowance_keeper.hpp>
 #include <cranberrydock/cell/cell_messages.hpp>
 #include <cranberrydock/config/configuration.hpp>
 #include <cranberrydock/mesh/messages.hpp>
@@ -15,8 +16,13 @@
 base::slot_count even_part(const config::configuration& current, const config::team& team,
                            const base::cell_id& cell);
 
+// Every team's upper limit, with the even part as this cell's reserve.
+std::vector<cell::team_limit> limits_for(const config::configuration& current,
+                                         const base::cell_id& cell);
+
+// Allowances are left at zero: the cell's owner fills in what it holds of each team's limit.
 // `elsewhere`: slots in use in other cells, as their owners last said.
-cell::rules_changed rules_for(const config::configuration& current, const base::cell_id& cell,
+cell::rules_changed rules_for(const config::configuration& current,
                               const std::vector<mesh::team_usage>& elsewhere);
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -358,7 +358,8 @@
             return;
         }
         for (const auto& it : routes_.owned()) {
-            host_.set_rules(it.cell, rules_for(*current, it.cell, usage_elsewhere(it.cell)));
+            host_.set_limits(it.cell, limits_for(*current, it.cell));
+            host_.set_rules(it.cell, rules_for(*current, usage_elsewhere(it.cell)));
         }
     }
 
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -11,19 +11,27 @@
 
 constexpr base::milliseconds retry_soon{200};
 
+// For so long VMs may run what an earlier owner started: it may have renewed their leases until its
+// patience ended.
+base::milliseconds settling_of(const cell::cell_settings& settings, const cell_start& start) {
+    const bool first_owner = start.epoch == base::epoch(1);
+    return first_owner ? base::milliseconds(0) : settings.unproven_renewal + 2 * settings.vm_lease;
+}
+
 }  // namespace
 
-owned_cell::owned_cell(const cell_start& start, cell::cell_settings settings, net::event_loop& loop,
-                       platform::vm_client& vms, platform::table_service& table,
-                       const base::clock& clock, base::metrics& metrics,
-                       owned_cell_listener& listener)
+owned_cell::owned_cell(const cell_start& start, const cell::cell_settings& settings,
+                       net::event_loop& loop, platform::vm_client& vms,
+                       platform::table_service& table, const base::clock& clock,
+                       base::metrics& metrics, owned_cell_listener& listener)
     : id_(start.cell),
       vms_(vms),
       clock_(clock),
       listener_(listener),
       scheduler_(policy::make_scheduler()),
-      machine_(std::move(settings), *scheduler_, metrics),
-      journal_(start, loop, table, clock, *this) {
+      machine_(settings, *scheduler_, metrics),
+      journal_(start, loop, table, clock, *this),
+      allowances_(start, table, clock, settling_of(settings, start), *this) {
     journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
 }
 
@@ -49,6 +57,29 @@
         }
         return;
     }
+    if (const auto* rules = std::get_if<cell::rules_changed>(&event); rules != nullptr) {
+        rules_ = *rules;
+        apply_rules();
+        return;
+    }
+    if (std::holds_alternative<cell::clock_tick>(event)) {
+        allowances_.tick();
+    }
+    pass_on(event);
+}
+
+void owned_cell::apply_rules() {
+    if (!live_ || !rules_) {
+        return;
+    }
+    cell::rules_changed effective = *rules_;
+    for (auto& it : effective.teams) {
+        it.allowance = allowances_.bound(it.team);
+    }
+    pass_on(effective);
+}
+
+void owned_cell::pass_on(const cell::cell_event& event) {
     for (const auto& it : machine_.handle(event, clock_.now())) {
         std::visit([this](const auto& effect) { carry_out(effect); }, it);
     }
--- a/packages/daemon/src/owned_cell.hpp
+++ b/packages/daemon/src/owned_cell.hpp
@@ -8,6 +8,7 @@
 #include <cranberrydock/platform/vm_client.hpp>
 #include <cranberrydock/policy/scheduler.hpp>
 
+#include "cell_allowances.hpp"
 #include "cell_host.hpp"
 #include "cell_journal.hpp"
 
@@ -27,9 +28,9 @@
     virtual void superseded(const base::cell_id& cell, base::epoch seen) = 0;
 };
 
-class owned_cell final : private journal_client {
+class owned_cell final : private journal_client, private allowance_client {
 public:
-    owned_cell(const cell_start& start, cell::cell_settings settings, net::event_loop& loop,
+    owned_cell(const cell_start& start, const cell::cell_settings& settings, net::event_loop& loop,
                platform::vm_client& vms, platform::table_service& table, const base::clock& clock,
                base::metrics& metrics, owned_cell_listener& listener);
 
@@ -37,6 +38,10 @@
     // journal has been read wait, but for submitted work, which is refused: its entry tries again.
     void handle(const cell::cell_event& event);
 
+    void set_limits(std::vector<cell::team_limit> limits) {
+        allowances_.set_limits(std::move(limits));
+    }
+
     bool live() const { return live_; }
     const cell::cell_machine& machine() const { return machine_; }
 
@@ -44,6 +49,13 @@
     void on_record(const cell::cell_event& event) override { handle(event); }
     std::vector<cell::work_record> snapshot() const override { return machine_.snapshot(); }
 
+    std::vector<policy::team_load> loads() const override { return machine_.loads(); }
+    void on_bounds_changed() override { apply_rules(); }
+
+    // Gives the rules to the decider with the allowances that are held now.
+    void apply_rules();
+    void pass_on(const cell::cell_event& event);
+
     void carry_out(const cell::command_vm& effect);
     void carry_out(const cell::append_record& effect);
     void carry_out(const cell::reply& effect);
@@ -58,6 +70,8 @@
     std::unique_ptr<policy::scheduler> scheduler_;
     cell::cell_machine machine_;
     cell_journal journal_;
+    cell_allowances allowances_;
+    std::optional<cell::rules_changed> rules_;  // as last told, without allowances
     bool live_ = false;
     std::vector<cell::cell_event> waiting_;
     // Answers that come after this cell was given up find it gone.
--- a/test/correctness/an_allowance_counts_no_more_than_the_store_has.cpp
+++ b/test/correctness/an_allowance_counts_no_more_than_the_store_has.cpp
@@ -33,7 +33,8 @@
     }
 
     void demand(int running, int queued, int when) {
-        run({cell::demand_changed{team, slot_count(running), slot_count(0), slot_count(queued)}},
+        run({cell::demand_changed{
+                {{team, slot_count(running), slot_count(0), slot_count(queued)}}}},
             when);
     }
 
--- a/test/standins/allowance_world.cpp
+++ b/test/standins/allowance_world.cpp
@@ -122,8 +122,8 @@
     const auto running =
         std::accumulate(one->believed.begin(), one->believed.end(), static_cast<std::int64_t>(0));
     const auto unheard = std::count(one->heard.begin(), one->heard.end(), false) * slots_per_vm;
-    feed(one, cell::demand_changed{team, slot_count(running), slot_count(unheard),
-                                   slot_count(one->queued)});
+    feed(one, cell::demand_changed{
+                  {{team, slot_count(running), slot_count(unheard), slot_count(one->queued)}}});
 }
 
 void allowance_world::feed(const keeper_ptr& one, const cell::allowance_event& event) {
