--- a/packages/cell/src/journal_writer.cpp
+++ b/packages/cell/src/journal_writer.cpp
@@ -153,7 +153,7 @@
 
 void journal_writer::end_batch(bool durable, bool may_be_written) {
     if (durable) {
-        out_.emplace_back(records_durable{next_row(), std::move(batch_->ids)});
+        out_.emplace_back(records_durable{next_row(), std::move(batch_->ids), batch_->answer_lost});
     } else {
         out_.emplace_back(records_failed{std::move(batch_->ids), may_be_written});
     }
