--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -80,7 +80,7 @@
         return;
     }
     const task_ref ref = context_.book.find_attempt(pending.attempt);
-    if (ref && ref.task->phase == task_phase::starting) {
+    if (ref && ref.task->phase == task_phase::starting && ref.task->current->starts_sent == 1) {
         retry_.not_run(*ref.work, *ref.task, "vm_unreachable");
     }
 }
@@ -98,7 +98,13 @@
                        context_.now - ref.task->current->sent);
         return;
     }
-    retry_.not_run(*ref.work, *ref.task, platform::to_string(verdict));
+    // A start that was sent again proves nothing about the first one, which may have run before or
+    // may still come; unless its lease is over too.
+    const bool proof =
+        ref.task->current->starts_sent == 1 || verdict == platform::vm_verdict::lease_passed;
+    if (proof) {
+        retry_.not_run(*ref.work, *ref.task, platform::to_string(verdict));
+    }
 }
 
 void collect_stage::absorb(vm_state& vm, const platform::vm_report& report) {
@@ -293,7 +299,10 @@
                         (!known || known.task->phase == task_phase::held);
     const task_ref ref = wanted ? task_of_stray(seen.task, seen.team) : task_ref{};
     if (!ref) {
-        const bool settled = !known || known.work->outcome_recorded || !known.task->answer;
+        // What ended work that may not be repeated is the only proof that it ran, until its outcome
+        // is written down.
+        const bool passed_over = known && known.work->what.repeatable && !known.task->answer;
+        const bool settled = !known || known.work->outcome_recorded || passed_over;
         if (settled) {
             vm.acknowledge.push_back(seen.attempt);
         }
--- a/packages/cell/src/stage_dispatch.cpp
+++ b/packages/cell/src/stage_dispatch.cpp
@@ -102,6 +102,7 @@
     current.lapse_at = std::max(current.lapse_at, context_.lapse_after(*vm));
     task.phase = task_phase::starting;
     current.start_under_way = true;
+    ++current.starts_sent;
     context_.due.add(current.lapse_at, lease_due{current.id});
     context_.command(
         *vm,
--- a/packages/cell/src/work_book.hpp
+++ b/packages/cell/src/work_book.hpp
@@ -38,7 +38,8 @@
     // start or a renewal is sent, never by what comes back.
     base::time_point lapse_at{};
     bool confirmed = false;
-    bool counted = false;               // the scheduler counts it as running
+    bool counted = false;  // the scheduler counts it as running
+    int starts_sent = 0;
     bool start_under_way = false;       // a start was sent and its answer is not back
     bool restart_when_stopped = false;  // its gang starts again
 };
--- a/test/standins/cell_world.hpp
+++ b/test/standins/cell_world.hpp
@@ -144,6 +144,7 @@
     std::int64_t limit_ = 0;  // slots
     // Slots that were running when the limit was lowered, until they have sunk below it.
     std::int64_t lowered_from_ = 0;
+    base::time_point lowered_at_{};
     base::metrics metrics_;
     std::vector<std::unique_ptr<owner>> owners_;  // the last one is the rightful owner
     std::vector<std::unique_ptr<caller>> callers_;
