--- a/packages/ctl/src/submit_command.cpp
+++ b/packages/ctl/src/submit_command.cpp
@@ -116,7 +116,7 @@
         if (!wanted.idempotency_key.empty()) {
             return wanted.idempotency_key;
         }
-        const std::string made = "ctl-" + base::random_hex(key_bytes);
+        std::string made = "ctl-" + base::random_hex(key_bytes);
         output::note("idempotency key " + made);
         return made;
     }
