policy: batch that may be repeated is stopped for urgent work that finds no room

Cause: a cell full of long batch left urgent work of other teams waiting until their deadline. Guards seen failing (removed, run, put back): repeatable, may_be_stopped, stopping, below_share -> red. Checkpoint and throttle are left out.

--- a/packages/policy/include/cranberrydock/policy/queue_policy.hpp
+++ b/packages/policy/include/cranberrydock/policy/queue_policy.hpp
@@ -50,6 +50,9 @@
     // Urgent work goes before that of other teams while its team is below its share.
     virtual bool urgent() const { return false; }
 
+    // A running task may be stopped in favour of urgent work, if it may be repeated.
+    virtual bool may_be_stopped() const { return false; }
+
     virtual const placement_scorer& scorer() const = 0;
 };
 
--- a/packages/policy/include/cranberrydock/policy/scheduler_settings.hpp
+++ b/packages/policy/include/cranberrydock/policy/scheduler_settings.hpp
@@ -12,6 +12,11 @@
     // Whether reserves follow learnt usage, or stay as declared.
     bool learn_sizes = true;
 
+    // Urgent work of a team below its share that has found no room for this long gets running batch
+    // stopped; at most so many at once, 0 for never.
+    base::duration urgent_patience = base::milliseconds(300);
+    std::size_t most_stopping = 32;
+
     // A task or gang for which there was no room for this long gets room kept for it.
     base::duration patience = base::seconds(1);
     // How long room is kept the first time; each further time twice as long, up to the longest.
--- a/packages/policy/src/batch_policy.cpp
+++ b/packages/policy/src/batch_policy.cpp
@@ -23,6 +23,7 @@
         return one.deadline;
     }
     double weight() const override { return share_weight; }
+    bool may_be_stopped() const override { return true; }
     const placement_scorer& scorer() const override { return *scorer_; }
 
 private:
--- a/packages/policy/src/cell_scheduler.cpp
+++ b/packages/policy/src/cell_scheduler.cpp
@@ -52,6 +52,7 @@
       roster_(settings),
       health_(settings),
       placer_(vms_, health_),
+      preemptor_(tasks_, vms_, roster_),
       reservations_(vms_),
       queues_(roster_, vms_, settings) {}
 
@@ -212,6 +213,7 @@
         health_.ended(where, one->job, what.end, now);
     }
     placer_.note_ended(*one);
+    stopping_ -= one->stopping ? 1 : 0;
     const bool was_active = team.active();
     --team.tasks_running;
     roster_.refresh_activity(team, was_active);
--- a/packages/policy/src/cell_scheduler.hpp
+++ b/packages/policy/src/cell_scheduler.hpp
@@ -5,6 +5,7 @@
 #include <cranberrydock/policy/scheduler.hpp>
 
 #include "placer.hpp"
+#include "preemptor.hpp"
 #include "reservations.hpp"
 #include "roster.hpp"
 #include "task_queues.hpp"
@@ -51,7 +52,9 @@
     void open_probes(base::time_point now);
     void give_up_useless(decision_round& round);
     bool decide_head(lane& next, decision_round& round);
+    void look_after_starving(decision_round& round);
     void keep_room_for_starving(base::time_point now);
+    void stop_batch_for_urgent(decision_round& round);
 
     bool give_up_head_if_useless(lane& next, decision_round& round);
     std::vector<placement_wish> wishes_of(const queue_entry& head) const;
@@ -72,10 +75,12 @@
     vm_table vms_;
     vm_health health_;
     placer placer_;
+    preemptor preemptor_;
     reservations reservations_;
     task_queues queues_;
     bool capacity_changed_ = false;
     base::time_point next_starving_check_{};
+    std::size_t stopping_ = 0;                     // running tasks that are to be stopped
     std::vector<base::task_id> of_removed_teams_;  // queued tasks still to be given up
 };
 
--- a/packages/policy/src/cell_scheduler_decide.cpp
+++ b/packages/policy/src/cell_scheduler_decide.cpp
@@ -37,7 +37,7 @@
             break;
         }
     }
-    keep_room_for_starving(now);
+    look_after_starving(round);
     return std::move(round.decided);
 }
 
@@ -167,6 +167,7 @@
     for (std::size_t i = 0; i < wishes.size(); ++i) {
         task_record& one = *wishes[i].task;
         start(one, where[i], wishes[i].reserve);
+        one.started = round.now;
         round.decided.emplace_back(placement{*one.id, vms_.at(where[i]).id, wishes[i].reserve});
         ++round.placed;
     }
@@ -180,11 +181,36 @@
     tasks_.remove(one);
 }
 
-void cell_scheduler::keep_room_for_starving(base::time_point now) {
-    if (now < next_starving_check_) {
+void cell_scheduler::look_after_starving(decision_round& round) {
+    if (round.now < next_starving_check_) {
+        return;
+    }
+    next_starving_check_ = round.now + starving_check_interval;
+    keep_room_for_starving(round.now);
+    stop_batch_for_urgent(round);
+}
+
+// What is stopped makes room that goes to urgent work first, since its team is below its share.
+void cell_scheduler::stop_batch_for_urgent(decision_round& round) {
+    if (stopping_ >= settings_.most_stopping) {
         return;
     }
-    next_starving_check_ = now + starving_check_interval;
+    lane* urgent = queues_.starving_urgent(round.now, settings_.urgent_patience);
+    if (urgent == nullptr || urgent->size() <= stopping_) {
+        return;
+    }
+    const std::size_t most = std::min(urgent->size(), settings_.most_stopping) - stopping_;
+    for (task_record* it :
+         preemptor_.pick(urgent->kind(), urgent->group->what.need, most, round.now)) {
+        it->stopping = true;
+        ++stopping_;
+        round.decided.emplace_back(preemption{
+            *it->id, vms_.at(it->where).id,
+            "urgent work of team " + urgent->kind().team->rules.team.str() + " found no room"});
+    }
+}
+
+void cell_scheduler::keep_room_for_starving(base::time_point now) {
     std::size_t held = 0;
     std::vector<std::uint64_t> have_room_kept;
     for (const reservation& it : reservations_.list()) {
--- a/packages/policy/src/records.hpp
+++ b/packages/policy/src/records.hpp
@@ -87,7 +87,9 @@
 
     // Running: where, what is reserved, and how much it uses above that.
     bool running = false;
+    bool stopping = false;  // to be stopped in favour of others
     vm_index where;
+    base::time_point started{};
     base::resources reserved;
     base::resources excess;
     // The rack that it is counted in, when its queue spreads over racks: as it was when the task
--- a/packages/policy/src/roster.cpp
+++ b/packages/policy/src/roster.cpp
@@ -138,6 +138,10 @@
     return team.share < fair_share::entitled(active_weight_);
 }
 
+bool roster::above_share(const team_record& team, double times) const {
+    return team.share > times * fair_share::entitled(active_weight_);
+}
+
 team_record& roster::team_of(const base::team_id& id) {
     auto& it = teams_[id];
     if (!it) {
--- a/packages/policy/src/roster.hpp
+++ b/packages/policy/src/roster.hpp
@@ -40,6 +40,8 @@
     void refresh_activity(const team_record& team, bool was_active);
     // Whether the team has less than its share of the cell.
     bool below_share(const team_record& team) const;
+    // Whether the team has more than `times` its share of the cell.
+    bool above_share(const team_record& team, double times) const;
     // The part of the cell that is idle when `room` is left in it; 0 to 1.
     double idle_part(const base::resources& room) const { return shares_.scarcest(room); }
 
--- a/packages/policy/src/task_queues.cpp
+++ b/packages/policy/src/task_queues.cpp
@@ -190,6 +190,25 @@
     return result;
 }
 
+lane* task_queues::starving_urgent(base::time_point now, base::duration patience) const {
+    lane* result = nullptr;
+    base::time_point longest = now - patience;
+    for (const demand_group* group : order_.limited()) {
+        if (!group->blocked) {
+            continue;
+        }
+        for (lane* it : group->lanes) {
+            const base::time_point accepted = it->head()->task->timing.accepted;
+            if (it->kind().queue->policy->urgent() && it->head()->task->gang == nullptr &&
+                accepted <= longest && roster_->below_share(*it->kind().team)) {
+                longest = accepted;
+                result = it;
+            }
+        }
+    }
+    return result;
+}
+
 // Gives the task an entry in its lane: for itself, or for its gang.
 void task_queues::enter(task_record& one) {
     one.entry = ++numbers_;
--- a/packages/policy/src/task_queues.hpp
+++ b/packages/policy/src/task_queues.hpp
@@ -51,6 +51,10 @@
     // which room was kept least often; null when there is none.
     lane* starving(base::time_point now, const std::vector<std::uint64_t>& except) const;
 
+    // The lane of urgent work, of a team below its share, whose head has found no room for longest
+    // past `patience`; null when there is none.
+    lane* starving_urgent(base::time_point now, base::duration patience) const;
+
     // A queued task that has become useless to start; null when there is none.
     task_record* first_useless(base::time_point now) { return expiry_.first_due(now); }
 
--- /dev/null
+++ b/test/correctness/urgent_work_stops_only_batch_that_may_be_repeated.cpp
@@ -0,0 +1,112 @@
+// Urgent work that finds no room gets running batch of a team above its share stopped: the task
+// that has run least, never one that may not be repeated or is not batch, and none while its own
+// team is above its share.
+#include <cranberrydock/policy/scheduler.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace base = cranberrydock::base;
+namespace policy = cranberrydock::policy;
+
+namespace {
+
+class full_cell : public ::testing::Test {
+protected:
+    full_cell() {
+        sched_->set_queues({{base::queue_name("latency"), policy::queue_kind::latency, 100},
+                            {base::queue_name("must_finish"), policy::queue_kind::must_finish, 100},
+                            {base::queue_name("batch"), policy::queue_kind::batch, 100}});
+        sched_->set_teams({{base::team_id("large"), 1.0, base::slot_count(100), {}},
+                           {base::team_id("small"), 1.0, base::slot_count(100), {}}});
+        for (const char* vm : {"vm1", "vm2", "vm3", "vm4"}) {
+            add_vm(vm);
+        }
+    }
+
+    void add_vm(const char* id) {
+        sched_->put_vm({base::vm_id(id),
+                        base::rack_name("r"),
+                        {base::millicores(2000), base::mebibytes(2048), {}, base::slot_count(2)},
+                        policy::vm_state::usable});
+    }
+
+    void enqueue(const std::string& id, const char* team, const char* queue, bool repeatable) {
+        policy::task one;
+        one.id = base::task_id(id);
+        one.job = base::job_id(id);
+        one.team = base::team_id(team);
+        one.queue = base::queue_name(queue);
+        one.kind = base::kind_name(queue);
+        one.need = {base::millicores(2000), base::mebibytes(1024), {}, base::slot_count(1)};
+        one.repeatable = repeatable;
+        one.accepted = now_;
+        ASSERT_TRUE(sched_->enqueue(one, now_));
+    }
+
+    // The tasks that are told to stop within two seconds.
+    std::vector<std::string> stopped() {
+        std::vector<std::string> result;
+        for (int i = 0; i < 20; ++i) {
+            now_ += base::milliseconds(100);
+            for (const policy::decision& it : sched_->decide(now_, 100)) {
+                if (const auto* one = std::get_if<policy::preemption>(&it)) {
+                    result.push_back(one->task.str());
+                }
+            }
+        }
+        return result;
+    }
+
+    std::unique_ptr<policy::scheduler> sched_ = policy::make_scheduler();
+    base::time_point now_{};
+};
+
+TEST_F(full_cell, stops_the_batch_task_that_has_run_least) {
+    for (const char* id : {"b1", "b2", "b3", "b4"}) {
+        enqueue(id, "large", "batch", true);
+        now_ += base::seconds(1);
+        ASSERT_EQ(sched_->decide(now_, 10).size(), 1U);
+    }
+    enqueue("u1", "small", "latency", true);
+    EXPECT_EQ(stopped(), std::vector<std::string>{"b4"});
+    enqueue("u2", "small", "latency", true);
+    EXPECT_EQ(stopped(), std::vector<std::string>{"b3"}) << "b4 has been told already";
+    sched_->ended({base::task_id("b4"), policy::end_kind::stopped, {}, {}}, now_);
+    const auto decided = sched_->decide(now_, 10);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(std::get<policy::placement>(decided[0]).task.str(), "u1");
+}
+
+TEST_F(full_cell, stops_nothing_that_may_not_be_repeated_or_is_not_batch) {
+    enqueue("b1", "large", "batch", false);
+    enqueue("b2", "large", "batch", false);
+    enqueue("m1", "large", "must_finish", true);
+    enqueue("m2", "large", "must_finish", true);
+    ASSERT_EQ(sched_->decide(now_, 10).size(), 4U);
+    enqueue("u1", "small", "latency", true);
+    EXPECT_TRUE(stopped().empty());
+}
+
+TEST_F(full_cell, stops_nothing_for_a_team_that_has_its_share) {
+    sched_->set_teams({{base::team_id("large"), 1.0, base::slot_count(100), {}},
+                       {base::team_id("small"), 1.0, base::slot_count(100), {}},
+                       {base::team_id("third"), 1.0, base::slot_count(100), {}}});
+    for (const char* vm : {"vm5", "vm6", "vm7", "vm8"}) {
+        add_vm(vm);
+    }
+    // Of eight VMs the small team has three, above a third, and the large one five.
+    for (int i = 0; i < 8; ++i) {
+        const bool small = i < 3;
+        enqueue("t" + std::to_string(i), small ? "small" : "large", small ? "must_finish" : "batch",
+                true);
+    }
+    ASSERT_EQ(sched_->decide(now_, 10).size(), 8U);
+    enqueue("w", "third", "must_finish", true);
+    enqueue("u1", "small", "latency", true);
+    EXPECT_TRUE(stopped().empty());
+}
+
+}  // namespace
--- a/test/performance/waiting.cpp
+++ b/test/performance/waiting.cpp
@@ -105,10 +105,57 @@
     print(std::string("batch_ended_per_second") + at, one.batch_ended / simulated_seconds, "1/s");
 }
 
+// Long batch of one team fills the cell; urgent work of the other teams comes half a minute later.
+void report_behind_long_batch(const std::string& name, const policy::scheduler_settings& settings) {
+    constexpr int long_tasks = 2000;
+    constexpr double long_run = 600;    // seconds
+    constexpr double urgent_from = 30;  // seconds
+    constexpr double urgent_per_second = 150;
+    std::vector<double> waits;
+    double in_time = 0;
+    double arrived = 0;
+    event_loop_of_a_cell cell(
+        set_up(policy::make_scheduler(settings), vms, std::vector<double>(teams, 1.0)));
+    std::mt19937_64 random(workload_seed);
+    int n = 0;
+    for (int i = 0; i < long_tasks; ++i) {
+        workload_task one = next_task(mix[2], random, {}, n++);
+        one.declared.team = team_named(0);
+        one.run_time = duration_of(long_run);
+        cell.arrive_at({}, std::move(one));
+    }
+    std::exponential_distribution<double> gap(urgent_per_second);
+    for (double t = urgent_from; t < simulated_seconds - 10; t += gap(random)) {
+        const base::time_point when{duration_of(t)};
+        workload_task one = next_task(mix[0], random, when, n++);
+        one.declared.team = team_named(1 + static_cast<int>(random() % (teams - 1)));
+        cell.arrive_at(when, std::move(one));
+        ++arrived;
+    }
+    cell.on_started = [&](const workload_task& one, base::time_point now) {
+        if (one.declared.deadline) {
+            waits.push_back(seconds_of(now - one.declared.accepted));
+        }
+    };
+    cell.on_ended = [&](const task_result& one) {
+        const auto& deadline = one.task.declared.deadline;
+        in_time += deadline && one.ended <= *deadline ? 1 : 0;
+    };
+    cell.run_until(base::time_point(duration_of(simulated_seconds)));
+    print("urgent_wait_p50_behind_long_batch_" + name, quantile(waits, 0.5) * 1e3, "ms");
+    print("urgent_wait_p99_behind_long_batch_" + name, quantile(waits, 0.99) * 1e3, "ms");
+    print("urgent_in_time_of_arrived_behind_long_batch_" + name, in_time / arrived, "");
+    print("batch_stopped_" + name, static_cast<double>(cell.stopped), "tasks");
+}
+
 }  // namespace
 
 int main() {
     print("seed", static_cast<double>(workload_seed), "");
+    policy::scheduler_settings never_stops;
+    never_stops.most_stopping = 0;
+    report_behind_long_batch("cranberrydock", {});
+    report_behind_long_batch("never_stopping", never_stops);
     for (const double load : {0.7, 0.95, 3.0}) {
         report("cranberrydock", load, run(policy::make_scheduler(), load));
         report("fifo", load, run(std::make_unique<baseline_scheduler>(baseline_order::fifo), load));
--- a/test/performance/workload.hpp
+++ b/test/performance/workload.hpp
@@ -143,6 +143,7 @@
     // Starts that brought the real use of a VM's memory above its capacity, and all starts.
     std::size_t starts_over_memory = 0;
     std::size_t starts = 0;
+    std::size_t stopped = 0;  // tasks that were stopped in favour of others
 
 private:
     struct event {
@@ -154,12 +155,18 @@
         workload_task task;
         task_result result;
         base::vm_id vm{};
+        std::size_t start = 0;  // which start of the task it ends
 
         friend bool operator<(const event& a, const event& b) {
             return std::tie(b.when, b.number) < std::tie(a.when, a.number);
         }
     };
 
+    struct running_task {
+        workload_task task;
+        std::size_t start = 0;
+    };
+
     void handle(const event& one) {
         switch (one.what) {
             case event::arrival:
@@ -185,6 +192,11 @@
 
     void end(const event& one) {
         const workload_task& task = one.result.task;
+        const auto running = running_.find(task.declared.id);
+        if (running == running_.end() || running->second.start != one.start) {
+            return;  // it was stopped meanwhile
+        }
+        running_.erase(running);
         memory_in_use_[one.vm] -= task.real.memory;
         sched_->ended({task.declared.id, policy::end_kind::completed, task.real, task.run_time},
                       now_);
@@ -200,10 +212,23 @@
                 const auto task = queued_.find(given_up->task);
                 on_refused(task->second, given_up->why);
                 queued_.erase(task);
+            } else {
+                stop(std::get<policy::preemption>(it));
             }
         }
     }
 
+    // A stopped task is queued again and starts from its beginning.
+    void stop(const policy::preemption& one) {
+        const auto it = running_.find(one.task);
+        const workload_task task = it->second.task;
+        memory_in_use_[one.vm] -= task.real.memory;
+        running_.erase(it);
+        ++stopped;
+        sched_->ended({one.task, policy::end_kind::stopped, {}, {}}, now_);
+        arrive(task);
+    }
+
     void start(const policy::placement& place) {
         const auto it = queued_.find(place.task);
         const workload_task task = it->second;
@@ -214,9 +239,11 @@
         on_started(task, now_);
         const base::time_point end = now_ + task.run_time;
         if (task.run_time > report_lag) {
-            events_.push({now_ + report_lag, number_++, event::report, {}, {task, now_, end}, {}});
+            events_.push(
+                {now_ + report_lag, number_++, event::report, {}, {task, now_, end}, {}, 0});
         }
-        events_.push({end, number_++, event::ending, {}, {task, now_, end}, place.vm});
+        running_[place.task] = {task, starts};
+        events_.push({end, number_++, event::ending, {}, {task, now_, end}, place.vm, starts});
     }
 
     std::unique_ptr<policy::scheduler> sched_;
@@ -224,6 +251,7 @@
     std::unordered_map<base::task_id, workload_task> queued_;
     base::time_point now_{};
     std::uint64_t number_ = 0;
+    std::unordered_map<base::task_id, running_task> running_;
     std::unordered_map<base::vm_id, base::mebibytes> memory_in_use_;
 };
 
--- a/test/property/scheduler_model.hpp
+++ b/test/property/scheduler_model.hpp
@@ -61,6 +61,7 @@
 
     void end(const base::task_id& id, policy::end_kind how, base::time_point now) {
         sched->ended({id, how, size_of(1), base::seconds(1)}, now);
+        to_stop.erase(id);
         running.erase(id);
     }
 
@@ -76,6 +77,8 @@
             } else if (const auto* given_up = std::get_if<policy::giving_up>(&it)) {
                 RC_ASSERT(given_up->why.not_run);
                 RC_ASSERT(queued.erase(given_up->task) == 1U);
+            } else {
+                take_preemption(std::get<policy::preemption>(it));
             }
         }
         for (const auto& [id, one] : queued) {
@@ -144,7 +147,19 @@
     std::map<base::task_id, policy::task> queued;
     std::map<base::task_id, running_task> running;
 
+    std::set<base::task_id> to_stop;  // told to stop, still running
+
 private:
+    void take_preemption(const policy::preemption& one) {
+        const auto it = running.find(one.task);
+        RC_ASSERT(it != running.end());
+        RC_ASSERT(it->second.vm == one.vm);
+        RC_ASSERT(it->second.what.repeatable);
+        RC_ASSERT(it->second.what.gang_size == 1U);
+        RC_ASSERT(it->second.what.queue.str() == "batch");
+        RC_ASSERT(to_stop.insert(one.task).second);  // never told twice
+    }
+
     void take_placement(const policy::placement& place, std::set<base::job_id>& gangs) {
         const auto task = queued.find(place.task);
         RC_ASSERT(task != queued.end());  // neither unknown, nor running, nor ended
