--- a/packages/cell/src/cell_context.cpp
+++ b/packages/cell/src/cell_context.cpp
@@ -30,6 +30,7 @@
 command_id cell_context::command(const vm_state& vm, platform::vm_command_body body,
                                  base::milliseconds timeout, pending_command pending) {
     const command_id id(next_command_++);
+    pending.sent = now;
     commands[id] = std::move(pending);
     out.emplace_back(command_vm{id,
                                 vm.listed.id,
--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cranberrydock/cell/cell_machine.hpp>
+#include <cranberrydock/cell/promise_watch.hpp>
 
 #include "agenda.hpp"
 #include "vm_ledger.hpp"
@@ -21,6 +22,7 @@
     kind what = kind::contact;
     base::vm_id vm;
     base::attempt_id attempt;  // of start and stop
+    base::time_point sent{};
 };
 
 // A journal record on its way to the store.
@@ -91,6 +93,7 @@
     std::unordered_map<record_id, pending_record> records;
     // Intents of earlier owners, for VMs that are listed later than they were read.
     std::vector<attempt> recovered_attempts;
+    promise_watch watch;
     std::vector<broken_promise> broken;
     std::vector<cell_effect> out;
 
--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -63,7 +63,7 @@
         return;
     }
     on_verdict(pending, event.result->verdict);
-    absorb(*vm, event.result->report);
+    absorb(*vm, event.result->report, pending.sent);
 }
 
 void collect_stage::on_error(vm_state& vm, const pending_command& pending,
@@ -107,11 +107,15 @@
     }
 }
 
-void collect_stage::absorb(vm_state& vm, const platform::vm_report& report) {
+void collect_stage::absorb(vm_state& vm, const platform::vm_report& report,
+                           base::time_point asked) {
     const bool first_report = !vm.heard;
     if (!take_over_report(vm, report)) {
         return;
     }
+    for (const auto& it : context_.watch.see({vm.listed.id, report, asked, context_.now})) {
+        context_.promise_broken(it.promise, it.evidence);
+    }
     for (const auto& it : report.running) {
         see_running(vm, it, first_report);
     }
@@ -175,11 +179,11 @@
         return;
     }
     if (ref.task->current) {
-        context_.promise_broken("task_in_two_places", "task " + seen.task.str() + " runs on " +
-                                                          vm.listed.id.str() + " as " +
-                                                          seen.attempt.str() + " and on " +
-                                                          ref.task->current->vm.str() + " as " +
-                                                          ref.task->current->id.str());
+        context_.promise_broken(to_string(promise::task_in_two_places),
+                                "task " + seen.task.str() + " runs on " + vm.listed.id.str() +
+                                    " as " + seen.attempt.str() + " and on " +
+                                    ref.task->current->vm.str() + " as " +
+                                    ref.task->current->id.str());
         stop_stray(vm, seen.attempt);
         return;
     }
@@ -274,9 +278,9 @@
     const bool own = origin && origin->epoch == context_.settings.epoch &&
                      origin->number < context_.next_attempt;
     if (!earlier && !own) {
-        context_.promise_broken("started_by_nobody", "attempt " + id.str() + " runs on " +
-                                                         vm.listed.id.str() +
-                                                         " and no owner of this cell started it");
+        context_.promise_broken(to_string(promise::started_by_nobody),
+                                "attempt " + id.str() + " runs on " + vm.listed.id.str() +
+                                    " and no owner of this cell started it");
     }
 }
 
@@ -309,6 +313,7 @@
         return;
     }
     context_.due.add(context_.now + context_.settings.retention, forget_due{ref.work->what.job});
+    ref.task->attempts = std::max(ref.task->attempts, 1);
     context_.book.begin_attempt(*ref.task, attempt_on(vm, seen.attempt));
     end_attempt(*ref.work, *ref.task, seen);
 }
@@ -324,8 +329,9 @@
                 how);
             return;
         }
-        context_.promise_broken("answer_not_whole", "attempt " + ended.id.str() + " on " +
-                                                        ended.vm.str() + ": " + digest_mismatch);
+        context_.promise_broken(
+            to_string(promise::answer_not_whole),
+            "attempt " + ended.id.str() + " on " + ended.vm.str() + ": " + digest_mismatch);
     }
     work.to_acknowledge.push_back(ended);
     if (ended.restart_when_stopped && seen.end == platform::task_end::stopped && !work.outcome) {
--- a/packages/cell/src/stage_collect.hpp
+++ b/packages/cell/src/stage_collect.hpp
@@ -20,7 +20,7 @@
 private:
     void on_error(vm_state& vm, const pending_command& pending, platform::vm_error error);
     void on_verdict(const pending_command& pending, platform::vm_verdict verdict);
-    void absorb(vm_state& vm, const platform::vm_report& report);
+    void absorb(vm_state& vm, const platform::vm_report& report, base::time_point asked);
     bool take_over_report(vm_state& vm, const platform::vm_report& report);
     void see_running(vm_state& vm, const platform::running_task& seen, bool first_report);
     void see_finished(vm_state& vm, const platform::finished_task& seen);
--- a/packages/cell/src/stage_vms.cpp
+++ b/packages/cell/src/stage_vms.cpp
@@ -45,6 +45,7 @@
     for (const auto& id : gone) {
         context_.scheduler.remove_vm(id);
         context_.vms.forget(id);
+        context_.watch.forget(id);
     }
 }
 
--- a/packages/ctl/src/explain_command.cpp
+++ b/packages/ctl/src/explain_command.cpp
@@ -29,6 +29,9 @@
         }
     }
     std::string out = job_text(job) + "\n" + table.text();
+    if (job.contains("verdict")) {
+        out += "\nto blame: " + text_at(job["verdict"], "text") + "\n";
+    }
     if (longest_us > 0) {
         out += "\nmost time: " + milliseconds_text(longest, "took_us") + " ms in stage " +
                text_at(longest, "stage") + " at " + text_at(longest, "where") + "\n";
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -209,11 +209,11 @@
             worker->handle(cell, cell::cancel_job{team, job});
         }
         const owned_cell* const found = worker->find(cell);
-        std::optional<base::job_view> view;
+        job_answer answer;
         if (found != nullptr && found->live()) {
-            view = found->machine().view(team, job);
+            answer = {true, found->machine().view(team, job)};
         }
-        worker->tell([done, view = std::move(view)] { done(view); });
+        worker->tell([done, answer = std::move(answer)] { done(answer); });
     });
 }
 
--- a/packages/daemon/src/cell_host.hpp
+++ b/packages/daemon/src/cell_host.hpp
@@ -46,7 +46,13 @@
     virtual std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) = 0;
 };
 
-using view_callback = std::function<void(std::optional<base::job_view>)>;
+// `owned` false: this host can't speak for the cell, at the moment or any more.
+struct job_answer {
+    bool owned = false;
+    std::optional<base::job_view> view;  // nothing: no such job
+};
+
+using view_callback = std::function<void(job_answer)>;
 using views_callback = std::function<void(std::vector<base::job_view>)>;
 using host_vms_callback = std::function<void(std::vector<cell::vm_view>)>;
 using host_promises_callback = std::function<void(std::vector<cell::broken_promise>)>;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -2,6 +2,7 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/base/metrics.hpp>
+#include <cranberrydock/cell/promise_watch.hpp>
 #include <cranberrydock/daemon/daemon.hpp>
 #include <cranberrydock/entry/api_server.hpp>
 #include <cranberrydock/mesh/mesh.hpp>
@@ -32,6 +33,7 @@
 // After a stop was asked for, balancers have seen the daemon unready by then.
 constexpr base::milliseconds unready_time{1'000};
 constexpr std::size_t incarnation_bytes = 4;
+constexpr std::size_t most_promises_kept = 1'000;
 
 base::daemon_id name_daemon(const config::identity_settings& identity) {
     return base::daemon_id(identity.vm.str() + "~" + base::random_hex(incarnation_bytes));
@@ -109,6 +111,10 @@
             metrics_.count("cranberrydock_refusals_total",
                            "reason=\"" + std::string(to_string(reason)) + "\"", 0);
         }
+        for (const auto promise : cell::all_promises()) {
+            metrics_.count("cranberrydock_promises_broken_total",
+                           "promise=\"" + to_string(promise) + "\"", 0);
+        }
         timers_.push_back(loop.every(tick_period, [this] { tick(); }));
         timers_.push_back(loop.every(member_period, [this] { read_members(); }));
         timers_.push_back(loop.every(rules_period, [this] { publish_rules(); }));
@@ -160,6 +166,15 @@
         return mesh_ != nullptr && mesh_->send(to, what);
     }
 
+    mesh::round_trip_summary round_trips(const base::daemon_id& peer) const override {
+        for (const auto& it : mesh_->links()) {
+            if (it.peer == peer) {
+                return it.round_trips;
+            }
+        }
+        return {};
+    }
+
     // ---- cells
 
     void on_reply(cell::reply_id to, const base::work_outcome& outcome,
@@ -269,12 +284,19 @@
 
     void vms(entry::vms_callback done) override { host_.vms(std::move(done)); }
     void drain(const base::vm_id& vm, bool drain) override { host_.drain_vm(vm, drain); }
-    void promises(entry::promises_callback done) override { host_.promises(std::move(done)); }
+    void promises(entry::promises_callback done) override {
+        host_.promises(
+            [own = broken_, done = std::move(done)](std::vector<cell::broken_promise> all) {
+                all.insert(all.end(), own.begin(), own.end());
+                done(std::move(all));
+            });
+    }
     bool ready() const override { return !stopping_ && config_.current() != nullptr; }
 
 private:
     void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
         usage_[from] = what.usage;
+        note_broken(watch_.see(from, what.version));
         config_.on_peer_version(from, what.version);
     }
     void receive(const base::daemon_id& from, const mesh::submit_work& what) {
@@ -361,6 +383,30 @@
             host_.set_limits(it.cell, limits_for(*current, it.cell));
             host_.set_rules(it.cell, rules_for(*current, usage_elsewhere(it.cell)));
         }
+        watch_limits(*current);
+    }
+
+    // What every team has running in the whole fleet, as far as this daemon knows, against its
+    // limit.
+    void watch_limits(const config::configuration& current) {
+        std::map<base::team_id, base::slot_count> running;
+        for (const auto& it : usage_elsewhere({})) {
+            running[it.team] += it.running;
+        }
+        for (const auto& it : current.teams) {
+            note_broken(watch_.see({it.id, running[it.id], it.upper_limit}, clock_.now()));
+        }
+    }
+
+    void note_broken(const std::vector<cell::broken_promise>& found) {
+        for (const auto& it : found) {
+            metrics_.count("cranberrydock_promises_broken_total", "promise=\"" + it.promise + "\"");
+            spdlog::error("event=promise_broken promise={} evidence=\"{}\"", it.promise,
+                          it.evidence);
+            if (broken_.size() < most_promises_kept) {
+                broken_.push_back(it);
+            }
+        }
     }
 
     std::vector<mesh::team_usage> own_usage() const {
@@ -412,6 +458,8 @@
     std::unique_ptr<mesh::mesh> mesh_;
     registry_keeper registry_;
     std::vector<platform::member> listed_;
+    cell::promise_watch watch_;
+    std::vector<cell::broken_promise> broken_;  // of the fleet; a cell's own are in its host
     std::map<base::cell_id, std::vector<policy::team_load>> loads_;   // of cells owned here
     std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;  // of other daemons' cells
     std::vector<std::unique_ptr<net::timer>> timers_;
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -15,7 +15,9 @@
 constexpr base::milliseconds retry_soon{1'000};
 // How long work without an owner is kept trying: several takeovers' time.
 constexpr base::milliseconds patience{30'000};
-constexpr base::milliseconds question_patience{5'000};
+// Questions outlast a takeover, too.
+constexpr base::milliseconds question_patience{10'000};
+constexpr base::milliseconds question_period{500};
 
 base::refusal no_home(const base::team_id& team) {
     return {base::refusal_reason::cell_without_owner, true, retry_soon,
@@ -88,6 +90,11 @@
     }
     work.sent_to = *owner;
     work.sent = clock_.now();
+    if (!here) {
+        mesh::link_use use;
+        use.peer = *owner;
+        work.links.push_back(std::move(use));
+    }
     work.trace.push_back({"route", owner->str(), work.sent - work.accepted, base::microseconds{0},
                           "home cell " + work.home.str()});
 }
@@ -131,9 +138,17 @@
 
 void work_forwarder::finish(std::int64_t id, entry::routed_outcome outcome) {
     const auto it = pending_.find(id);
-    const entry::outcome_callback done = std::move(it->second.done);
+    pending_work work = std::move(it->second);
     pending_.erase(it);
-    done(std::move(outcome));
+    mesh::request_times times;
+    times.total = clock_.now() - work.accepted;
+    times.steps = work.trace;
+    times.links = work.links;
+    for (auto& link : times.links) {
+        link.round_trips = peers_.round_trips(link.peer);
+    }
+    log_.add(work.what, std::move(times));
+    work.done(std::move(outcome));
 }
 
 void work_forwarder::on_peer_lost(const base::daemon_id& peer) {
@@ -144,16 +159,10 @@
                                        clock_.now() - it.second.sent,
                                        "link lost; sent again to whoever owns the cell"});
             it.second.maybe_run = true;
+            it.second.links.back().went_down = true;
             retry_later(it.second);
         }
     }
-    for (auto it = questions_.begin(); it != questions_.end();) {
-        const bool gone = it->second.sent_to == peer;
-        if (gone) {
-            it->second.give_up_at = clock_.now();
-        }
-        ++it;
-    }
 }
 
 void work_forwarder::tick() {
@@ -175,14 +184,20 @@
             try_send(id, it->second);
         }
     }
-    std::vector<std::int64_t> unanswered;
-    for (const auto& it : questions_) {
+    tick_questions(now);
+}
+
+void work_forwarder::tick_questions(base::time_point now) {
+    std::vector<std::int64_t> late;
+    for (auto& it : questions_) {
         if (now >= it.second.give_up_at) {
-            unanswered.push_back(it.first);
+            late.push_back(it.first);
+        } else if (now >= it.second.next_try) {
+            try_ask(it.first, it.second);
         }
     }
-    for (const std::int64_t id : unanswered) {
-        const entry::job_callback done = questions_.at(id).done;
+    for (const std::int64_t id : late) {
+        const entry::job_callback done = std::move(questions_.at(id).done);
         questions_.erase(id);
         done(
             tl::unexpected(base::refusal{base::refusal_reason::owner_unreachable, false, retry_soon,
@@ -228,56 +243,48 @@
 void work_forwarder::ask(const entry::job_question& what, entry::job_callback done) {
     const auto current = configuration_.current();
     const auto home = home_cell(*current, what.team, what.job);
-    const auto owner = home ? routes_.owner(*home) : std::nullopt;
-    if (!owner) {
-        done(tl::unexpected(base::refusal{base::refusal_reason::cell_without_owner, false,
-                                          retry_soon,
-                                          "the job's home cell has no owner at the moment"}));
-        return;
-    }
-    if (*owner == routes_.self()) {
-        ask_here(what, *home, std::move(done));
+    if (!home) {
+        done(tl::unexpected(no_home(what.team)));
         return;
     }
     const std::int64_t id = next_id_++;
-    questions_[id] = {std::move(done), *owner, clock_.now() + question_patience};
-    const mesh::job_query query{mesh::call_id(id), *home, what.team, what.job, what.cancel};
-    if (!peers_.send(*owner, query)) {
-        questions_.at(id).give_up_at = clock_.now();
-    }
+    pending_question& question = questions_[id];
+    question.what = what;
+    question.home = *home;
+    question.done = std::move(done);
+    question.give_up_at = clock_.now() + question_patience;
+    try_ask(id, question);
 }
 
-void work_forwarder::ask_here(const entry::job_question& what, const base::cell_id& home,
-                              entry::job_callback done) {
-    host_.ask(home, what.team, what.job, what.cancel,
-              [done = std::move(done), job = what.job](const std::optional<base::job_view>& view) {
-                  if (view) {
-                      done(*view);
-                      return;
+void work_forwarder::try_ask(std::int64_t id, pending_question& question) {
+    question.next_try = clock_.now() + question_period;
+    const auto owner = routes_.owner(question.home);
+    if (!owner) {
+        return;
+    }
+    const entry::job_question& what = question.what;
+    if (*owner != routes_.self()) {
+        peers_.send(*owner, mesh::job_query{mesh::call_id(id), question.home, what.team, what.job,
+                                            what.cancel});
+        return;
+    }
+    host_.ask(question.home, what.team, what.job, what.cancel,
+              [this, id](const job_answer& answer) {
+                  if (answer.owned) {
+                      answer_question(id, answer.view);
                   }
-                  done(tl::unexpected(base::refusal{
-                      base::refusal_reason::unknown_job, false, base::milliseconds{0},
-                      "this team has no job " + job.str() + ", or it ended too long ago"}));
               });
 }
 
-void work_forwarder::on_query(const base::daemon_id& from, const mesh::job_query& what) {
-    host_.ask(what.cell, what.team, what.job, what.cancel,
-              [this, from, call = what.call](const std::optional<base::job_view>& view) {
-                  peers_.send(from, mesh::job_reply{call, view.has_value(),
-                                                    view.value_or(base::job_view{})});
-              });
-}
-
-void work_forwarder::on_job_reply(const mesh::job_reply& what) {
-    const auto it = questions_.find(what.call.value());
+void work_forwarder::answer_question(std::int64_t id, const std::optional<base::job_view>& view) {
+    const auto it = questions_.find(id);
     if (it == questions_.end()) {
         return;
     }
     const entry::job_callback done = std::move(it->second.done);
     questions_.erase(it);
-    if (what.found) {
-        done(what.view);
+    if (view) {
+        done(*view);
         return;
     }
     done(tl::unexpected(base::refusal{base::refusal_reason::unknown_job, false,
@@ -285,6 +292,26 @@
                                       "this team has no such job, or it ended too long ago"}));
 }
 
+void work_forwarder::on_query(const base::daemon_id& from, const mesh::job_query& what) {
+    host_.ask(what.cell, what.team, what.job, what.cancel,
+              [this, from, call = what.call](const job_answer& answer) {
+                  // Without the cell there is nothing to say; the asker tries the next owner.
+                  if (answer.owned) {
+                      peers_.send(from, mesh::job_reply{call, answer.view.has_value(),
+                                                        answer.view.value_or(base::job_view{})});
+                  }
+              });
+}
+
+void work_forwarder::on_job_reply(const mesh::job_reply& what) {
+    answer_question(what.call.value(),
+                    what.found ? std::optional(what.view) : std::optional<base::job_view>());
+}
+
+std::optional<mesh::verdict> work_forwarder::explain(const base::job_id& job) const {
+    return log_.explain(job);
+}
+
 void work_forwarder::list(const entry::job_page& page, entry::page_callback done) {
     host_.list(page.team, page.after, page.limit, std::move(done));
 }
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -10,6 +10,7 @@
 #include <cranberrydock/net/event_loop.hpp>
 
 #include "cell_host.hpp"
+#include "request_log.hpp"
 #include "routing_table.hpp"
 
 #include <map>
@@ -24,6 +25,7 @@
     virtual ~peer_sender() = default;
     // As mesh::send.
     virtual bool send(const base::daemon_id& to, const mesh::message& what) = 0;
+    virtual mesh::round_trip_summary round_trips(const base::daemon_id& peer) const = 0;
 };
 
 class work_forwarder final : public entry::work_router {
@@ -35,6 +37,7 @@
     void submit(const base::work& what, entry::outcome_callback done) override;
     void ask(const entry::job_question& what, entry::job_callback done) override;
     void list(const entry::job_page& page, entry::page_callback done) override;
+    std::optional<mesh::verdict> explain(const base::job_id& job) const override;
 
     // An answer of this daemon's own cells.
     void on_reply(cell::reply_id to, const base::work_outcome& outcome,
@@ -67,6 +70,7 @@
         // Whether an earlier owner may have run it: then no later owner's "not run" is the truth.
         bool maybe_run = false;
         std::vector<base::trace_step> trace;
+        std::vector<mesh::link_use> links;
     };
 
     // Work of another daemon's caller, handed to a cell here.
@@ -75,9 +79,12 @@
         mesh::call_id call;
     };
 
+    // Asked again, of whoever owns the cell then, until somebody answers: asking twice is harmless.
     struct pending_question {
+        entry::job_question what;
+        base::cell_id home;
         entry::job_callback done;
-        base::daemon_id sent_to;
+        base::time_point next_try{};
         base::time_point give_up_at{};
     };
 
@@ -87,8 +94,9 @@
     void retry_later(pending_work& work);
     void give_up(std::int64_t id);
     void finish(std::int64_t id, entry::routed_outcome outcome);
-    void ask_here(const entry::job_question& what, const base::cell_id& home,
-                  entry::job_callback done);
+    void try_ask(std::int64_t id, pending_question& question);
+    void answer_question(std::int64_t id, const std::optional<base::job_view>& view);
+    void tick_questions(base::time_point now);
 
     const entry::configuration_source& configuration_;
     const routing_table& routes_;
@@ -96,6 +104,7 @@
     peer_sender& peers_;
     base::metrics& metrics_;
     const base::clock& clock_;
+    request_log log_;
     std::int64_t next_id_ = 1;
     std::map<std::int64_t, pending_work> pending_;
     std::map<std::int64_t, foreign_work> foreign_;
--- a/packages/entry/include/cranberrydock/entry/gateways.hpp
+++ b/packages/entry/include/cranberrydock/entry/gateways.hpp
@@ -5,6 +5,7 @@
 #include <cranberrydock/base/work.hpp>
 #include <cranberrydock/cell/cell_machine.hpp>
 #include <cranberrydock/config/configuration.hpp>
+#include <cranberrydock/mesh/link_blame.hpp>
 
 #include <tl/expected.hpp>
 
@@ -55,6 +56,8 @@
     virtual void ask(const job_question& what, job_callback done) = 0;
     // Jobs in the cells that this daemon owns.
     virtual void list(const job_page& page, page_callback done) = 0;
+    // What to blame for the job's last request through this daemon; nothing when it has none.
+    virtual std::optional<mesh::verdict> explain(const base::job_id& job) const = 0;
 };
 
 struct patch_request {
--- a/packages/entry/src/api_json.cpp
+++ b/packages/entry/src/api_json.cpp
@@ -110,6 +110,28 @@
     return text_of(view_of(job));
 }
 
+std::string explain_json(const base::job_view& job, const std::optional<mesh::verdict>& verdict) {
+    json out = view_of(job);
+    if (!verdict) {
+        return text_of(out);
+    }
+    json parts = json::array();
+    for (const auto& it : verdict->parts) {
+        parts.push_back({{"blamed", to_string(it.what)},
+                         {"where", it.where},
+                         {"took_us", it.took.count()},
+                         {"typical_us", it.typical.count()},
+                         {"note", it.note}});
+    }
+    out["verdict"] = {{"blamed", to_string(verdict->what)},
+                      {"where", verdict->where},
+                      {"excess_us", verdict->excess.count()},
+                      {"share", verdict->share},
+                      {"text", verdict->text},
+                      {"parts", std::move(parts)}};
+    return text_of(out);
+}
+
 std::string jobs_json(const std::vector<base::job_view>& jobs) {
     json out = {{"jobs", json::array()}};
     for (const auto& it : jobs) {
--- a/packages/entry/src/api_json.hpp
+++ b/packages/entry/src/api_json.hpp
@@ -4,6 +4,7 @@
 #include <cranberrydock/base/work.hpp>
 #include <cranberrydock/entry/gateways.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
 std::string accepted_json(const base::work& what);
 std::string answered_json(const base::work& what, const base::work_answered& outcome);
 std::string job_json(const base::job_view& job);
+// With the verdict on its last request through this entry, when there is one.
+std::string explain_json(const base::job_view& job, const std::optional<mesh::verdict>& verdict);
 std::string jobs_json(const std::vector<base::job_view>& jobs);
 std::string cells_json(const std::vector<cell_status>& cells, const std::vector<link_view>& links);
 std::string vms_json(const std::vector<cell::vm_view>& vms);
--- a/packages/entry/src/work_routes.cpp
+++ b/packages/entry/src/work_routes.cpp
@@ -46,7 +46,7 @@
          }},
         {http_method::get, "/v1/explain/{name}",
          [this](const routed_request& request, const net::http_responder& respond) {
-             ask(request, respond, false);
+             explain(request, respond);
          }},
         {http_method::del, "/v1/jobs/{name}",
          [this](const routed_request& request, const net::http_responder& respond) {
@@ -69,6 +69,22 @@
         });
 }
 
+void work_routes::explain(const routed_request& request, const net::http_responder& respond) {
+    const auto team = team_of(dependencies_.configuration, request.http);
+    if (!team) {
+        respond(problem(team.error().why));
+        return;
+    }
+    const base::job_id job(request.name);
+    dependencies_.router.ask(
+        {*team, job, false},
+        [this, job, respond](const tl::expected<base::job_view, base::refusal>& found) {
+            respond(found ? net::json_response(
+                                ok, explain_json(*found, dependencies_.router.explain(job)))
+                          : problem(found.error()));
+        });
+}
+
 void work_routes::list(const routed_request& request, const net::http_responder& respond) {
     const auto team = team_of(dependencies_.configuration, request.http);
     if (!team) {
--- a/packages/entry/src/work_routes.hpp
+++ b/packages/entry/src/work_routes.hpp
@@ -19,6 +19,7 @@
 
 private:
     void ask(const routed_request& request, const net::http_responder& respond, bool cancel);
+    void explain(const routed_request& request, const net::http_responder& respond);
     void list(const routed_request& request, const net::http_responder& respond);
 
     api_dependencies dependencies_;
--- a/test/standins/cell_world.cpp
+++ b/test/standins/cell_world.cpp
@@ -661,6 +661,13 @@
     for (const auto& it : breaches_) {
         out += it + "\n";
     }
+    // Nothing but the simulated faults went wrong, and none of them breaks a promise.
+    for (const auto& one : owners_) {
+        for (const auto& it : one->machine.broken_promises()) {
+            out += "alarm of epoch " + std::to_string(one->epoch.value()) + ": " + it.promise +
+                   ": " + it.evidence + "\n";
+        }
+    }
     for (const auto& it : judge_.evidence()) {
         out += "judge: " + it + "\n";
     }
