mesh: bulk connections have beats only in use in paced fleets; usage_period takes effect

And bulk connections of near links had beats at the full rate though nothing was to be sent on them. Done: both ends follow the higher of their wishes far, near, in use; only the last beats on bulk, too. With near_peers 0 (the default) every link counts as in use, as before. Tests: usage no more often than set; silence of the control or the bulk connection alone. Guards seen failing, each removed, run and put back: the usage period, the watch of the bulk connection, staying in use while unanswered, telling the peer of a change of pace at once.

--- a/packages/mesh/src/link.cpp
+++ b/packages/mesh/src/link.cpp
@@ -7,6 +7,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberrydock::mesh::detail {
@@ -75,9 +76,17 @@
     update_pace();
 }
 
-bool link::wants_fast() const {
-    if (near_ || !used_) {
-        return near_;
+pace link::wished() const {
+    const bool all_near = parts_.settings.near_peers == 0;
+    if (all_near || used_lately()) {
+        return pace::in_use;
+    }
+    return near_ ? pace::near : pace::far;
+}
+
+bool link::used_lately() const {
+    if (!used_) {
+        return false;
     }
     const bool lately = parts_.clock.now() - last_used_ < parts_.settings.active_time;
     const bool unanswered = control_.is_open() && control_.last_heard() < last_used_;
@@ -85,12 +94,12 @@
 }
 
 void link::update_pace() {
-    const bool now = wants_fast() || peer_wants_fast_;
-    if (now == fast_) {
+    const pace now = std::max(wished(), peer_wishes_);
+    if (now == pace_) {
         return;
     }
-    fast_ = now;
-    fast_since_ = parts_.clock.now();
+    pace_ = now;
+    pace_since_ = parts_.clock.now();
     // The peer is to follow at once: what it expects of this end depends on it.
     send_beat(events_.current_state());
 }
@@ -99,7 +108,7 @@
     update_pace();
     // Called once a period: the half keeps a far beat from slipping to the next call.
     const base::duration far = parts_.settings.far_period - parts_.settings.heartbeat_period / 2;
-    if (fast_ || parts_.clock.now() - last_beat_ >= far) {
+    if (pace_ != pace::far || parts_.clock.now() - last_beat_ >= far) {
         send_beat(state);
     }
 }
@@ -111,23 +120,27 @@
 void link::send_beat(const heartbeat& state) {
     last_beat_ = parts_.clock.now();
     if (control_.is_open()) {
-        control_.send(encode(
-            beat_frame{control_.timing().next(last_beat_), wants_fast(), own_state_.next(state)}));
+        const bool with_usage = usage_is_due();
+        if (with_usage) {
+            last_usage_ = last_beat_;
+        }
+        control_.send(encode(beat_frame{control_.timing().next(last_beat_), wished(),
+                                        own_state_.next(state, with_usage)}));
     }
-    if (bulk_.is_open() && fast_) {
-        bulk_.send(encode(beat_frame{bulk_.timing().next(last_beat_), wants_fast(), {}}));
+    if (bulk_.is_open() && pace_ == pace::in_use) {
+        bulk_.send(encode(beat_frame{bulk_.timing().next(last_beat_), wished(), {}}));
     }
 }
 
 void link::watch() {
     const mesh_settings& settings = parts_.settings;
-    if (!fast_) {
-        // The bulk connection is watched again when there is something to send.
-        control_.watch(settings.far_period + settings.silence_deadline, fast_since_);
-        return;
+    const base::duration control_deadline = pace_ == pace::far
+                                                ? settings.far_period + settings.silence_deadline
+                                                : base::duration(settings.silence_deadline);
+    control_.watch(control_deadline, pace_since_);
+    if (pace_ == pace::in_use) {
+        bulk_.watch(settings.silence_deadline, pace_since_);
     }
-    control_.watch(settings.silence_deadline, fast_since_);
-    bulk_.watch(settings.silence_deadline, fast_since_);
 }
 
 void link::count_bytes() {
@@ -147,7 +160,7 @@
     out.peer = peer_.id;
     out.up = up_;
     out.last_heard = control_.last_heard();
-    out.watched = fast_;
+    out.watched = pace_ != pace::far;
     out.round_trip = control_.timing().smoothed();
     out.round_trips = round_trips_.summary();
     out.sent = sent();
@@ -158,7 +171,7 @@
 void link::on_channel_open(link_channel& which) {
     if (which.which() == channel::control) {
         heard_ = false;
-        peer_wants_fast_ = true;
+        peer_wishes_ = pace::in_use;
         last_usage_.reset();
         own_state_ = state_sender();
         peer_state_ = state_receiver();
@@ -217,7 +230,7 @@
         return;
     }
     heard_ = true;
-    peer_wants_fast_ = what.wants_fast;
+    peer_wishes_ = what.wished;
     update_pace();
     update("");
     events_.on_link_message(*this, std::move(*state));
--- a/packages/mesh/src/link.hpp
+++ b/packages/mesh/src/link.hpp
@@ -75,9 +75,10 @@
     void refuse_frame(const link_channel& which, const char* reason, const base::findings& faults);
     bool refuse_send(const char* reason);
     void update(const std::string& why);
-    // Whether this end wants beats at the full rate: it is near, or was used lately.
-    bool wants_fast() const;
-    // Looks again at who wants what; tells the peer at once when the rate of beats changes.
+    // What this end wishes.
+    pace wished() const;
+    bool used_lately() const;
+    // Looks again at who wishes what; tells the peer at once when the pace changes.
     void update_pace();
     void send_beat(const heartbeat& state);
     bool usage_is_due() const;
@@ -93,11 +94,11 @@
     base::byte_count counted_sent_{0};
     base::byte_count counted_received_{0};
     bool near_ = true;
-    bool used_ = false;              // ever
-    base::time_point last_used_{};   // a message was sent or refused
-    bool peer_wants_fast_ = true;    // as its last beat said
-    bool fast_ = true;               // either end wants beats at the full rate
-    base::time_point fast_since_{};  // of the last change of fast_
+    bool used_ = false;                // ever
+    base::time_point last_used_{};     // a message was sent or refused
+    pace peer_wishes_ = pace::in_use;  // as its last beat said
+    pace pace_ = pace::in_use;         // the higher of both ends' wishes
+    base::time_point pace_since_{};    // the last change of pace_
     base::time_point last_beat_{};
     std::optional<base::time_point> last_usage_;  // sent on the control connection in use
     state_sender own_state_;                      // on the control connection in use
--- a/packages/mesh/src/link_frames.cpp
+++ b/packages/mesh/src/link_frames.cpp
@@ -20,7 +20,8 @@
 struct list_writer {
     json operator()(const beat_frame& what) const {
         return json::array({beat_kind, what.timing.sequence, what.timing.echo,
-                            what.timing.held.count(), what.wants_fast ? 1 : 0, binary(what.state)});
+                            what.timing.held.count(), static_cast<std::int64_t>(what.wished),
+                            binary(what.state)});
     }
     json operator()(const chunk& what) const {
         return json::array({chunk_kind, what.transfer, what.offset, what.total, binary(what.digest),
@@ -57,7 +58,7 @@
 
 beat_frame read_beat(const json& list) {
     return {{number_of(list[1]), number_of(list[2]), base::microseconds(number_of(list[3]))},
-            number_of(list[4]) != 0,
+            static_cast<pace>(number_of(list[4])),
             bytes_of(list[5])};
 }
 
@@ -84,7 +85,8 @@
     const json& list = *document;
     const bool numbered = list.is_array() && !list.empty() && list[0].is_number_unsigned();
     const std::int64_t kind = numbered ? number_of(list[0]) : -1;
-    if (kind == beat_kind && has_shape(list, "nnnnnb")) {
+    if (kind == beat_kind && has_shape(list, "nnnnnb") &&
+        number_of(list[4]) <= static_cast<std::int64_t>(pace::in_use)) {
         return read_beat(list);
     }
     if (kind == chunk_kind && has_shape(list, "nnnnbb")) {
--- a/packages/mesh/src/link_frames.hpp
+++ b/packages/mesh/src/link_frames.hpp
@@ -8,15 +8,23 @@
 
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <string>
 #include <variant>
 
 namespace cranberrydock::mesh::detail {
 
+// How closely an end wants the link watched; both ends follow the higher wish.
+enum class pace : std::int64_t {
+    far = 0,     // a beat on the control channel now and then
+    near = 1,    // beats at the full rate on the control channel
+    in_use = 2,  // on both channels
+};
+
 // A sign of life, with the sender's state on the control channel.
 struct beat_frame {
     beat timing;
-    bool wants_fast = false;  // the sender wants beats at the full rate, both ways
+    pace wished = pace::far;  // by the sender
     std::string state;        // from state_sender; empty on the bulk channel
 };
 
--- a/test/correctness/two_daemons_exchange_messages_over_the_mesh.cpp
+++ b/test/correctness/two_daemons_exchange_messages_over_the_mesh.cpp
@@ -5,6 +5,7 @@
 #include <standins/tcp_relay.hpp>
 
 #include <array>
+#include <vector>
 
 namespace {
 
@@ -41,6 +42,30 @@
     }
 }
 
+TEST_F(two_daemons, tell_their_state_and_usage_no_more_often_than_set) {
+    mesh_node::options rare{"c"};
+    rare.usage_period = base::seconds{300};  // longer than the test
+    mesh_node c(world_, rare);
+    const auto usage = [](int running) {
+        return std::vector<mesh::team_usage>{
+            {base::team_id("survey"), base::slot_count(running), base::slot_count(0)}};
+    };
+    b_.state.usage = usage(1);
+    c.state.usage = usage(1);
+    ASSERT_TRUE(standins::link_up(world_, a_, b_));
+    EXPECT_EQ(a_.heard.usage.at(0).running, base::slot_count(1));
+    b_.state.usage = usage(2);
+    b_.state.version = base::config_version(2);
+    ASSERT_TRUE(world_.run_until([&] { return a_.heard.version == base::config_version(2); }));
+    EXPECT_EQ(a_.heard.usage.at(0).running, base::slot_count(2));
+
+    ASSERT_TRUE(standins::link_up(world_, a_, c));
+    c.state.usage = usage(3);
+    c.state.version = base::config_version(3);
+    ASSERT_TRUE(world_.run_until([&] { return a_.heard.version == base::config_version(3); }));
+    EXPECT_EQ(a_.heard.usage.at(0).running, base::slot_count(1));
+}
+
 TEST_F(two_daemons, measure_the_round_trip_and_count_bytes) {
     standins::tcp_relay slow(world_.loop, b_.mesh->listening_on(), {base::milliseconds{15}, {}});
     a_.mesh->set_peers({b_.as_peer(slow.listening_on())});
--- a/test/failure/mesh_links_recover_from_lost_peers_and_connections.cpp
+++ b/test/failure/mesh_links_recover_from_lost_peers_and_connections.cpp
@@ -21,6 +21,10 @@
     return out;
 }
 
+// The order in which a daemon dials.
+constexpr std::size_t control = 0;
+constexpr std::size_t bulk = 1;
+
 class mesh_links : public ::testing::Test {
 protected:
     void link_through_relay() {
@@ -36,6 +40,19 @@
             world_.run_until([&] { return !a_.messages.empty() && !b_->messages.empty(); }));
     }
 
+    void expect_recovery_from_silence_of(std::size_t connection) {
+        link_through_relay();
+        relay_.silence_connection(connection);
+        ASSERT_TRUE(world_.run_until([&] { return a_.downs > 0 && b_->downs > 0; }));
+        ASSERT_TRUE(world_.run_until([&] { return a_.up && b_->up; }));
+        EXPECT_EQ(relay_.accepted(), 3U);  // only the silent one was opened anew
+        mesh::config_announcement large;
+        large.document.assign(200'000, 'x');
+        EXPECT_TRUE(a_.mesh->send(b_->id, large));
+        EXPECT_TRUE(world_.run_until([&] { return b_->messages.size() == 1; }));
+        expect_delivery();
+    }
+
     mesh_world world_;
     mesh_node a_{world_, quick("a")};
     std::optional<mesh_node> b_{std::in_place, world_, quick("b")};
@@ -55,6 +72,14 @@
     expect_delivery();
 }
 
+TEST_F(mesh_links, notice_that_only_the_control_connection_is_silent) {
+    expect_recovery_from_silence_of(control);
+}
+
+TEST_F(mesh_links, notice_that_only_the_bulk_connection_is_silent) {
+    expect_recovery_from_silence_of(bulk);
+}
+
 TEST_F(mesh_links, open_a_broken_connection_anew) {
     link_through_relay();
     relay_.cut_open_connections();
--- a/test/standins/mesh_node.cpp
+++ b/test/standins/mesh_node.cpp
@@ -37,6 +37,7 @@
     settings.near_peers = wanted.near_peers;
     settings.far_period = wanted.far_period;
     settings.active_time = wanted.active_time;
+    settings.usage_period = wanted.usage_period;
     settings.max_frame = wanted.max_frame;
     settings.max_queued = wanted.max_queued;
     mesh = mesh::make_websocket_mesh(world.loop, settings, *this, metrics, world.clock);
@@ -45,6 +46,7 @@
 void mesh_node::on_message(const base::daemon_id& /*from*/, mesh::message what) {
     if (std::holds_alternative<mesh::heartbeat>(what)) {
         ++heartbeats;
+        heard = std::get<mesh::heartbeat>(std::move(what));
     } else {
         messages.push_back(std::move(what));
     }
--- a/test/standins/mesh_node.hpp
+++ b/test/standins/mesh_node.hpp
@@ -38,6 +38,7 @@
         std::size_t near_peers = 0;
         base::milliseconds far_period{30'000};
         base::milliseconds active_time{10'000};
+        base::milliseconds usage_period{0};
         base::byte_count max_frame{16 * 1024 * 1024};
         base::byte_count max_queued{64 * 1024 * 1024};
     };
@@ -60,6 +61,7 @@
     int downs = 0;
     int heartbeats = 0;
     std::vector<mesh::message> messages;  // without the heartbeats
+    mesh::heartbeat heard;                // the last one
     mesh::heartbeat state;                // what it tells others
 
     std::unique_ptr<mesh::mesh> mesh;
--- a/test/standins/tcp_relay.cpp
+++ b/test/standins/tcp_relay.cpp
@@ -195,6 +195,10 @@
     }
 }
 
+void tcp_relay::silence_connection(std::size_t connection) {
+    state_->pairs.at(connection)->silent = true;
+}
+
 void tcp_relay::cut_open_connections() {
     for (auto& it : state_->pairs) {
         state::end(*it);
--- a/test/standins/tcp_relay.hpp
+++ b/test/standins/tcp_relay.hpp
@@ -29,6 +29,8 @@
 
     // What is open now is forwarded no more, and not closed either. New connections work.
     void silence_open_connections();
+    // The same for one of them, counted from 0 in the order of their opening.
+    void silence_connection(std::size_t connection);
 
     // Closes what is open now.
     void cut_open_connections();
