--- a/packages/cell/src/work_book.hpp
+++ b/packages/cell/src/work_book.hpp
@@ -38,7 +38,8 @@
     // start or a renewal is sent, never by what comes back.
     base::time_point lapse_at{};
     bool confirmed = false;
-    bool counted = false;               // the scheduler counts it as running
+    bool counted = false;  // the scheduler counts it as running
+    int starts_sent = 0;
     bool start_under_way = false;       // a start was sent and its answer is not back
     bool restart_when_stopped = false;  // its gang starts again
 };
@@ -60,6 +61,8 @@
     // False for work that is known only from VMs or intents until its caller retries it.
     bool known = true;
     bool cancelled = false;
+    bool dispatched =
+        false;  // a task of it was placed at least once under this owner, or an intent stands
     base::time_point accepted{};
     std::vector<task_state> tasks;
     std::vector<reply_id> waiters;
@@ -88,6 +91,12 @@
     task_ref find_task(const base::task_id& id);
     task_ref find_attempt(const base::attempt_id& id);
 
+    // The work's task of the same index as `id` names, whichever owner named it; null without one.
+    task_state* same_index(work_state& work, const base::task_id& id);
+
+    // Puts a task in the place of another that has no attempt.
+    void replace_task(task_state& old, task_state task);
+
     // Adds one more task to a work.
     task_state& add_task(work_state& work, task_state task);
 
@@ -111,6 +120,10 @@
     std::unordered_map<base::attempt_id, base::task_id> attempts_;
 };
 
+// Whether callers may be told the outcome: a refusal of accepted work only once it is written down,
+// or else a next owner would run what was called refused.
+bool may_be_told(const work_state& work);
+
 // Whether no task of the work was ever dispatched: only then may it be called "not run".
 bool never_dispatched(const work_state& work);
 
@@ -119,6 +132,9 @@
 // sent again to a new owner.
 base::task_id name_task(const base::work& what, std::size_t index, base::epoch epoch);
 
+// Which of its work's tasks it is, in the text that every owner gives it.
+std::string index_of(const base::task_id& task);
+
 // The job that a task belongs to.
 base::job_id job_of(const base::task_id& task);
 
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -134,8 +134,7 @@
 cell_host::cell_host(const config::daemon_settings& settings, const base::daemon_id& self,
                      net::event_loop& daemon_loop, cell_io_factory& io, base::metrics& metrics,
                      cell_host_listener& listener)
-    : daemon_loop_(daemon_loop),
-      worker_(std::make_shared<worker>(settings, self, daemon_loop, io, metrics, listener)),
+    : worker_(std::make_shared<worker>(settings, self, daemon_loop, io, metrics, listener)),
       thread_([worker = worker_] { worker->run(); }) {}
 
 cell_host::~cell_host() {
@@ -173,6 +172,14 @@
         [worker = worker_, cell, rules = std::move(rules)] { worker->handle(cell, rules); });
 }
 
+void cell_host::set_limits(const base::cell_id& cell, std::vector<cell::team_limit> limits) {
+    worker_->loop().post([worker = worker_, cell, limits = std::move(limits)] {
+        if (auto* const found = worker->find(cell); found != nullptr) {
+            found->set_limits(limits);
+        }
+    });
+}
+
 void cell_host::set_vms(const base::cell_id& cell, std::vector<platform::member> vms) {
     worker_->loop().post([worker = worker_, cell, vms = std::move(vms)] {
         worker->handle(cell, cell::vms_listed{vms});
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -29,6 +29,11 @@
     return EVHTTP_REQ_GET;
 }
 
+// evhttp counts timeouts in whole seconds.
+int whole_seconds_beyond(base::milliseconds timeout) {
+    return static_cast<int>(std::chrono::duration_cast<base::seconds>(timeout).count()) + 2;
+}
+
 http_response read_response(evhttp_request* raw) {
     http_response out;
     out.status = evhttp_request_get_response_code(raw);
@@ -89,7 +94,8 @@
                 evhttp_connection_base_new(loop_.raw(), nullptr, to.address.c_str(), to.port);
         }
         calls_.insert(one);
-        // evhttp's own timeout also closes silent connections, but only in whole seconds.
+        // evhttp's own timeout, 50 s when nothing is said, must not come before the deadline.
+        evhttp_connection_set_timeout(one->connection, whole_seconds_beyond(timeout));
         one->deadline = loop_.after(timeout, [this, one] {
             finish(one, tl::unexpected(http_error{http_failure::answer_lost, "deadline passed"}),
                    false);
@@ -102,6 +108,11 @@
         evhttp_request* const raw = evhttp_request_new(&pooled_client::on_answer, one);
         evkeyvalq* const headers = evhttp_request_get_output_headers(raw);
         evhttp_add_header(headers, "Host", one->to.text().c_str());
+        if (request.method == http_method::patch) {
+            // evhttp states the length of POST and PUT only; without it the body would not be read.
+            evhttp_add_header(headers, "Content-Length",
+                              std::to_string(request.body.size()).c_str());
+        }
         for (const auto& it : request.headers) {
             evhttp_add_header(headers, it.name.c_str(), it.value.c_str());
         }
