--- a/test/performance/slopes.cpp
+++ b/test/performance/slopes.cpp
@@ -42,6 +42,7 @@
 
 std::vector<policy::team_rules> rules(int changed) {
     std::vector<policy::team_rules> result;
+    result.reserve(teams);
     for (int i = 0; i < teams; ++i) {
         result.push_back({team_named(i), i == changed ? 2.0 : 1.0, base::slot_count(1'000'000),
                           base::slot_count(10)});
