--- a/packages/policy/include/cranberrydock/policy/scheduler.hpp
+++ b/packages/policy/include/cranberrydock/policy/scheduler.hpp
@@ -48,9 +48,12 @@
     // those that still run; when none does, the size is that of what is to start again.
     std::size_t gang_size = 1;
     base::time_point accepted{};
-    std::optional<base::time_point> deadline;  // when the answer must be there
+    // When the answer must be there. Latency queues refuse or give up as soon as it can't be met,
+    // must-finish queues never, all others once it has passed.
+    std::optional<base::time_point> deadline;
     std::optional<base::duration> expected_time;
-    std::vector<base::vm_id> avoid;  // VMs where it failed before
+    // VMs where it failed before: they are used again only when no other is large enough.
+    std::vector<base::vm_id> avoid;
 };
 
 enum class vm_state {
