--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -11,6 +11,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cranberrydock::cell {
@@ -93,6 +94,8 @@
     std::unordered_map<record_id, pending_record> records;
     // Intents of earlier owners, for VMs that are listed later than they were read.
     std::vector<attempt> recovered_attempts;
+    // Earlier owners' attempts that were ever known here: to see one again breaks no promise.
+    std::unordered_set<base::attempt_id> earlier_attempts;
     promise_watch watch;
     std::vector<broken_promise> broken;
     std::vector<cell_effect> out;
--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -274,7 +274,11 @@
 void collect_stage::check_origin(const vm_state& vm, const base::attempt_id& id,
                                  bool first_report) {
     const auto origin = origin_of(id, context_.settings.cell);
-    const bool earlier = origin && origin->epoch < context_.settings.epoch && first_report;
+    const bool earlier_epoch = origin && origin->epoch < context_.settings.epoch;
+    if (earlier_epoch && first_report) {
+        context_.earlier_attempts.insert(id);
+    }
+    const bool earlier = context_.earlier_attempts.count(id) > 0;
     const bool own = origin && origin->epoch == context_.settings.epoch &&
                      origin->number < context_.next_attempt;
     if (!earlier && !own) {
--- a/packages/cell/src/stage_recover.cpp
+++ b/packages/cell/src/stage_recover.cpp
@@ -53,6 +53,7 @@
         context_.book.add_task(*work, std::move(fresh));
     }
     task_state& task = *context_.book.find_task(record.task).task;
+    context_.earlier_attempts.insert(record.attempt);
     attempt sent;
     sent.id = record.attempt;
     sent.vm = record.vm;
