--- /dev/null
+++ b/test/failure/a_rogue_task_is_named_and_not_blamed_on_the_network.cpp
@@ -0,0 +1,53 @@
+// A VM runs a task that nobody started. The owner of its cell names the broken promise with its
+// evidence, counts it, and goes on serving; no other promise is said to be broken.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+constexpr int ok = 200;
+
+TEST(rogue_task, is_named_and_not_blamed_on_the_network) {
+    crew daemons;
+    const auto owner = daemons.owner_of("nc-a");
+    ASSERT_TRUE(owner.has_value());
+    // The owner has heard the VM before: what starts there now, it must have started.
+    ASSERT_EQ(daemons.submit(*owner, {}).status, ok);
+    const auto all_usable = [&] {
+        const json seen = get_json(daemons.entry(*owner), "/v1/vms");
+        for (const auto& it : seen.at("vms")) {
+            if (it.at("state") != "usable") {
+                return false;
+            }
+        }
+        return !seen.at("vms").empty();
+    };
+    ASSERT_TRUE(wait_until(all_usable));
+
+    daemons.command_vm(
+        "vm-northcoast-a-1", "start_rogue",
+        {{"task", "j-nobody/0"}, {"slots", 1}, {"millicores", 500}, {"memory_mib", 64}});
+
+    json broken;
+    EXPECT_TRUE(wait_until([&] {
+        broken = get_json(daemons.entry(*owner), "/v1/promises").at("broken");
+        return !broken.empty();
+    }));
+    for (const auto& it : broken) {
+        EXPECT_EQ(it.at("promise"), "started_by_nobody") << it;
+        EXPECT_NE(it.at("evidence").get<std::string>().find("vm-northcoast-a-1"),
+                  std::string::npos);
+    }
+    EXPECT_NE(daemons.metrics(*owner).find(
+                  "cranberrydock_promises_broken_total{promise=\"started_by_nobody\"} 1"),
+              std::string::npos);
+    EXPECT_EQ(daemons.submit(*owner, {}).status, ok);
+}
+
+}  // namespace
