--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -27,7 +27,10 @@
         case platform::task_end::stopped:
             return policy::end_kind::stopped;
         case platform::task_end::lease_lapsed:
+        case platform::task_end::unknown:
             return policy::end_kind::lost;
+        case platform::task_end::not_started:
+            return policy::end_kind::stopped;
     }
     return policy::end_kind::lost;
 }
@@ -338,6 +341,10 @@
             "attempt " + ended.id.str() + " on " + ended.vm.str() + ": " + digest_mismatch);
     }
     work.to_acknowledge.push_back(ended);
+    if (seen.end == platform::task_end::not_started && !work.outcome) {
+        retry_.not_run(work, task, "upstream_refused");
+        return;
+    }
     if (ended.restart_when_stopped && seen.end == platform::task_end::stopped && !work.outcome) {
         // The stop was the owner's own decision and uses up no attempt.
         task.attempts = std::max(0, task.attempts - 1);
@@ -361,8 +368,11 @@
         task.attempt_reasons.push_back(ended.vm.str() + ": " + reason);
         finish_.release(task, how);
         task.phase = task_phase::ended;
+        const auto why = seen.end == platform::task_end::unknown
+                             ? base::refusal_reason::outcome_unknown
+                             : base::refusal_reason::attempts_exhausted;
         finish_.refuse(work,
-                       {base::refusal_reason::attempts_exhausted, false, base::milliseconds{0},
+                       {why, false, base::milliseconds{0},
                         "the only attempt of work that may not be repeated ended: " + reason});
         return;
     }
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -49,7 +49,7 @@
     net::event_loop& loop() { return loop_; }
 
     void run() {
-        vms_ = io_.make_vm_client(loop_);
+        vms_ = io_.make_upstream_client(loop_);
         table_ = io_.make_table_service(loop_);
         const auto tick = loop_.every(tick_period, [this] { tick_all(); });
         const auto loads = loop_.every(loads_period, [this] { tell_loads(); });
@@ -77,6 +77,8 @@
         return true;
     }
 
+    void set_members(const std::vector<platform::member>& members) { vms_->set_members(members); }
+
     void handle_all(const cell::cell_event& event) {
         for (const auto& it : cells_) {
             it.second->handle(event);
@@ -126,7 +128,7 @@
     cell_host_listener& listener_;
     net::event_loop loop_;
     base::monotonic_clock clock_;
-    std::unique_ptr<platform::vm_client> vms_;
+    std::unique_ptr<upstream_client> vms_;
     std::unique_ptr<platform::table_service> table_;
     std::map<base::cell_id, std::unique_ptr<owned_cell>> cells_;
 };
@@ -182,6 +184,7 @@
 
 void cell_host::set_vms(const base::cell_id& cell, std::vector<platform::member> vms) {
     worker_->loop().post([worker = worker_, cell, vms = std::move(vms)] {
+        worker->set_members(vms);
         worker->handle(cell, cell::vms_listed{vms});
     });
 }
--- a/packages/daemon/src/cell_host.hpp
+++ b/packages/daemon/src/cell_host.hpp
@@ -9,6 +9,7 @@
 #include <cranberrydock/cell/ownership.hpp>
 #include <cranberrydock/config/settings.hpp>
 #include <cranberrydock/net/event_loop.hpp>
+#include <cranberrydock/platform/member_list.hpp>
 #include <cranberrydock/platform/vm_client.hpp>
 
 #include <functional>
@@ -38,11 +39,18 @@
                           const std::vector<policy::team_load>& loads) = 0;
 };
 
+// Commands to worker VMs and to plain HTTP runners alike.
+class upstream_client : public platform::vm_client {
+public:
+    // Which members are runners.
+    virtual void set_members(const std::vector<platform::member>& members) = 0;
+};
+
 // Makes what the host's thread needs for I/O, on that thread's loop.
 class cell_io_factory {
 public:
     virtual ~cell_io_factory() = default;
-    virtual std::unique_ptr<platform::vm_client> make_vm_client(net::event_loop& loop) = 0;
+    virtual std::unique_ptr<upstream_client> make_upstream_client(net::event_loop& loop) = 0;
     virtual std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) = 0;
 };
 
--- a/packages/daemon/src/cell_journal.cpp
+++ b/packages/daemon/src/cell_journal.cpp
@@ -119,10 +119,12 @@
 void cell_journal::carry_out(const cell::records_durable& effect) {
     rows_.push_back({effect.row, effect.answer_lost});
     for (const auto& id : effect.records) {
-        if (compaction_ && compaction_->awaited.erase(id) > 0) {
-            continue;
+        if (compaction_) {
+            compaction_->awaited.erase(id);
+        }
+        if (id.value() > 0) {
+            client_.on_record(cell::record_durable{id});
         }
-        client_.on_record(cell::record_durable{id});
     }
     if (compaction_ && compaction_->awaited.empty()) {
         delete_old_rows();
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -70,7 +70,7 @@
 }
 
 bool belongs_to(const platform::member& vm, const config::cell& cell) {
-    if (vm.role != platform::member_role::worker || vm.zone != cell.zone) {
+    if (vm.role == platform::member_role::entry || vm.zone != cell.zone) {
         return false;
     }
     return cell.racks.empty() ||
--- a/packages/daemon/src/platform_services.cpp
+++ b/packages/daemon/src/platform_services.cpp
@@ -4,6 +4,7 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/platform/http_platform.hpp>
 #include <cranberrydock/platform/memory_platform.hpp>
+#include <cranberrydock/platform/runner_vms.hpp>
 
 #include <utility>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr base::milliseconds store_timeout{2'000};
+constexpr std::size_t calls_per_runner = 60;
 
 // A service over HTTP together with the client that it uses.
 class http_table final : public platform::table_service {
@@ -48,28 +50,36 @@
     std::unique_ptr<platform::member_list> inner_;
 };
 
-class http_vms final : public platform::vm_client {
+class http_upstreams final : public upstream_client {
 public:
-    explicit http_vms(net::event_loop& loop)
+    explicit http_upstreams(net::event_loop& loop)
         : client_(net::make_http_client(loop, {})),
-          inner_(platform::make_http_vm_client(*client_)) {}
+          workers_(platform::make_http_vm_client(*client_)),
+          runners_(platform::make_http_runner_client(loop, *client_, calls_per_runner)),
+          all_(*workers_, *runners_, loop, clock_, {}) {}
 
+    void set_members(const std::vector<platform::member>& members) override {
+        all_.set_members(members);
+    }
     void send(const net::endpoint& vm, platform::vm_command command, base::milliseconds timeout,
               platform::vm_callback done) override {
-        inner_->send(vm, std::move(command), timeout, std::move(done));
+        all_.send(vm, std::move(command), timeout, std::move(done));
     }
 
 private:
+    base::monotonic_clock clock_;
     std::unique_ptr<net::http_client> client_;
-    std::unique_ptr<platform::vm_client> inner_;
+    std::unique_ptr<platform::vm_client> workers_;
+    std::unique_ptr<platform::runner_client> runners_;
+    platform::runner_vms all_;
 };
 
 class http_services final : public platform_services {
 public:
     explicit http_services(net::endpoint address) : address_(std::move(address)) {}
 
-    std::unique_ptr<platform::vm_client> make_vm_client(net::event_loop& loop) override {
-        return std::make_unique<http_vms>(loop);
+    std::unique_ptr<upstream_client> make_upstream_client(net::event_loop& loop) override {
+        return std::make_unique<http_upstreams>(loop);
     }
     std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) override {
         return std::make_unique<http_table>(loop, address_);
@@ -84,8 +94,8 @@
 
 class memory_services final : public platform_services {
 public:
-    std::unique_ptr<platform::vm_client> make_vm_client(net::event_loop& loop) override {
-        return std::make_unique<http_vms>(loop);
+    std::unique_ptr<upstream_client> make_upstream_client(net::event_loop& loop) override {
+        return std::make_unique<http_upstreams>(loop);
     }
     std::unique_ptr<platform::table_service> make_table_service(net::event_loop& loop) override {
         return platform::make_memory_table_service(loop, platform_);
--- a/packages/platform/include/cranberrydock/platform/vm_client.hpp
+++ b/packages/platform/include/cranberrydock/platform/vm_client.hpp
@@ -34,6 +34,8 @@
     failed,        // ended with an error of its own
     stopped,       // stopped by command
     lease_lapsed,  // stopped by the VM because nobody renewed its lease
+    not_started,   // proven not to have run: the upstream refused it or was never reached
+    unknown,       // the upstream's answer was lost: it may have run
 };
 
 std::string to_string(task_end end);
--- a/packages/platform/src/names.cpp
+++ b/packages/platform/src/names.cpp
@@ -26,6 +26,10 @@
             return "stopped";
         case task_end::lease_lapsed:
             return "lease_lapsed";
+        case task_end::not_started:
+            return "not_started";
+        case task_end::unknown:
+            return "unknown";
     }
     return "failed";
 }
--- a/packages/platform/src/vm_codec.cpp
+++ b/packages/platform/src/vm_codec.cpp
@@ -10,8 +10,9 @@
 using detail::object_reader;
 using nlohmann::json;
 
-const std::vector<task_end> all_ends = {task_end::completed, task_end::failed, task_end::stopped,
-                                        task_end::lease_lapsed};
+const std::vector<task_end> all_ends = {task_end::completed,   task_end::failed,
+                                        task_end::stopped,     task_end::lease_lapsed,
+                                        task_end::not_started, task_end::unknown};
 const std::vector<vm_verdict> all_verdicts = {
     vm_verdict::done,         vm_verdict::lower_epoch,  vm_verdict::other_incarnation,
     vm_verdict::lease_passed, vm_verdict::does_not_fit, vm_verdict::leaving};
--- /dev/null
+++ b/test/failure/plain_runners_are_used_and_their_lost_answers_told.cpp
@@ -0,0 +1,83 @@
+// Plain HTTP runners, which know neither leases nor epochs, do work of a cell without worker VMs:
+// more requests than slots are all answered, no runner is asked twice for work that may not be
+// repeated, and when the owner dies with such a request open, its outcome is unknown instead of run
+// again.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int bad_gateway = 502;
+constexpr int callers = 24;  // more than the 16 slots of two runners
+
+crew_shape without_workers() {
+    crew_shape out;
+    out.fleet.zones = "southvale/southvale-a";
+    out.configuration = default_configuration();
+    out.configuration["cells"].erase("nc-b");
+    return out;
+}
+
+// The runners of northcoast-a in a process of their own, ended with the test.
+class runners {
+public:
+    explicit runners(const crew& daemons)
+        : process_({"standin_runner",
+                    {"--platform=" + daemons.platform().text(), "--count=2"},
+                    (daemons.folder() / "runners.log").string()}),
+          address_(process_.wait_until_listening(generous)) {}
+
+    json judge() const { return get_json(address_, "/judge"); }
+
+private:
+    process process_;
+    cranberrydock::net::endpoint address_;
+};
+
+call_work once(int i, int for_ms) {
+    call_work out;
+    out.repeatable = i % 2 == 0;
+    out.key = "run-" + std::to_string(i);
+    out.for_ms = for_ms;
+    out.answer = "answer-" + std::to_string(i);
+    return out;
+}
+
+TEST(plain_runners, are_used_and_their_lost_answers_told) {
+    crew daemons(without_workers());
+    const runners upstreams(daemons);
+    constexpr std::size_t caller_entry = 2;
+    std::vector<std::future<call_result>> calls;
+    for (int i = 0; i < callers; ++i) {
+        calls.push_back(daemons.submit_later(caller_entry, once(i, 100)));
+    }
+    for (int i = 0; i < callers; ++i) {
+        const call_result result = calls[static_cast<std::size_t>(i)].get();
+        EXPECT_EQ(result.status, ok) << result.body;
+        EXPECT_EQ(result.answer(), "answer-" + std::to_string(i));
+    }
+    EXPECT_EQ(upstreams.judge().at("total"), 0);
+
+    constexpr int long_ms = 20'000;
+    const auto before = upstreams.judge().at("starts").get<int>();
+    auto open = daemons.submit_later(caller_entry, once(callers + 1, long_ms));
+    ASSERT_TRUE(wait_until([&] { return upstreams.judge().at("starts") == before + 1; }));
+    daemons.kill(*daemons.owner_of("nc-a"));
+    const call_result lost = open.get();
+    EXPECT_EQ(lost.status, bad_gateway) << lost.body;
+    EXPECT_EQ(lost.reason(), "outcome_unknown");
+    EXPECT_FALSE(lost.not_run());
+    EXPECT_EQ(upstreams.judge().at("starts"), before + 1);
+    EXPECT_EQ(upstreams.judge().at("total"), 0);
+}
+
+}  // namespace
--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -1,6 +1,7 @@
 // Several daemons over one stand-in platform and fleet.
 #include "crew.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <utility>
@@ -92,6 +93,9 @@
         start(i);
     }
     patch(0, shape_.configuration);
+    if (!wait_until([&] { return all_configured(); })) {
+        throw std::runtime_error("an entry did not learn the configuration");
+    }
     for (const auto& it : shape_.configuration.at("cells").items()) {
         if (!wait_until_owned(it.key())) {
             throw std::runtime_error("cell " + it.key() + " got no owner");
@@ -99,6 +103,14 @@
     }
 }
 
+bool crew::all_configured() const {
+    return std::all_of(daemons_.begin(), daemons_.end(), [](const daemon& it) {
+        const auto seen =
+            result_of(call(it.address, {net::http_method::get, "/v1/config", "", {}, ""}));
+        return seen.status == ok && seen.body.at("version") != 0;
+    });
+}
+
 void crew::start(std::size_t i) {
     const crew_member& member = shape_.members.at(i);
     daemons_.at(i) =
--- a/test/standins/crew.hpp
+++ b/test/standins/crew.hpp
@@ -88,6 +88,7 @@
 
 private:
     void start(std::size_t i);
+    bool all_configured() const;
 
     crew_shape shape_;
     std::vector<daemon> daemons_;
