Test: a team keeps to its limit while an owner is killed and a limit is lowered

Seen failing: with every cell bounded by the whole limit instead of its allowance, 12 slots run instead of 6; with the new limit not told to the keeper, 6 run instead of 2. One earlier run with the first of these passed, before the test waited for the caller's entry to know the configuration; why was not found out.

Before that wait the test was flaky: an entry without a configuration answers 404 unknown_queue (2 of 4 unmutated runs).

--- /dev/null
+++ b/test/failure/a_team_keeps_to_its_limit_while_owners_die_and_limits_change.cpp
@@ -0,0 +1,105 @@
+// A team's work waits in two cells while an owner is killed, and while the limit is lowered. Seen
+// from the VMs, the team never has more running than its limit, and all work finishes.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock::standins;
+
+constexpr int ok = 200;
+constexpr int limit = 6;
+constexpr int lowered_limit = 2;
+constexpr int callers = 40;
+constexpr std::size_t caller_entry = 2;  // owns neither cell of northcoast
+
+class limited_team : public ::testing::Test {
+protected:
+    limited_team() : daemons_(shape()) {
+        EXPECT_TRUE(wait_until([this] { return knows_configuration(); }));
+    }
+
+    static crew_shape shape() {
+        crew_shape result;
+        result.configuration = default_configuration();
+        result.configuration["teams"]["survey"]["upper_limit"] = limit;
+        return result;
+    }
+
+    bool knows_configuration() const {
+        return get_json(daemons_.entry(caller_entry), "/v1/config").at("version") > 0;
+    }
+
+    void submit_all(int for_ms) {
+        for (int i = 0; i < callers; ++i) {
+            call_work one;
+            one.key = "work-" + std::to_string(i);
+            one.for_ms = for_ms;
+            calls_.push_back(daemons_.submit_later(caller_entry, one));
+        }
+    }
+
+    int running() const {
+        int result = 0;
+        const auto all = daemons_.list_vms();
+        for (const auto& it : all.at("vms")) {
+            result += it.at("running").get<int>();
+        }
+        return result;
+    }
+
+    bool all_done() const {
+        return std::all_of(calls_.begin(), calls_.end(), [](const auto& it) {
+            return it.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        });
+    }
+
+    // The most that was seen running until every call has its answer.
+    int most_until_done() const {
+        int most = 0;
+        const bool done = wait_until([&] {
+            most = std::max(most, running());
+            return all_done();
+        });
+        EXPECT_TRUE(done);
+        return most;
+    }
+
+    void expect_answers() {
+        for (auto& it : calls_) {
+            const auto result = it.get();
+            EXPECT_EQ(result.status, ok) << result.body;
+        }
+        EXPECT_EQ(daemons_.breaches(), "");
+    }
+
+    crew daemons_;
+    std::vector<std::future<call_result>> calls_;
+};
+
+}  // namespace
+
+TEST_F(limited_team, uses_its_limit_and_no_more_when_an_owner_is_killed) {
+    submit_all(500);
+    EXPECT_TRUE(wait_until([&] { return running() == limit; }));
+    const auto owner = daemons_.owner_of("nc-a");
+    ASSERT_TRUE(owner.has_value());
+    daemons_.kill(*owner);
+    EXPECT_LE(most_until_done(), limit);
+    expect_answers();
+}
+
+TEST_F(limited_team, comes_down_to_a_lowered_limit_and_stays_there) {
+    submit_all(300);
+    EXPECT_TRUE(wait_until([&] { return running() == limit; }));
+    daemons_.patch(0, {{"teams", {{"survey", {{"upper_limit", lowered_limit}}}}}});
+    EXPECT_TRUE(wait_until([&] { return running() <= lowered_limit; }));
+    EXPECT_LE(most_until_done(), lowered_limit);
+    expect_answers();
+}
