--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cranberrydock/cell/cell_machine.hpp>
+#include <cranberrydock/cell/promise_watch.hpp>
 
 #include "agenda.hpp"
 #include "vm_ledger.hpp"
@@ -10,6 +11,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cranberrydock::cell {
@@ -21,6 +23,7 @@
     kind what = kind::contact;
     base::vm_id vm;
     base::attempt_id attempt;  // of start and stop
+    base::time_point sent{};
 };
 
 // A journal record on its way to the store.
@@ -91,6 +94,9 @@
     std::unordered_map<record_id, pending_record> records;
     // Intents of earlier owners, for VMs that are listed later than they were read.
     std::vector<attempt> recovered_attempts;
+    // Earlier owners' attempts that were ever known here: to see one again breaks no promise.
+    std::unordered_set<base::attempt_id> earlier_attempts;
+    promise_watch watch;
     std::vector<broken_promise> broken;
     std::vector<cell_effect> out;
 
--- a/packages/cell/src/stage_recover.cpp
+++ b/packages/cell/src/stage_recover.cpp
@@ -53,12 +53,14 @@
         context_.book.add_task(*work, std::move(fresh));
     }
     task_state& task = *context_.book.find_task(record.task).task;
+    context_.earlier_attempts.insert(record.attempt);
     attempt sent;
     sent.id = record.attempt;
     sent.vm = record.vm;
     sent.incarnation = record.incarnation;
     sent.number = record.number;
     sent.lapse_at = context_.earlier_owners_lapse();
+    work->dispatched = true;
     task.attempts = record.number;
     task.phase = task_phase::unresolved;
     context_.book.begin_attempt(task, std::move(sent));
--- a/test/standins/cell_world.hpp
+++ b/test/standins/cell_world.hpp
@@ -73,8 +73,9 @@
 
     // What was seen that must not be, with the judge's evidence; empty when all is well.
     std::string breaches() const;
-    // Callers without a final outcome, and accepted jobs that have not ended.
-    std::size_t unanswered() const;
+    // Callers without a final outcome, with what the owner says of their work; empty when all have
+    // one.
+    std::string unanswered() const;
     std::size_t answered() const { return answered_; }
     std::size_t unknown() const { return unknown_; }
     std::size_t owners() const { return owners_.size(); }
@@ -143,6 +144,7 @@
     std::int64_t limit_ = 0;  // slots
     // Slots that were running when the limit was lowered, until they have sunk below it.
     std::int64_t lowered_from_ = 0;
+    base::time_point lowered_at_{};
     base::metrics metrics_;
     std::vector<std::unique_ptr<owner>> owners_;  // the last one is the rightful owner
     std::vector<std::unique_ptr<caller>> callers_;
--- a/test/standins/mesh_node.cpp
+++ b/test/standins/mesh_node.cpp
@@ -34,6 +34,10 @@
     settings.secret = wanted.secret;
     settings.heartbeat_period = wanted.heartbeat_period;
     settings.silence_deadline = wanted.silence_deadline;
+    settings.near_peers = wanted.near_peers;
+    settings.far_period = wanted.far_period;
+    settings.active_time = wanted.active_time;
+    settings.usage_period = wanted.usage_period;
     settings.max_frame = wanted.max_frame;
     settings.max_queued = wanted.max_queued;
     mesh = mesh::make_websocket_mesh(world.loop, settings, *this, metrics, world.clock);
@@ -42,6 +46,7 @@
 void mesh_node::on_message(const base::daemon_id& /*from*/, mesh::message what) {
     if (std::holds_alternative<mesh::heartbeat>(what)) {
         ++heartbeats;
+        heard = std::get<mesh::heartbeat>(std::move(what));
     } else {
         messages.push_back(std::move(what));
     }
--- a/test/standins/mesh_node.hpp
+++ b/test/standins/mesh_node.hpp
@@ -35,6 +35,10 @@
         net::endpoint listen{"127.0.0.1", 0};
         base::milliseconds heartbeat_period{20};
         base::milliseconds silence_deadline{2'000};
+        std::size_t near_peers = 0;
+        base::milliseconds far_period{30'000};
+        base::milliseconds active_time{10'000};
+        base::milliseconds usage_period{0};
         base::byte_count max_frame{16 * 1024 * 1024};
         base::byte_count max_queued{64 * 1024 * 1024};
     };
@@ -57,6 +61,7 @@
     int downs = 0;
     int heartbeats = 0;
     std::vector<mesh::message> messages;  // without the heartbeats
+    mesh::heartbeat heard;                // the last one
     mesh::heartbeat state;                // what it tells others
 
     std::unique_ptr<mesh::mesh> mesh;
