daemon: a stopping daemon keeps its links until its requests are answered

Cause: registry_.stop() removed the daemon's row as soon as its cells were given up. The others then took it from their peers and closed its links, so the answers to requests that were open at the stopping entry had no way back: their callers got none within 60 s. Ruled out: the drain itself (waiters are refused with shutting_down and sent again), the unready time. Mend: stop_requested::keep_row; the row goes when no request is open any more. Also: a cell that goes (drained, or lost after a freeze) takes its waiters with it.

--- a/packages/cell/include/cranberrydock/cell/ownership.hpp
+++ b/packages/cell/include/cranberrydock/cell/ownership.hpp
@@ -130,7 +130,11 @@
 
 // Begin a graceful stop: take no cell any more and give every cell up. The daemon's own row is
 // renewed until then, so that nobody takes a cell that is still being drained.
-struct stop_requested {};
+struct stop_requested {
+    // The row stays, renewed, after the last cell was given up, so that this daemon's links do:
+    // until another of these without it.
+    bool keep_row = false;
+};
 
 // The owner's part has drained this cell and nothing of it is under way here any more.
 struct cell_drained {
--- a/packages/cell/src/ownership_events.cpp
+++ b/packages/cell/src/ownership_events.cpp
@@ -175,7 +175,8 @@
     out_.push_back(answer);
 }
 
-void ownership::machine::on(const stop_requested&, base::time_point) {
+void ownership::machine::on(const stop_requested& event, base::time_point) {
+    keep_row_ = event.keep_row;
     if (stopping_) {
         return;
     }
--- a/packages/cell/src/ownership_machine.cpp
+++ b/packages/cell/src/ownership_machine.cpp
@@ -306,7 +306,7 @@
     const bool drained = std::all_of(owned_.begin(), owned_.end(), [](const auto& it) {
         return it.second.state == hold::drained;
     });
-    if (!stopping_ || finished_ || !drained) {
+    if (!stopping_ || finished_ || !drained || keep_row_) {
         return;
     }
     drained_at_ = drained_at_.value_or(now);
--- a/packages/cell/src/ownership_machine.hpp
+++ b/packages/cell/src/ownership_machine.hpp
@@ -113,6 +113,7 @@
     std::optional<operation_id> removal_of_lapsed_;
 
     bool stopping_ = false;
+    bool keep_row_ = false;  // also when nothing is owned any more
     bool finished_ = false;
     std::optional<operation_id> removal_;         // of the own row
     std::optional<base::time_point> drained_at_;  // the stop waits for nothing but the store
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -126,7 +126,7 @@
         }
         stopping_ = true;
         spdlog::info("event=stopping daemon={}", self_.str());
-        timers_.push_back(loop_.after(unready_time, [this] { registry_.stop(); }));
+        timers_.push_back(loop_.after(unready_time, [this] { give_up_cells(); }));
     }
 
     // ---- the mesh
@@ -171,6 +171,7 @@
         routes_.lost(cell);
         host_.lose(cell);
         loads_.erase(cell);
+        forwarder_.on_cell_lost(cell);
         registry_.on_drained(cell);
     }
 
@@ -196,6 +197,7 @@
         routes_.lost(cell);
         loads_.erase(cell);
         host_.lose(cell);
+        forwarder_.on_cell_lost(cell);
     }
 
     void on_drain_wanted(const base::cell_id& cell) override { host_.drain(cell); }
@@ -273,6 +275,22 @@
     bool ready() const override { return !stopping_ && config_.current() != nullptr; }
 
 private:
+    void give_up_cells() {
+        giving_up_ = true;
+        registry_.give_up_cells();
+    }
+
+    // The answers to open requests come over the links, which go with the row.
+    void stop_when_answered() {
+        if (giving_up_ && api_.open_requests() == 0) {
+            registry_.stop();
+        }
+        if (registry_stopped_ && api_.open_requests() == 0) {
+            spdlog::info("event=stopped daemon={}", self_.str());
+            loop_.stop();
+        }
+    }
+
     void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
         usage_[from] = what.usage;
         config_.on_peer_version(from, what.version);
@@ -309,10 +327,7 @@
         for (const auto& it : routes_.owned()) {
             host_.extend_evidence(it.cell, registry_.evidence_until(it.cell));
         }
-        if (registry_stopped_ && api_.open_requests() == 0) {
-            spdlog::info("event=stopped daemon={}", self_.str());
-            loop_.stop();
-        }
+        stop_when_answered();
     }
 
     void read_members() {
@@ -416,6 +431,7 @@
     std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;  // of other daemons' cells
     std::vector<std::unique_ptr<net::timer>> timers_;
     bool stopping_ = false;
+    bool giving_up_ = false;  // the cells, after the unready time
     bool registry_stopped_ = false;
 };
 
--- a/packages/daemon/src/registry_keeper.cpp
+++ b/packages/daemon/src/registry_keeper.cpp
@@ -75,8 +75,12 @@
     handle(cell::cell_drained{cell});
 }
 
+void registry_keeper::give_up_cells() {
+    handle(cell::stop_requested{true});
+}
+
 void registry_keeper::stop() {
-    handle(cell::stop_requested{});
+    handle(cell::stop_requested{false});
 }
 
 base::time_point registry_keeper::evidence_until(const base::cell_id& cell) const {
--- a/packages/daemon/src/registry_keeper.hpp
+++ b/packages/daemon/src/registry_keeper.hpp
@@ -42,6 +42,8 @@
     void on_silence_promise(const base::daemon_id& from, const mesh::silence_promise& what);
     void on_cells_offered();
     void on_drained(const base::cell_id& cell);
+    // The cells go; the row stays until stop(), and with it the links to other daemons.
+    void give_up_cells();
     void stop();
 
     // Until when this daemon can show that it owns the cell.
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -136,6 +136,26 @@
     done(std::move(outcome));
 }
 
+void work_forwarder::on_cell_lost(const base::cell_id& cell) {
+    for (auto& it : pending_) {
+        if (it.second.home == cell && it.second.sent_to == routes_.self()) {
+            metrics_.count("cranberrydock_retries_total", "reason=\"owner_changed\"");
+            it.second.maybe_run = true;
+            retry_later(it.second);
+        }
+    }
+    const base::refusal gone{base::refusal_reason::cell_without_owner, false, resend_delay,
+                             routes_.self().str() + " owns cell " + cell.str() + " no more"};
+    for (auto it = foreign_.begin(); it != foreign_.end();) {
+        if (it->second.cell != cell) {
+            ++it;
+            continue;
+        }
+        peers_.send(it->second.from, mesh::work_result{it->second.call, gone, {}});
+        it = foreign_.erase(it);
+    }
+}
+
 void work_forwarder::on_peer_lost(const base::daemon_id& peer) {
     for (auto& it : pending_) {
         if (it.second.sent_to == peer) {
@@ -216,7 +236,7 @@
         return;
     }
     const std::int64_t id = next_id_++;
-    foreign_[id] = {from, what.call};
+    foreign_[id] = {from, what.call, what.cell};
     if (!host_.submit(what.cell, what.work, cell::reply_id(id))) {
         foreign_.erase(id);
         const base::refusal full{base::refusal_reason::overloaded, true, retry_soon,
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -45,6 +45,8 @@
     void on_result(const mesh::work_result& what);
     void on_query(const base::daemon_id& from, const mesh::job_query& what);
     void on_job_reply(const mesh::job_reply& what);
+    // This daemon's own cell is gone, and with it the answers that it had still to give.
+    void on_cell_lost(const base::cell_id& cell);
     void on_peer_lost(const base::daemon_id& peer);
 
     // Sends again what waits for an owner, and gives up what has waited too long.
@@ -73,6 +75,7 @@
     struct foreign_work {
         base::daemon_id from;
         mesh::call_id call;
+        base::cell_id cell;
     };
 
     struct pending_question {
