test: configuration versions under raced patches, lost answers and a killed daemon

After: three operators race 36 patches through two entries while 5 % of the store's answers are lost and the third daemon is killed and restarted; each accepted patch is one version with its own content, pollers see no daemon go back, all reach the newest.

--- /dev/null
+++ b/test/failure/configuration_versions_are_in_force_everywhere_and_never_revert.cpp
@@ -0,0 +1,203 @@
+// Operators race patches through different entries while the store loses answers and a daemon is
+// killed and started again. Each accepted patch is one version, no daemon is ever seen to go back,
+// and all reach the newest within seconds.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int operators = 3;
+constexpr int patches_each = 12;
+constexpr std::size_t killed = 2;
+constexpr base::milliseconds patience{5'000};
+constexpr base::milliseconds seconds_at_most{15'000};
+
+struct answer {
+    int status = 0;
+    json body;
+};
+
+answer ask(const net::endpoint& to, net::http_method method, const std::string& path,
+           const std::string& query = "", const std::string& body = "") {
+    const auto result = call(to, {method, path, query, {}, body}, patience);
+    return result ? answer{result->status, json::parse(result->body, nullptr, false)} : answer{};
+}
+
+std::int64_t version_at(const net::endpoint& entry) {
+    const answer seen = ask(entry, net::http_method::get, "/v1/config");
+    return seen.status == ok ? seen.body.at("version").get<std::int64_t>() : -1;
+}
+
+// One operator: patches a field of its own through one entry, and on a conflict or a lost answer
+// reads and goes on. Keeps which version each accepted patch became.
+class patching_operator {
+public:
+    patching_operator(net::endpoint entry, std::string team)
+        : entry_(std::move(entry)), team_(std::move(team)) {}
+
+    void run() {
+        for (int i = 1; i <= patches_each; ++i) {
+            wait_until([&] { return try_patch(i); });
+        }
+    }
+
+    // From the version to the value that was patched in.
+    const std::map<std::int64_t, int>& accepted() const { return accepted_; }
+    const std::string& team() const { return team_; }
+
+private:
+    bool try_patch(int value) {
+        const std::int64_t base = version_at(entry_);
+        if (base < 0) {
+            return false;
+        }
+        const json change = {
+            {"teams",
+             {{team_, {{"home_region", "northcoast"}, {"share", 1}, {"upper_limit", value}}}}}};
+        const answer done = ask(entry_, net::http_method::patch, "/v1/config",
+                                "base=" + std::to_string(base), change.dump());
+        if (done.status == ok) {
+            accepted_[done.body.at("version")] = value;
+        }
+        return done.status == ok;
+    }
+
+    net::endpoint entry_;
+    std::string team_;
+    std::map<std::int64_t, int> accepted_;
+};
+
+// Polls one daemon's version until told to stop. A version below an earlier one is a revert.
+class version_poller {
+public:
+    explicit version_poller(net::endpoint entry)
+        : entry_(std::move(entry)), thread_([this] { run(); }) {}
+    ~version_poller() { stop(); }
+    version_poller(const version_poller&) = delete;
+    version_poller& operator=(const version_poller&) = delete;
+
+    void stop() {
+        stopping_ = true;
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    int reverts() const { return reverts_; }
+    std::int64_t highest() const { return highest_; }
+
+private:
+    void run() {
+        while (!stopping_) {
+            const std::int64_t version = version_at(entry_);
+            if (version >= 0) {
+                reverts_ += version < highest_ ? 1 : 0;
+                highest_ = version;
+            }
+        }
+    }
+
+    net::endpoint entry_;
+    std::atomic<bool> stopping_{false};
+    int reverts_ = 0;
+    std::int64_t highest_ = -1;
+    std::thread thread_;  // last: it uses the members above
+};
+
+std::vector<std::int64_t> all_versions(const net::endpoint& entry) {
+    std::vector<std::int64_t> out;
+    while (true) {
+        const std::string after = std::to_string(out.empty() ? 0 : out.back());
+        const answer page =
+            ask(entry, net::http_method::get, "/v1/config/versions", "after=" + after);
+        if (page.status != ok || page.body.at("versions").empty()) {
+            return out;
+        }
+        for (const auto& it : page.body.at("versions")) {
+            out.push_back(it.at("version"));
+        }
+    }
+}
+
+class raced_configuration : public ::testing::Test {
+protected:
+    void race() {
+        std::vector<std::future<void>> running;
+        for (auto& it : operators_) {
+            running.push_back(std::async(std::launch::async, [&it] { it.run(); }));
+        }
+        const std::int64_t begin = version_at(daemons_.entry(0));
+        ASSERT_TRUE(wait_until([&] { return version_at(daemons_.entry(0)) > begin + operators; }));
+        pollers_.at(killed)->stop();
+        daemons_.kill(killed);
+        daemons_.restart(killed);
+        pollers_.push_back(std::make_unique<version_poller>(daemons_.entry(killed)));
+        for (auto& it : running) {
+            it.get();
+        }
+    }
+
+    void expect_each_patch_once() {
+        std::set<std::int64_t> versions;
+        for (const std::int64_t it : all_versions(daemons_.entry(0))) {
+            EXPECT_TRUE(versions.insert(it).second) << "version " << it << " is listed twice";
+        }
+        std::set<std::int64_t> taken;
+        for (const auto& op : operators_) {
+            EXPECT_EQ(op.accepted().size(), patches_each) << op.team();
+            for (const auto& [version, value] : op.accepted()) {
+                EXPECT_EQ(versions.count(version), 1U) << version;
+                EXPECT_TRUE(taken.insert(version).second) << version << " was given twice";
+                const answer kept = ask(daemons_.entry(1), net::http_method::get,
+                                        "/v1/config/versions/" + std::to_string(version));
+                ASSERT_EQ(kept.status, ok) << kept.body;
+                EXPECT_EQ(kept.body.at("document").at("teams").at(op.team()).at("upper_limit"),
+                          value);
+            }
+        }
+    }
+
+    crew daemons_;
+    std::vector<patching_operator> operators_ = {
+        {daemons_.entry(0), "delta"}, {daemons_.entry(1), "estuary"}, {daemons_.entry(1), "fjord"}};
+    std::vector<std::unique_ptr<version_poller>> pollers_;
+};
+
+TEST_F(raced_configuration, is_in_force_everywhere_and_never_reverts) {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        pollers_.push_back(std::make_unique<version_poller>(daemons_.entry(i)));
+    }
+    daemons_.set_platform_faults({{"lose_permille", 50}, {"seed", 20261204}});
+    race();
+    daemons_.set_platform_faults(json::object());
+
+    const std::int64_t newest = all_versions(daemons_.entry(0)).back();
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+        EXPECT_TRUE(
+            wait_until([&] { return version_at(daemons_.entry(i)) == newest; }, seconds_at_most))
+            << "daemon " << i << " has " << version_at(daemons_.entry(i)) << " of " << newest;
+    }
+    for (const auto& it : pollers_) {
+        it->stop();
+        EXPECT_EQ(it->reverts(), 0);
+        EXPECT_LE(it->highest(), newest);
+    }
+    expect_each_patch_once();
+}
+
+}  // namespace
