policy: no margin when a reserve is lowered to what was seen

Cause: reserves below the declared size carried a quarter on top of a quantile (cores) or maximum (memory) that is already above nearly every task: cores stayed unused. After: ctest -R 'scheduler|retry|bad_vms|services|reserves|overload|urgent': 9 of 9 passed.

--- a/packages/policy/src/usage_estimate.cpp
+++ b/packages/policy/src/usage_estimate.cpp
@@ -22,7 +22,6 @@
 constexpr std::size_t samples_a_window = 1000;
 constexpr double cores_quantile = 0.95;
 constexpr double margin_above_seen = 1.1;
-constexpr double margin_when_lowering = 1.25;
 // Declared sizes are off by at most this factor, in either direction.
 constexpr double declared_error = 5.0;
 
@@ -37,7 +36,7 @@
     if (samples < samples_to_lower) {
         return declared;
     }
-    return std::min(declared, std::max(seen * margin_when_lowering, declared / declared_error));
+    return std::min(declared, std::max(seen, declared / declared_error));
 }
 
 // Used and declared amounts of one resource, as numbers.
