--- a/packages/mesh/include/cranberrydock/mesh/mesh.hpp
+++ b/packages/mesh/include/cranberrydock/mesh/mesh.hpp
@@ -19,6 +19,9 @@
 struct peer {
     base::daemon_id id;
     net::endpoint address;  // of its mesh port
+    // Watched at the full rate whatever its rank, for instance by who is next in line for its
+    // cells.
+    bool near = false;
 };
 
 struct link_status {
--- a/packages/mesh/src/websocket_mesh.cpp
+++ b/packages/mesh/src/websocket_mesh.cpp
@@ -57,7 +57,7 @@
                 links_.emplace(it.first, std::make_shared<link>(parts_, it.second, self));
             }
         }
-        choose_near();
+        choose_near(wanted);
         adopt_strangers();
     }
 
@@ -224,7 +224,7 @@
 
     // Every daemon ranks the others in an order of its own, so that the near links are spread
     // evenly.
-    void choose_near() {
+    void choose_near(const std::map<base::daemon_id, peer>& wanted) {
         std::vector<std::string> ids;
         ids.reserve(links_.size());
         for (const auto& it : links_) {
@@ -233,7 +233,8 @@
         const std::size_t all = settings_.near_peers == 0 ? ids.size() : settings_.near_peers;
         std::size_t rank = 0;
         for (const std::size_t it : base::rendezvous_order(settings_.self.str(), ids)) {
-            links_.at(base::daemon_id(ids[it]))->set_near(rank++ < all);
+            const base::daemon_id id(ids[it]);
+            links_.at(id)->set_near(rank++ < all || wanted.at(id).near);
         }
     }
 
--- a/test/failure/far_mesh_links_are_watched_only_in_use.cpp
+++ b/test/failure/far_mesh_links_are_watched_only_in_use.cpp
@@ -94,6 +94,19 @@
     }
 }
 
+TEST_F(far_links, are_watched_when_one_end_says_so) {
+    std::vector<mesh::peer> peers;
+    for (std::size_t i = 0; i < daemons; ++i) {
+        peers.push_back(nodes_[i]->as_peer(relays_[i]->listening_on()));
+        peers.back().near = i == high_;
+    }
+    low().mesh->set_peers(peers);
+    EXPECT_TRUE(world_.run_until(
+        [&] { return status(low_, high_).watched && status(high_, low_).watched; }));
+    relays_[high_]->silence_open_connections();
+    EXPECT_TRUE(world_.run_until([&] { return !status(low_, high_).up; }));
+}
+
 TEST_F(far_links, are_opened_anew_when_found_silent_in_use) {
     relays_[high_]->silence_open_connections();
     EXPECT_TRUE(low().mesh->send(high().id, mesh::cells_offered{}));
