A withdrawn key stops working everywhere: shown with real processes, one of them frozen

Seen failing first: with the freshness check taken out of entry/src/stage_authenticate.cpp, bounds_keyed_work_while_the_store_is_down fails; with the withdrawn check out of config/src/keys.cpp, is_refused_also_by_a_daemon_that_was_frozen fails.

--- /dev/null
+++ b/test/failure/a_withdrawn_key_stops_working_everywhere.cpp
@@ -0,0 +1,96 @@
+// A key is withdrawn while one daemon is frozen: the others refuse it as soon as the new version is
+// in force there, and the frozen one takes nothing for it from its first moment on, whether it
+// reads of the change first or finds its own evidence too old. While the store is down no daemon
+// takes keyed work longer than it can show its configuration to be fresh; open queues go on.
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int unauthorized = 401;
+constexpr base::milliseconds freshness{2'000};
+
+crew_shape short_freshness() {
+    crew_shape out;
+    out.more_settings = "[configuration]\nfreshness_ms = " + std::to_string(freshness.count()) +
+                        "\npoll_ms = 500\n";
+    return out;
+}
+
+class withdrawn_key : public ::testing::Test {
+protected:
+    withdrawn_key() {
+        // Closed to all without a key of the team.
+        json change = {{"queues", {{"keyed", {{"policy", "latency"}}}}}};
+        change.merge_patch(json::parse(config::patch_adding(submitter_.entry)));
+        change.merge_patch(json::parse(config::patch_adding(operator_.entry)));
+        daemons_.patch(0, change);
+    }
+
+    call_result submit(std::size_t entry, const std::string& queue = "keyed") const {
+        call_work what;
+        what.queue = queue;
+        what.bearer = queue == "keyed" ? submitter_.bearer_token : "";
+        return daemons_.submit(entry, what);
+    }
+
+    bool works_everywhere() const {
+        for (std::size_t i = 0; i < daemons_.size(); ++i) {
+            if (submit(i).status != ok) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void withdraw(std::size_t entry) const {
+        daemons_.patch(entry, {{"keys", {{submitter_.entry.id.str(), {{"withdrawn", true}}}}}},
+                       operator_.bearer_token);
+    }
+
+    config::openssl_random random_;
+    config::made_key submitter_ =
+        config::make_key({config::key_role::submitter, base::team_id("survey")}, random_);
+    config::made_key operator_ = config::make_key({config::key_role::operations, {}}, random_);
+    crew daemons_{short_freshness()};
+};
+
+TEST_F(withdrawn_key, is_refused_also_by_a_daemon_that_was_frozen) {
+    ASSERT_TRUE(wait_until([&] { return works_everywhere(); }));
+    constexpr std::size_t frozen = 2;
+    daemons_.running(frozen).signal(SIGSTOP);
+    withdraw(0);
+    EXPECT_TRUE(wait_until([&] { return submit(0).status == unauthorized; }));
+    EXPECT_TRUE(wait_until([&] { return submit(1).status == unauthorized; }));
+    // The bound itself, so that the frozen daemon's evidence has surely aged.
+    std::this_thread::sleep_for(freshness);
+    daemons_.running(frozen).signal(SIGCONT);
+    const call_result first = submit(frozen);
+    EXPECT_TRUE(first.reason() == "key_withdrawn" || first.reason() == "configuration_not_fresh")
+        << first.status << " " << first.body;
+    EXPECT_TRUE(first.not_run());
+    EXPECT_TRUE(wait_until([&] { return submit(frozen).reason() == "key_withdrawn"; }));
+}
+
+TEST_F(withdrawn_key, bounds_keyed_work_while_the_store_is_down) {
+    ASSERT_TRUE(wait_until([&] { return works_everywhere(); }));
+    daemons_.set_platform_faults({{"down", true}});
+    EXPECT_TRUE(wait_until([&] { return submit(1).reason() == "configuration_not_fresh"; }));
+    EXPECT_TRUE(submit(1).not_run());
+    EXPECT_EQ(submit(1, "mosaics").status, ok);
+    daemons_.set_platform_faults({{"down", false}});
+    EXPECT_TRUE(wait_until([&] { return works_everywhere(); }));
+}
+
+}  // namespace
