--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -63,7 +63,7 @@
         return;
     }
     on_verdict(pending, event.result->verdict);
-    absorb(*vm, event.result->report);
+    absorb(*vm, event.result->report, pending.sent);
 }
 
 void collect_stage::on_error(vm_state& vm, const pending_command& pending,
@@ -80,7 +80,7 @@
         return;
     }
     const task_ref ref = context_.book.find_attempt(pending.attempt);
-    if (ref && ref.task->phase == task_phase::starting) {
+    if (ref && ref.task->phase == task_phase::starting && ref.task->current->starts_sent == 1) {
         retry_.not_run(*ref.work, *ref.task, "vm_unreachable");
     }
 }
@@ -98,14 +98,24 @@
                        context_.now - ref.task->current->sent);
         return;
     }
-    retry_.not_run(*ref.work, *ref.task, platform::to_string(verdict));
+    // A start that was sent again proves nothing about the first one, which may have run before or
+    // may still come; unless its lease is over too.
+    const bool proof =
+        ref.task->current->starts_sent == 1 || verdict == platform::vm_verdict::lease_passed;
+    if (proof) {
+        retry_.not_run(*ref.work, *ref.task, platform::to_string(verdict));
+    }
 }
 
-void collect_stage::absorb(vm_state& vm, const platform::vm_report& report) {
+void collect_stage::absorb(vm_state& vm, const platform::vm_report& report,
+                           base::time_point asked) {
     const bool first_report = !vm.heard;
     if (!take_over_report(vm, report)) {
         return;
     }
+    for (const auto& it : context_.watch.see({vm.listed.id, report, asked, context_.now})) {
+        context_.promise_broken(it.promise, it.evidence);
+    }
     for (const auto& it : report.running) {
         see_running(vm, it, first_report);
     }
@@ -169,11 +179,11 @@
         return;
     }
     if (ref.task->current) {
-        context_.promise_broken("task_in_two_places", "task " + seen.task.str() + " runs on " +
-                                                          vm.listed.id.str() + " as " +
-                                                          seen.attempt.str() + " and on " +
-                                                          ref.task->current->vm.str() + " as " +
-                                                          ref.task->current->id.str());
+        context_.promise_broken(to_string(promise::task_in_two_places),
+                                "task " + seen.task.str() + " runs on " + vm.listed.id.str() +
+                                    " as " + seen.attempt.str() + " and on " +
+                                    ref.task->current->vm.str() + " as " +
+                                    ref.task->current->id.str());
         stop_stray(vm, seen.attempt);
         return;
     }
@@ -268,9 +278,9 @@
     const bool own = origin && origin->epoch == context_.settings.epoch &&
                      origin->number < context_.next_attempt;
     if (!earlier && !own) {
-        context_.promise_broken("started_by_nobody", "attempt " + id.str() + " runs on " +
-                                                         vm.listed.id.str() +
-                                                         " and no owner of this cell started it");
+        context_.promise_broken(to_string(promise::started_by_nobody),
+                                "attempt " + id.str() + " runs on " + vm.listed.id.str() +
+                                    " and no owner of this cell started it");
     }
 }
 
@@ -293,13 +303,17 @@
                         (!known || known.task->phase == task_phase::held);
     const task_ref ref = wanted ? task_of_stray(seen.task, seen.team) : task_ref{};
     if (!ref) {
-        const bool settled = !known || known.work->outcome_recorded || !known.task->answer;
+        // What ended work that may not be repeated is the only proof that it ran, until its outcome
+        // is written down.
+        const bool passed_over = known && known.work->what.repeatable && !known.task->answer;
+        const bool settled = !known || known.work->outcome_recorded || passed_over;
         if (settled) {
             vm.acknowledge.push_back(seen.attempt);
         }
         return;
     }
     context_.due.add(context_.now + context_.settings.retention, forget_due{ref.work->what.job});
+    ref.task->attempts = std::max(ref.task->attempts, 1);
     context_.book.begin_attempt(*ref.task, attempt_on(vm, seen.attempt));
     end_attempt(*ref.work, *ref.task, seen);
 }
@@ -315,8 +329,9 @@
                 how);
             return;
         }
-        context_.promise_broken("answer_not_whole", "attempt " + ended.id.str() + " on " +
-                                                        ended.vm.str() + ": " + digest_mismatch);
+        context_.promise_broken(
+            to_string(promise::answer_not_whole),
+            "attempt " + ended.id.str() + " on " + ended.vm.str() + ": " + digest_mismatch);
     }
     work.to_acknowledge.push_back(ended);
     if (ended.restart_when_stopped && seen.end == platform::task_end::stopped && !work.outcome) {
