--- a/test/failure/a_withdrawn_key_stops_working_everywhere.cpp
+++ b/test/failure/a_withdrawn_key_stops_working_everywhere.cpp
@@ -2,6 +2,8 @@
 // in force there, and the frozen one takes nothing for it from its first moment on, whether it
 // reads of the change first or finds its own evidence too old. While the store is down no daemon
 // takes keyed work longer than it can show its configuration to be fresh; open queues go on.
+#include <cranberrydock/config/keys.hpp>
+
 #include "standins/crew.hpp"
 
 #include <gtest/gtest.h>
