--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -389,7 +389,8 @@
         }
         task_state& task = *ref.task;
         if (task.current->incarnation != vm.incarnation) {
-            continue;  // its lapse decides
+            tell_unknown(*ref.work, task);
+            continue;  // its lapse decides about running it elsewhere
         }
         const auto origin = origin_of(id, context_.settings.cell);
         const bool fenced = origin && origin->epoch < context_.settings.epoch;
@@ -409,6 +410,17 @@
     }
 }
 
+// The VM was replaced, and with it went what it knew of an attempt that may not be repeated.
+void collect_stage::tell_unknown(work_state& work, const task_state& task) {
+    if (task.phase != task_phase::unresolved || work.outcome) {
+        return;
+    }
+    finish_.refuse(work, {base::refusal_reason::outcome_unknown, false, base::milliseconds{0},
+                          task.current->vm.str() +
+                              " was replaced after this was dispatched to it; it may or may not "
+                              "have run and will not be run again"});
+}
+
 void collect_stage::stop_stray(const vm_state& vm, const base::attempt_id& id) {
     context_.command(vm, platform::stop_command{vm.incarnation, id},
                      context_.settings.command_timeout,
--- a/packages/cell/src/stage_collect.hpp
+++ b/packages/cell/src/stage_collect.hpp
@@ -24,6 +24,7 @@
     bool take_over_report(vm_state& vm, const platform::vm_report& report);
     void see_running(vm_state& vm, const platform::running_task& seen, bool first_report);
     void see_finished(vm_state& vm, const platform::finished_task& seen);
+    void tell_unknown(work_state& work, const task_state& task);
     void see_missing(vm_state& vm, const platform::vm_report& report);
     void adopt(vm_state& vm, const platform::running_task& seen);
     void adopt_finished(vm_state& vm, const platform::finished_task& seen);
--- a/packages/daemon/src/config_keeper.cpp
+++ b/packages/daemon/src/config_keeper.cpp
@@ -120,10 +120,8 @@
 }
 
 void config_keeper::on_peer_version(const base::daemon_id& peer, base::config_version version) {
-    const auto current = chain_.in_force();
-    if (!current || version > current->version) {
-        handle(config::peer_version{peer, version, std::nullopt});
-    }
+    // Also of peers that lag: the chain sends them the newest version.
+    handle(config::peer_version{peer, version, std::nullopt});
 }
 
 void config_keeper::handle(const config::chain_event& event) {
