mesh: bytes of links are counted when there are any; a whole paced fleet in the bench

Cause: a run of 60 paced daemons took 1,302 us/s of processor a daemon against some 720 worked out from its parts; every link's byte counters were written four times a second, also when nothing had moved. Done: unchanged links are passed over.

--- a/packages/mesh/src/link.cpp
+++ b/packages/mesh/src/link.cpp
@@ -144,6 +144,10 @@
 }
 
 void link::count_bytes() {
+    // Most far links have nothing new most of the time.
+    if (sent() == counted_sent_ && received() == counted_received_) {
+        return;
+    }
     const std::string label = "peer=\"" + peer_.address.text() + "\",direction=";
     const base::byte_count sent_now = sent();
     const base::byte_count received_now = received();
--- a/test/performance/mesh_cost.cpp
+++ b/test/performance/mesh_cost.cpp
@@ -110,7 +110,8 @@
 }
 
 // With `changing`, each team's usage changes between any two heartbeats.
-idle_cost measure(int n, int teams, const pace& of_links, bool changing = false) {
+idle_cost measure(int n, int teams, const pace& of_links, bool changing = false,
+                  base::seconds time = measured) {
     mesh_world world;
     const nodes all = full_mesh(world, n, teams, of_links);
     world.run_until([&] {
@@ -132,10 +133,10 @@
     const std::int64_t before = bytes_sent(all);
     const base::time_point begin = world.clock.now();
     const double processor = processor_seconds();
-    run_for(world, measured);
-    const double time = seconds_of(world.clock.now() - begin) * n;
-    return {static_cast<double>(bytes_sent(all) - before) / time,
-            (processor_seconds() - processor) / time, watched_links(all) / n};
+    run_for(world, time);
+    const double each = seconds_of(world.clock.now() - begin) * n;
+    return {static_cast<double>(bytes_sent(all) - before) / each,
+            (processor_seconds() - processor) / each, watched_links(all) / n};
 }
 
 void print(const std::string& name, double value, const char* unit) {
@@ -190,6 +191,16 @@
           (some.processor - none.processor) / far * seconds_of(often) * micro, "us");
 }
 
+// A whole fleet at the pace meant for the long-term size, as large as one process holds with ease.
+void print_fleet() {
+    constexpr int n = 60;
+    constexpr base::seconds two_far_periods{60};
+    const idle_cost cost = measure(n, many_teams, {2, base::seconds{30}}, false, two_far_periods);
+    print("fleet_60_daemons_260_teams_near_links", cost.watched, "links/daemon");
+    print("fleet_60_daemons_260_teams_sent", cost.bytes, "bytes/s/daemon");
+    print("fleet_60_daemons_260_teams_processor", cost.processor * micro, "us/s/daemon");
+}
+
 void print_peak() {
     constexpr std::size_t n = 100'000;
     constexpr std::size_t burst = 1'000;  // kept under way
@@ -225,4 +236,5 @@
     print_slope_a_team(few, many);
     print_paced(false);
     print_paced(true);
+    print_fleet();
 }
