daemon: work is sent over links that are up only

Cause: a link is reported lost when the first of its two connections is found silent; the other took messages for half a second more. Work sent again in that time (100 ms after the loss, to the owner that was still the frozen one by the registry) went into it, and as the link was down already no second loss was reported: sent_to stayed set and the caller was never answered. Ruled out: the new owner (it answered new work at once, its VMs were usable and empty), the allowances, the frozen daemon's own waiters. Mend: the forwarder keeps which peers are linked, and sends work to these only.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -138,10 +138,12 @@
 
     void on_link(const base::daemon_id& peer, bool up) override {
         spdlog::info("event=link peer={} up={}", peer.str(), up);
-        if (!up) {
-            usage_.erase(peer);
-            forwarder_.on_peer_lost(peer);
+        if (up) {
+            forwarder_.on_peer_linked(peer);
+            return;
         }
+        usage_.erase(peer);
+        forwarder_.on_peer_lost(peer);
     }
 
     mesh::heartbeat current_state() override {
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -80,7 +80,8 @@
     const bool here = *owner == routes_.self();
     const bool sent =
         here ? host_.submit(work.home, work.what, cell::reply_id(id))
-             : peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home, work.what});
+             : linked_.count(*owner) > 0 &&
+                   peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home, work.what});
     if (!sent) {
         metrics_.count("cranberrydock_retries_total", "reason=\"owner_unreachable\"");
         retry_later(work);
@@ -156,7 +157,12 @@
     }
 }
 
+void work_forwarder::on_peer_linked(const base::daemon_id& peer) {
+    linked_.insert(peer);
+}
+
 void work_forwarder::on_peer_lost(const base::daemon_id& peer) {
+    linked_.erase(peer);
     for (auto& it : pending_) {
         if (it.second.sent_to == peer) {
             metrics_.count("cranberrydock_retries_total", "reason=\"link_lost\"");
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace cranberrydock::daemon {
 
@@ -47,6 +48,7 @@
     void on_job_reply(const mesh::job_reply& what);
     // This daemon's own cell is gone, and with it the answers that it had still to give.
     void on_cell_lost(const base::cell_id& cell);
+    void on_peer_linked(const base::daemon_id& peer);
     void on_peer_lost(const base::daemon_id& peer);
 
     // Sends again what waits for an owner, and gives up what has waited too long.
@@ -103,6 +105,9 @@
     std::map<std::int64_t, pending_work> pending_;
     std::map<std::int64_t, foreign_work> foreign_;
     std::map<std::int64_t, pending_question> questions_;
+    // Work goes over these links only: a lost one may still take messages until its last connection
+    // is closed, and is not reported lost a second time.
+    std::set<base::daemon_id> linked_;
 };
 
 }  // namespace cranberrydock::daemon
