daemon: a daemon that only the store is cut from stays reachable and learns of takeovers

Cause: the mesh's peers were the registry's daemons alone. A daemon whose row lapses because the store is cut from it was dropped by the others ("no longer a peer") though its link was up, so it could forward nothing, and open queues stopped there with cell_without_owner after 30 s. It also learnt owners from the registry alone, so never of the takeover of its own cell. Ruled out: the frozen second daemon of the test's first form (same refusal without it); learning owners from heartbeats alone (tried first: still 503, the links were closed). After: 200 for a home elsewhere and for the home whose cell was taken over from it; passed. Conclusion: a lapsed peer is kept while its link is up, and of registry row and heartbeat claims the highest epoch names the owner.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -30,6 +30,7 @@
 constexpr base::milliseconds tick_period{50};
 constexpr base::milliseconds member_period{500};
 constexpr base::milliseconds rules_period{500};
+constexpr base::milliseconds peers_period{1'000};
 // After a stop was asked for, balancers have seen the daemon unready by then.
 constexpr base::milliseconds unready_time{1'000};
 constexpr std::size_t incarnation_bytes = 4;
@@ -118,6 +119,7 @@
         timers_.push_back(loop.every(tick_period, [this] { tick(); }));
         timers_.push_back(loop.every(member_period, [this] { read_members(); }));
         timers_.push_back(loop.every(rules_period, [this] { publish_rules(); }));
+        timers_.push_back(loop.every(peers_period, [this] { publish_peers(); }));
         tick();
         read_members();
         spdlog::info("event=started daemon={} http={} mesh={}", self_.str(),
@@ -146,6 +148,7 @@
         spdlog::info("event=link peer={} up={}", peer.str(), up);
         if (!up) {
             usage_.erase(peer);
+            routes_.forget(peer);
             forwarder_.on_peer_lost(peer);
         }
     }
@@ -217,13 +220,7 @@
 
     void on_routes(const cell::routes_changed& routes) override {
         routes_.update(routes);
-        std::vector<mesh::peer> peers;
-        for (const auto& it : routes.daemons) {
-            if (it.id != self_) {
-                peers.push_back({it.id, it.mesh_address});
-            }
-        }
-        mesh_->set_peers(peers);
+        publish_peers();
     }
 
     void on_stopped() override {
@@ -296,6 +293,7 @@
 private:
     void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
         usage_[from] = what.usage;
+        routes_.claimed(from, what.owned);
         note_broken(watch_.see(from, what.version));
         config_.on_peer_version(from, what.version);
     }
@@ -354,6 +352,30 @@
         });
     }
 
+    // The daemons of the registry, and those that have lapsed from it while their link is up: a
+    // daemon that only the store is cut from still serves callers, and hears of takeovers.
+    void publish_peers() {
+        std::vector<mesh::peer> next;
+        for (const auto& it : routes_.routes().daemons) {
+            if (it.id != self_) {
+                next.push_back({it.id, it.mesh_address});
+            }
+        }
+        const auto up = mesh_->links();
+        for (const auto& it : peers_) {
+            const bool listed = std::any_of(next.begin(), next.end(),
+                                            [&](const auto& other) { return other.id == it.id; });
+            const bool heard = std::any_of(up.begin(), up.end(), [&](const auto& link) {
+                return link.peer == it.id && link.up;
+            });
+            if (!listed && heard) {
+                next.push_back(it);
+            }
+        }
+        peers_ = std::move(next);
+        mesh_->set_peers(peers_);
+    }
+
     void publish_vms() {
         const auto current = config_.current();
         if (!current) {
@@ -457,6 +479,7 @@
     net::http_server http_;
     std::unique_ptr<mesh::mesh> mesh_;
     registry_keeper registry_;
+    std::vector<mesh::peer> peers_;  // as last given to the mesh
     std::vector<platform::member> listed_;
     cell::promise_watch watch_;
     std::vector<cell::broken_promise> broken_;  // of the fleet; a cell's own are in its host
--- a/packages/daemon/src/routing_table.cpp
+++ b/packages/daemon/src/routing_table.cpp
@@ -23,17 +23,33 @@
                        [&](const cell::cell_epoch& it) { return it.cell == cell; });
 }
 
+void routing_table::claimed(const base::daemon_id& peer,
+                            const std::vector<mesh::owned_cell>& owned) {
+    claims_[peer] = owned;
+}
+
 std::optional<base::daemon_id> routing_table::owner(const base::cell_id& cell) const {
     if (owned_here(cell)) {
         return self_;
     }
+    std::optional<base::daemon_id> out;
+    base::epoch highest(0);
     for (const auto& it : routes_.cells) {
         // What the registry says of this daemon itself may be older than what it knows.
-        if (it.id == cell && !it.owner.empty() && it.owner != self_) {
-            return it.owner;
+        if (it.id == cell) {
+            highest = it.epoch;
+            out = it.owner.empty() || it.owner == self_ ? out : std::optional(it.owner);
         }
     }
-    return std::nullopt;
+    for (const auto& [peer, claims] : claims_) {
+        for (const auto& it : claims) {
+            if (it.cell == cell && it.epoch > highest) {
+                highest = it.epoch;
+                out = peer;
+            }
+        }
+    }
+    return out;
 }
 
 std::vector<base::cell_id> home_cells(const config::configuration& current,
--- a/packages/daemon/src/routing_table.hpp
+++ b/packages/daemon/src/routing_table.hpp
@@ -4,7 +4,9 @@
 #include <cranberrydock/base/ids.hpp>
 #include <cranberrydock/cell/ownership.hpp>
 #include <cranberrydock/config/configuration.hpp>
+#include <cranberrydock/mesh/messages.hpp>
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -22,7 +24,13 @@
     bool owned_here(const base::cell_id& cell) const;
     const std::vector<cell::cell_epoch>& owned() const { return owned_; }
 
-    // The owner of the cell as far as this daemon knows; nothing while there is none.
+    // Which cells a peer says in its heartbeat that it owns, until it says otherwise or its link is
+    // lost. A daemon that the store is cut from learns of takeovers by this alone.
+    void claimed(const base::daemon_id& peer, const std::vector<mesh::owned_cell>& owned);
+    void forget(const base::daemon_id& peer) { claims_.erase(peer); }
+
+    // The owner of the cell as far as this daemon knows, which is who has it at the highest epoch;
+    // nothing while there is none.
     std::optional<base::daemon_id> owner(const base::cell_id& cell) const;
 
     const cell::routes_changed& routes() const { return routes_; }
@@ -32,6 +40,7 @@
     base::daemon_id self_;
     cell::routes_changed routes_;
     std::vector<cell::cell_epoch> owned_;
+    std::map<base::daemon_id, std::vector<mesh::owned_cell>> claims_;
 };
 
 // The home of a job: the rendezvous winner among the cells of its team's home region. Nothing when
