--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -88,6 +88,7 @@
     }
     start_vms(shape_.fleet);
     daemons_.resize(shape_.members.size());
+    links_.resize(shape_.members.size());
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         start(i);
     }
@@ -101,8 +102,11 @@
 
 void crew::start(std::size_t i) {
     const crew_member& member = shape_.members.at(i);
-    daemons_.at(i) =
-        start_daemon(member.vm, settings_text(member, platform(), shape_.more_settings));
+    if (member.relayed && !links_.at(i)) {
+        links_.at(i) = add_link(platform());
+    }
+    const net::endpoint& store = links_.at(i) ? links_.at(i)->address : platform();
+    daemons_.at(i) = start_daemon(member.vm, settings_text(member, store, shape_.more_settings));
 }
 
 void crew::restart(std::size_t i) {
--- a/test/standins/crew.hpp
+++ b/test/standins/crew.hpp
@@ -17,6 +17,7 @@
     std::string vm;  // that the daemon runs on
     std::string region;
     std::string zone;
+    bool relayed = false;  // reaches the platform through a link of its own
 };
 
 struct crew_shape {
@@ -69,6 +70,9 @@
     // Kills the daemon and waits for its end.
     void kill(std::size_t i);
 
+    // Between a relayed member and the platform.
+    const network_link& platform_link(std::size_t i) const { return links_.at(i).value(); }
+
     call_result submit(std::size_t entry, const call_work& what) const;
     std::future<call_result> submit_later(std::size_t entry, const call_work& what) const;
     call_result get_job(std::size_t entry, const std::string& job, const std::string& bearer) const;
@@ -91,6 +95,7 @@
 
     crew_shape shape_;
     std::vector<daemon> daemons_;
+    std::vector<std::optional<network_link>> links_;  // one a member
 };
 
 }  // namespace cranberrydock::standins
