--- a/packages/entry/src/base64.cpp
+++ b/packages/base/src/base64.cpp
@@ -1,11 +1,11 @@
 // Base64 through OpenSSL.
-#include <cranberrydock/entry/base64.hpp>
+#include <cranberrydock/base/base64.hpp>
 
 #include <openssl/evp.h>
 
 #include <algorithm>
 
-namespace cranberrydock::entry {
+namespace cranberrydock::base {
 namespace {
 
 constexpr std::size_t bytes_per_group = 3;
@@ -47,4 +47,4 @@
     return out;
 }
 
-}  // namespace cranberrydock::entry
+}  // namespace cranberrydock::base
--- a/packages/ctl/src/job_text.cpp
+++ b/packages/ctl/src/job_text.cpp
@@ -1,18 +1,18 @@
 // Jobs and answers as text.
 #include "job_text.hpp"
 
+#include <cranberrydock/base/base64.hpp>
 #include <cranberrydock/base/digest.hpp>
 
-#include "base64.hpp"
-
 #include <algorithm>
 
 namespace cranberrydock::ctl {
 namespace {
 
 std::string content_of(const json& answer) {
-    return answer.contains("content_base64") ? from_base64(text_at(answer, "content_base64"))
-                                             : text_at(answer, "content");
+    return answer.contains("content_base64")
+               ? base::from_base64(text_at(answer, "content_base64")).value_or("")
+               : text_at(answer, "content");
 }
 
 bool is_whole(const json& answer) {
--- a/packages/ctl/src/submit_command.cpp
+++ b/packages/ctl/src/submit_command.cpp
@@ -1,8 +1,8 @@
 // submit: sends work under an idempotency key, so that every repetition, through whichever entry,
 // is the same work.
+#include <cranberrydock/base/base64.hpp>
 #include <cranberrydock/base/digest.hpp>
 
-#include "base64.hpp"
 #include "command.hpp"
 #include "job_text.hpp"
 
@@ -53,7 +53,7 @@
     if (is_text(payload)) {
         out["payload"] = payload;
     } else {
-        out["payload_base64"] = to_base64(payload);
+        out["payload_base64"] = base::to_base64(payload);
     }
     if (wanted.deadline_ms != 0) {
         out["deadline_ms"] = wanted.deadline_ms;
--- a/packages/entry/src/api_json.cpp
+++ b/packages/entry/src/api_json.cpp
@@ -1,7 +1,7 @@
 // The JSON that callers and operators read.
 #include "api_json.hpp"
 
-#include <cranberrydock/entry/base64.hpp>
+#include <cranberrydock/base/base64.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -35,7 +35,7 @@
     if (is_plain(it.content)) {
         out["content"] = it.content;
     } else {
-        out["content_base64"] = to_base64(it.content);
+        out["content_base64"] = base::to_base64(it.content);
     }
     return out;
 }
--- a/packages/entry/src/request_body.cpp
+++ b/packages/entry/src/request_body.cpp
@@ -1,6 +1,6 @@
 // The JSON of callers' requests.
+#include <cranberrydock/base/base64.hpp>
 #include <cranberrydock/config/json_reader.hpp>
-#include <cranberrydock/entry/base64.hpp>
 #include <cranberrydock/entry/request_body.hpp>
 
 #include <utility>
@@ -20,7 +20,7 @@
     if (!encoded) {
         return plain.value_or("");
     }
-    auto bytes = from_base64(*encoded);
+    auto bytes = base::from_base64(*encoded);
     if (!bytes) {
         found.add({body.pointer_to("payload_base64"), "base64 with padding", "something else", ""});
         return {};
--- a/packages/platform/src/http_runner_client.cpp
+++ b/packages/platform/src/http_runner_client.cpp
@@ -1,6 +1,6 @@
 // A plain HTTP runner, asked over HTTP.
+#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/platform/delayed_calls.hpp>
-#include <cranberrydock/platform/digest.hpp>
 #include <cranberrydock/platform/runner_client.hpp>
 
 #include "http_status.hpp"
@@ -18,7 +18,7 @@
 // An answer is whole only when its digest says so.
 runner_result checked_answer(const net::http_response& response) {
     const std::string digest = response.header(runner_digest_header);
-    const std::string found = sha256_hex(response.body);
+    const std::string found = base::sha256_hex(response.body);
     if (digest != found) {
         return failure(runner_error::answer_lost,
                        std::string("expected ") + runner_digest_header + " to be " + found +
--- a/test/correctness/standins_carry_a_task_from_start_to_acknowledgement.cpp
+++ b/test/correctness/standins_carry_a_task_from_start_to_acknowledgement.cpp
@@ -1,6 +1,6 @@
 // The stand-in processes stand up, the VMs are in the platform's member list, and a task that is
 // started over HTTP runs once and is reported until it is acknowledged; a lower epoch is refused.
-#include <cranberrydock/platform/digest.hpp>
+#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/platform/http_platform.hpp>
 
 #include "standins/cluster.hpp"
@@ -79,7 +79,8 @@
     ASSERT_EQ(ended.report.finished.size(), 1U);
     EXPECT_EQ(ended.report.finished[0].end, task_end::completed);
     EXPECT_EQ(ended.report.finished[0].answer, start.payload);
-    EXPECT_EQ(ended.report.finished[0].answer_digest, sha256_hex(start.payload));
+    EXPECT_EQ(ended.report.finished[0].answer_digest,
+              cranberrydock::base::sha256_hex(start.payload));
 
     watch.acknowledge = {start.attempt};
     watch.wait = base::milliseconds{0};
--- a/test/standins/runner_host.cpp
+++ b/test/standins/runner_host.cpp
@@ -1,7 +1,7 @@
 // One plain HTTP runner.
 #include "runner_host.hpp"
 
-#include <cranberrydock/platform/digest.hpp>
+#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/platform/runner_client.hpp>
 
 #include <utility>
@@ -89,10 +89,9 @@
     judge_.ended(run, clock_.now());
     if (!silent_) {
         const bool fails = request.work.fails || fails_everything_;
-        request.respond(
-            {fails ? status_failed : 200,
-             {{platform::runner_digest_header, platform::sha256_hex(request.work.answer)}},
-             request.work.answer});
+        request.respond({fails ? status_failed : 200,
+                         {{platform::runner_digest_header, base::sha256_hex(request.work.answer)}},
+                         request.work.answer});
     }
     start_next();
 }
--- a/test/standins/vm_agent.cpp
+++ b/test/standins/vm_agent.cpp
@@ -2,7 +2,7 @@
 #include "vm_agent.hpp"
 
 #include <cranberrydock/base/check.hpp>
-#include <cranberrydock/platform/digest.hpp>
+#include <cranberrydock/base/digest.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -227,7 +227,7 @@
 }
 
 void vm_agent::keep_finished(platform::finished_task task) {
-    task.answer_digest = platform::sha256_hex(task.answer);
+    task.answer_digest = base::sha256_hex(task.answer);
     finished_[task.attempt] = std::move(task);
     note_news();
 }
