Settings: pacing of links, renewal without proof, wait for a silent VM

Cause: the mechanisms had constants only. The error test's expected text names the keys of [vm], of which there are two more now: the check is as strict as before. Before: the test failed on the longer list. After: ctest -R 'settings|examples' passes.

--- a/packages/config/include/cranberrydock/config/settings.hpp
+++ b/packages/config/include/cranberrydock/config/settings.hpp
@@ -45,6 +45,11 @@
     std::string secret_file;  // read by load_mesh_secret()
     base::milliseconds heartbeat{500};
     base::milliseconds silence_deadline{2'000};
+    // See mesh::mesh_settings: a large fleet paces its links. 0: every link has heartbeats at the
+    // full rate, and usage goes with the first heartbeat after it changes.
+    std::size_t near_peers = 0;
+    base::milliseconds far_period{30'000};
+    base::milliseconds usage_period{0};
 };
 
 // [ownership]: see cell::ownership_settings. Invariant: renew + safety_margin < lease, and scan and
@@ -72,6 +77,11 @@
     base::milliseconds watch{1'000};  // the longest wait of one watch command
     base::milliseconds command_timeout{2'000};
     int drift_percent = 5;  // by which a VM's clock may differ in speed
+    // How long an owner that can't show its ownership any more still renews running tasks' leases;
+    // a new owner counts what may run on a VM that it has not heard as running for as long.
+    base::milliseconds unproven_renewal{120'000};
+    // How long work that may not be repeated waits for its silent VM to tell what became of it.
+    base::milliseconds unknown_wait{30'000};
 };
 
 // [configuration]. Invariant: poll < freshness.
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t highest_bytes = std::int64_t{1} << 30U;
 constexpr std::int64_t highest_open_requests = 1'000'000;
 constexpr std::int64_t highest_drift_percent = 50;
+constexpr std::int64_t highest_near_peers = 1'000;
 
 const std::vector<std::string> table_names = {
     "identity", "listen", "platform", "mesh", "ownership", "limits", "vm", "configuration", "log"};
@@ -141,6 +142,11 @@
         }
         read_time(in, "heartbeat_ms", out.heartbeat);
         read_time(in, "silence_deadline_ms", out.silence_deadline);
+        out.near_peers =
+            static_cast<std::size_t>(in.whole("near_peers", {0, highest_near_peers, "daemons"})
+                                         .value_or(static_cast<std::int64_t>(out.near_peers)));
+        read_time(in, "far_period_ms", out.far_period);
+        read_time(in, "usage_period_ms", out.usage_period);
         if (out.silence_deadline < 2 * out.heartbeat) {
             in.complain("silence_deadline_ms",
                         "at least twice " + text_of({"mesh.heartbeat_ms", out.heartbeat}),
@@ -191,6 +197,8 @@
         read_time(in, "lease_ms", out.lease);
         read_time(in, "watch_ms", out.watch);
         read_time(in, "command_timeout_ms", out.command_timeout);
+        read_time(in, "unproven_renewal_ms", out.unproven_renewal);
+        read_time(in, "unknown_wait_ms", out.unknown_wait);
         out.drift_percent =
             static_cast<int>(in.whole("drift_percent", {0, highest_drift_percent, "percent"})
                                  .value_or(out.drift_percent));
--- a/packages/daemon/src/cell_host.cpp
+++ b/packages/daemon/src/cell_host.cpp
@@ -28,6 +28,8 @@
     out.watch_wait = settings.vm.watch;
     out.command_timeout = settings.vm.command_timeout;
     out.drift_percent = settings.vm.drift_percent;
+    out.unproven_renewal = settings.vm.unproven_renewal;
+    out.unknown_wait = settings.vm.unknown_wait;
     return out;
 }
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -48,6 +48,9 @@
     out.secret = secret;
     out.heartbeat_period = settings.mesh.heartbeat;
     out.silence_deadline = settings.mesh.silence_deadline;
+    out.near_peers = settings.mesh.near_peers;
+    out.far_period = settings.mesh.far_period;
+    out.usage_period = settings.mesh.usage_period;
     return out;
 }
 
--- a/test/correctness/settings_are_read_from_toml.cpp
+++ b/test/correctness/settings_are_read_from_toml.cpp
@@ -39,6 +39,9 @@
     const auto all = config::read_settings(least + R"(
 heartbeat_ms = 100
 silence_deadline_ms = 200
+near_peers = 23
+far_period_ms = 24
+usage_period_ms = 25
 [ownership]
 renew_ms = 11
 lease_ms = 300
@@ -55,6 +58,8 @@
 watch_ms = 17
 command_timeout_ms = 18
 drift_percent = 19
+unproven_renewal_ms = 21
+unknown_wait_ms = 22
 [configuration]
 freshness_ms = 2000
 poll_ms = 20
@@ -75,6 +80,11 @@
     EXPECT_EQ(all->vm.watch.count(), 17);
     EXPECT_EQ(all->vm.command_timeout.count(), 18);
     EXPECT_EQ(all->vm.drift_percent, 19);
+    EXPECT_EQ(all->vm.unproven_renewal.count(), 21);
+    EXPECT_EQ(all->vm.unknown_wait.count(), 22);
+    EXPECT_EQ(all->mesh.near_peers, 23U);
+    EXPECT_EQ(all->mesh.far_period.count(), 24);
+    EXPECT_EQ(all->mesh.usage_period.count(), 25);
     EXPECT_EQ(all->configuration.freshness.count(), 2000);
     EXPECT_EQ(all->configuration.poll.count(), 20);
     EXPECT_EQ(all->log.level, "debug");
--- a/test/error/bad_settings_are_explained.cpp
+++ b/test/error/bad_settings_are_explained.cpp
@@ -41,7 +41,8 @@
      "safety_margin_ms, rank_delay_ms, found an unknown key\n"},
     {"[vm]\nlease_mss = 4000\n",
      "e.toml:6 vm.lease_mss: expected one of the keys lease_ms, watch_ms, command_timeout_ms, "
-     "drift_percent, found an unknown key; did you mean \"lease_ms\"?\n"},
+     "unproven_renewal_ms, unknown_wait_ms, drift_percent, found an unknown key; did you mean "
+     "\"lease_ms\"?\n"},
     {"[limits]\nmax_body_bytes = \"8M\"\nmax_headers_bytes = 2.5\nmax_open_requests = -1\n"
      "slow_sender_timeout_s = 9223372036854775807\n",
      "e.toml:6 limits.max_body_bytes: expected a whole number from 1024 to 1073741824 bytes, found "
