--- a/packages/daemon/src/cell_journal.cpp
+++ b/packages/daemon/src/cell_journal.cpp
@@ -118,13 +118,15 @@
 
 void cell_journal::carry_out(const cell::records_durable& effect) {
     rows_.push_back({effect.row, effect.answer_lost});
+    bool snapshot_done = false;  // by these records: the deletion begins once
     for (const auto& id : effect.records) {
         if (compaction_ && compaction_->awaited.erase(id) > 0) {
+            snapshot_done = compaction_->awaited.empty();
             continue;
         }
         client_.on_record(cell::record_durable{id});
     }
-    if (compaction_ && compaction_->awaited.empty()) {
+    if (snapshot_done) {
         delete_old_rows();
     }
 }
@@ -158,7 +160,7 @@
     for (const auto& it : records) {
         append(cell::record_id(id--), it);
     }
-    if (compaction_ && compaction_->awaited.empty()) {
+    if (records.empty()) {
         delete_old_rows();
     }
 }
