cell: a request that can't be written down is refused as not run

Cause: when the intent of a request that may not be repeated could not be written, the request was put back into its queue, until the store was back; its caller waited that long instead of getting the refusal that the design states (a request waited 11 s and then ran). Accepted (durable) work still waits for the store. Before and after: ctest -R a_store_outage_longer_than_every_lease: got an answer instead of the refusal; passes. ctest -R a_cell_keeps_its_promises_under_any_faults passes after.

--- a/packages/cell/src/stage_dispatch.cpp
+++ b/packages/cell/src/stage_dispatch.cpp
@@ -6,6 +6,11 @@
 #include <variant>
 
 namespace cranberrydock::cell {
+namespace {
+
+constexpr base::milliseconds store_retry{500};
+
+}  // namespace
 
 void dispatch_stage::place() {
     if (!context_.may_start()) {
@@ -86,6 +91,18 @@
 void dispatch_stage::intent_failed(work_state& work, task_state& task, bool /*may_be_written*/) {
     // Whether the intent stands or not, nothing was dispatched, and this owner knows that.
     retry_.not_run(work, task, "store_unavailable");
+    const bool nothing_ran = !work.what.durable && never_dispatched(work);
+    if (!nothing_ran || work.outcome) {
+        return;  // accepted work waits for the store
+    }
+    const base::refusal why{base::refusal_reason::store_unavailable, true, store_retry,
+                            "the platform's store is unavailable, so this work, which may not be "
+                            "repeated, could not be written down and was not started"};
+    for (const auto& it : std::exchange(work.waiters, {})) {
+        finish_.refuse_at_once(it, why);
+    }
+    // A retry takes it in anew.
+    context_.book.remove(work.what.job);
 }
 
 void dispatch_stage::send_start(work_state& work, task_state& task) {
