--- /dev/null
+++ b/test/performance/configuration.cpp
@@ -0,0 +1,47 @@
+// How long an accepted patch takes to be in force at all of seven daemons. Target: within 15 s.
+#include <cranberrydock/base/clock.hpp>
+
+#include "crews.hpp"
+
+#include <chrono>
+#include <future>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::performance;
+
+constexpr int patches = 200;
+
+std::int64_t version_at(const net::endpoint& entry) {
+    return standins::get_json(entry, "/v1/config").at("version");
+}
+
+}  // namespace
+
+int main() {
+    standins::crew daemons(shape_of({}));
+    const base::monotonic_clock clock;
+    std::vector<double> milliseconds;
+    for (int i = 0; i < patches; ++i) {
+        const auto entry = static_cast<std::size_t>(i) % daemons.size();
+        const std::int64_t version =
+            daemons.patch(entry, {{"teams", {{"survey", {{"share", 1 + i % 9}}}}}});
+        const auto accepted = clock.now();
+        std::vector<std::future<bool>> waiting;
+        for (std::size_t k = 0; k < daemons.size(); ++k) {
+            waiting.push_back(std::async(std::launch::async, [&daemons, k, version] {
+                return standins::wait_until(
+                    [&] { return version_at(daemons.entry(k)) >= version; });
+            }));
+        }
+        for (auto& it : waiting) {
+            it.get();
+        }
+        milliseconds.push_back(
+            std::chrono::duration<double, std::milli>(clock.now() - accepted).count());
+    }
+    print_distribution("configuration_accepted_to_in_force_everywhere", milliseconds, "ms");
+    return 0;
+}
--- /dev/null
+++ b/test/performance/crews.hpp
@@ -0,0 +1,64 @@
+// Crews of several sizes for the benchmarks with real processes, and statistics over their runs.
+// Run them with CRANBERRYDOCK_BIN set to the folder of the built programs.
+#pragma once
+
+#include <standins/crew.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace cranberrydock::performance {
+
+struct crew_size {
+    int daemons = 7;
+    int vms_per_zone = 10;  // in each of five availability zones
+    int teams = 6;
+};
+
+// The team "survey" with all slots, further teams without work, and a cell for each of five zones.
+inline standins::crew_shape shape_of(const crew_size& size) {
+    const std::vector<std::string> zones = {"northcoast-a", "northcoast-b", "northcoast-c",
+                                            "southvale-a", "southvale-b"};
+    standins::crew_shape out;
+    out.members.clear();
+    out.fleet.zones.clear();
+    out.fleet.vms_per_zone = size.vms_per_zone;
+    out.configuration = standins::default_configuration();
+    out.configuration["cells"] = nlohmann::json::object();
+    for (const auto& it : zones) {
+        const std::string region = it.substr(0, it.find('-'));
+        out.fleet.zones += (out.fleet.zones.empty() ? "" : ",") + region + "/" + it;
+        out.configuration["cells"][it] = {{"region", region}, {"zone", it}};
+    }
+    for (int i = 0; i < size.daemons; ++i) {
+        const std::string& zone = zones.at(static_cast<std::size_t>(i) % zones.size());
+        out.members.push_back(
+            {"entry-" + std::to_string(i + 1), zone.substr(0, zone.find('-')), zone});
+    }
+    out.configuration["teams"]["survey"]["upper_limit"] = 16 * 5 * size.vms_per_zone;
+    for (int i = 1; i < size.teams; ++i) {
+        out.configuration["teams"]["team-" + std::to_string(i)] = {
+            {"home_region", i % 2 == 0 ? "northcoast" : "southvale"},
+            {"share", 1},
+            {"upper_limit", 16}};
+    }
+    return out;
+}
+
+inline void print(const std::string& name, double value, const char* unit) {
+    std::printf("%s %.6g %s\n", name.c_str(), value, unit);
+    std::fflush(stdout);
+}
+
+// Prints median and worst.
+inline void print_distribution(const std::string& name, std::vector<double> values,
+                               const char* unit) {
+    std::sort(values.begin(), values.end());
+    print(name + "_runs", static_cast<double>(values.size()), "runs");
+    print(name + "_median", values.at(values.size() / 2), unit);
+    print(name + "_worst", values.back(), unit);
+}
+
+}  // namespace cranberrydock::performance
--- /dev/null
+++ b/test/performance/takeover.cpp
@@ -0,0 +1,64 @@
+// How long a cell is without placements when its owner is killed: from SIGKILL to the answer of a
+// request that was sent at once through another entry. Target: within 5.9 s.
+#include <cranberrydock/base/clock.hpp>
+
+#include "crews.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::performance;
+
+constexpr int runs = 21;
+constexpr int ok = 200;
+
+// The only cell of the team's home region.
+constexpr const char* cell_name = "southvale-a";
+
+standins::crew_shape shape() {
+    standins::crew_shape out = shape_of({3, 2, 1});
+    out.configuration["cells"].erase("southvale-b");
+    out.configuration["teams"]["survey"]["home_region"] = "southvale";
+    return out;
+}
+
+// Seconds; negative when the request failed.
+double time_one(standins::crew& daemons, std::size_t owner) {
+    const base::monotonic_clock clock;
+    standins::call_work work;
+    work.for_ms = 1;
+    daemons.running(owner).signal(SIGKILL);
+    const auto killed = clock.now();
+    const auto result = daemons.submit((owner + 1) % daemons.size(), work);
+    const double took = std::chrono::duration<double>(clock.now() - killed).count();
+    daemons.kill(owner);
+    return result.status == ok ? took : -took;
+}
+
+}  // namespace
+
+int main() {
+    standins::crew daemons(shape());
+    std::vector<double> seconds;
+    int failed = 0;
+    for (int i = 0; i < runs; ++i) {
+        const auto owner = daemons.owner_of(cell_name);
+        const double took = time_one(daemons, owner.value());
+        failed += took < 0 ? 1 : 0;
+        seconds.push_back(took < 0 ? -took : took);
+        daemons.restart(*owner);
+        daemons.wait_until_owned(cell_name);
+        standins::wait_until([&] {
+            return standins::call(daemons.entry(*owner),
+                                  {net::http_method::get, "/readyz", "", {}, ""})
+                       ->status == ok;
+        });
+    }
+    print_distribution("takeover_kill_to_answer", seconds, "s");
+    print("takeover_failed", failed, "requests");
+    return 0;
+}
