--- /dev/null
+++ b/test/failure/a_rolling_restart_cuts_off_no_request.cpp
@@ -0,0 +1,69 @@
+// Every daemon is stopped as planned and started again, one after the other, under load. Callers
+// that send to ready entries see no failure, also for requests that are open at the stopped one.
+#include "standins/steady_callers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+
+constexpr int ok = 200;
+constexpr int load = 8;        // callers
+constexpr int long_every = 7;  // each so many requests takes long
+constexpr int long_ms = 2'000;
+constexpr int between_stops = 40;  // answers
+constexpr int open_at_stop = 6;
+
+call_work mixed_work(int caller, int n) {
+    call_work out;
+    out.repeatable = (caller + n) % 2 == 0;
+    out.queue = n % 3 == 0 ? "previews" : "mosaics";
+    out.key = "rolling-" + std::to_string(caller) + "-" + std::to_string(n);
+    out.for_ms = (caller + n) % long_every == 0 ? long_ms : 10;
+    return out;
+}
+
+call_work long_work(std::size_t daemon, int i) {
+    call_work out;
+    out.repeatable = i % 2 == 0;
+    out.key = "open-" + std::to_string(daemon) + "-" + std::to_string(i);
+    out.for_ms = long_ms;
+    out.answer = out.key;
+    return out;
+}
+
+TEST(rolling_restart, cuts_off_no_request) {
+    crew daemons;
+    steady_callers callers(daemons, {0, 1, 2}, load, mixed_work);
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+        ASSERT_TRUE(wait_until([&] { return daemons.ready(i); }));
+        const int so_far = callers.answered();
+        ASSERT_TRUE(wait_until([&] { return callers.answered() > so_far + between_stops; }));
+        const std::int64_t starts = daemons.judge().at("starts");
+        std::vector<std::future<call_result>> open;
+        for (int n = 0; n < open_at_stop; ++n) {
+            open.push_back(daemons.submit_later(i, long_work(i, n)));
+        }
+        ASSERT_TRUE(wait_until([&] {
+            return daemons.judge().at("starts").get<std::int64_t>() >= starts + open_at_stop;
+        }));
+        EXPECT_EQ(daemons.stop(i), 0);
+        for (auto& it : open) {
+            const call_result result = it.get();
+            EXPECT_EQ(result.status, ok) << result.body;
+        }
+        daemons.restart(i);
+    }
+    const int so_far = callers.answered();
+    EXPECT_TRUE(wait_until([&] { return callers.answered() > so_far + between_stops; }));
+    callers.stop();
+    EXPECT_EQ(callers.failures(), std::vector<std::string>{});
+    EXPECT_EQ(daemons.breaches(), "");
+}
+
+}  // namespace
--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -88,14 +88,26 @@
     }
     start_vms(shape_.fleet);
     daemons_.resize(shape_.members.size());
+    addresses_.resize(shape_.members.size());
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         start(i);
     }
-    patch(0, shape_.configuration);
+    const std::int64_t version = patch(0, shape_.configuration);
+    for (std::size_t i = 0; i < size(); ++i) {
+        if (!wait_until(
+                [&] { return get_json(entry(i), "/v1/config").at("version") >= version; })) {
+            throw std::runtime_error("entry " + std::to_string(i) + " has an old configuration");
+        }
+    }
     for (const auto& it : shape_.configuration.at("cells").items()) {
         if (!wait_until_owned(it.key())) {
             throw std::runtime_error("cell " + it.key() + " got no owner");
         }
+        for (std::size_t i = 0; i < size(); ++i) {
+            if (!wait_until([&] { return epoch_of(i, it.key()) > 0; })) {
+                throw std::runtime_error("no owner of " + it.key() + " known at an entry");
+            }
+        }
     }
 }
 
@@ -103,6 +115,13 @@
     const crew_member& member = shape_.members.at(i);
     daemons_.at(i) =
         start_daemon(member.vm, settings_text(member, platform(), shape_.more_settings));
+    const std::lock_guard lock(guards_addresses_);
+    addresses_.at(i) = daemons_.at(i).address;
+}
+
+net::endpoint crew::entry(std::size_t i) const {
+    const std::lock_guard lock(guards_addresses_);
+    return addresses_.at(i);
 }
 
 void crew::restart(std::size_t i) {
@@ -114,12 +133,22 @@
     daemons_.at(i).running->wait_until_ended(generous);
 }
 
+std::optional<int> crew::stop(std::size_t i) {
+    daemons_.at(i).running->signal(SIGTERM);
+    return daemons_.at(i).running->wait_until_ended(generous);
+}
+
+bool crew::ready(std::size_t i) const {
+    const auto seen = call(entry(i), {net::http_method::get, "/readyz", "", {}, ""});
+    return seen && seen->status == ok;
+}
+
 call_result crew::submit(std::size_t entry, const call_work& what) const {
-    return submit_to(daemons_.at(entry).address, what);
+    return submit_to(this->entry(entry), what);
 }
 
 std::future<call_result> crew::submit_later(std::size_t entry, const call_work& what) const {
-    return std::async(std::launch::async, submit_to, daemons_.at(entry).address, what);
+    return std::async(std::launch::async, submit_to, this->entry(entry), what);
 }
 
 call_result crew::get_job(std::size_t entry, const std::string& job,
@@ -178,6 +207,22 @@
     return wait_until([&] { return owner_of(cell).has_value(); });
 }
 
+std::int64_t crew::epoch_of(std::size_t entry, const std::string& cell) const {
+    call_result seen;
+    // Refused for a moment after an outage, until the configuration is known to be the newest.
+    wait_until([&] {
+        seen =
+            result_of(call(this->entry(entry), {net::http_method::get, "/v1/cells", "", {}, ""}));
+        return seen.status == ok;
+    });
+    for (const auto& it : seen.body.at("cells")) {
+        if (it.at("cell") == cell) {
+            return it.at("epoch").get<std::int64_t>();
+        }
+    }
+    throw std::runtime_error("entry " + std::to_string(entry) + " knows no cell " + cell);
+}
+
 std::string crew::metrics(std::size_t entry) const {
     const auto result =
         call(daemons_.at(entry).address, {net::http_method::get, "/metrics", "", {}, ""});
--- a/test/standins/crew.hpp
+++ b/test/standins/crew.hpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <future>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,25 +50,31 @@
     int status = 0;  // 0: no answer came
     nlohmann::json body;
 
-    std::string reason() const { return body.value("reason", ""); }
-    bool not_run() const { return body.value("not_run", false); }
+    std::string reason() const { return body.is_object() ? body.value("reason", "") : ""; }
+    bool not_run() const { return body.is_object() && body.value("not_run", false); }
     // The first task's answer; empty when there is none.
     std::string answer() const;
 };
 
 class crew : public cluster {
 public:
-    // Returns once every cell has an owner that every daemon knows.
+    // Returns once the configuration is in force everywhere and every cell has an owner that every
+    // daemon knows.
     explicit crew(crew_shape shape = {});
 
     std::size_t size() const { return daemons_.size(); }
-    const net::endpoint& entry(std::size_t i) const { return daemons_.at(i).address; }
+    // Also from other threads than the one that restarts daemons, as are ready() and submit().
+    net::endpoint entry(std::size_t i) const;
     const process& running(std::size_t i) const { return *daemons_.at(i).running; }
 
     // Starts the daemon again, as a new incarnation on the same VM.
     void restart(std::size_t i);
     // Kills the daemon and waits for its end.
     void kill(std::size_t i);
+    // SIGTERM: the exit status, nothing when it does not end.
+    std::optional<int> stop(std::size_t i);
+    // Whether a balancer would send something new there.
+    bool ready(std::size_t i) const;
 
     call_result submit(std::size_t entry, const call_work& what) const;
     std::future<call_result> submit_later(std::size_t entry, const call_work& what) const;
@@ -81,6 +88,9 @@
     std::optional<std::size_t> owner_of(const std::string& cell) const;
     bool wait_until_owned(const std::string& cell) const;
 
+    // The epoch under which the cell is owned, as the entry knows it.
+    std::int64_t epoch_of(std::size_t entry, const std::string& cell) const;
+
     std::string metrics(std::size_t entry) const;
 
     // The text of the judge's evidence; empty when no promise was broken.
@@ -91,6 +101,8 @@
 
     crew_shape shape_;
     std::vector<daemon> daemons_;
+    mutable std::mutex guards_addresses_;
+    std::vector<net::endpoint> addresses_;
 };
 
 }  // namespace cranberrydock::standins
--- a/test/standins/judge.cpp
+++ b/test/standins/judge.cpp
@@ -72,6 +72,9 @@
 }
 
 void judge::check_once(const judged_run& run) {
+    if (!run.mark.empty()) {
+        marks_.insert(run.mark);
+    }
     if (run.repeatable) {
         return;
     }
@@ -141,8 +144,11 @@
     for (const auto it : all_breaches) {
         counts[to_string(it)] = count(it);
     }
-    return nlohmann::json{
-        {"total", total()}, {"starts", starts_}, {"counts", counts}, {"evidence", evidence_}}
+    return nlohmann::json{{"total", total()},
+                          {"starts", starts_},
+                          {"counts", counts},
+                          {"evidence", evidence_},
+                          {"marks", marks_}}
         .dump();
 }
 
--- a/test/standins/judge.hpp
+++ b/test/standins/judge.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,8 @@
     // The first breaches, one line each.
     const std::vector<std::string>& evidence() const { return evidence_; }
 
-    // {"total":N,"starts":N,"counts":{NAME:N,...},"evidence":[...]}
+    // {"total":N,"starts":N,"counts":{NAME:N,...},"evidence":[...],"marks":[...]};
+    // marks: of all work that ever started.
     std::string json() const;
 
 private:
@@ -79,6 +81,7 @@
     std::vector<std::string> evidence_;
     std::map<place, judged_run> running_;
     std::map<std::string, std::string> once_;  // work that may not be repeated -> where it started
+    std::set<std::string> marks_;
     std::map<base::incarnation_id, base::epoch> epochs_;  // the highest under which one started
 };
 
--- /dev/null
+++ b/test/standins/steady_callers.cpp
@@ -0,0 +1,62 @@
+// Callers that send one request after the other.
+#include "steady_callers.hpp"
+
+#include <utility>
+
+namespace cranberrydock::standins {
+namespace {
+
+constexpr int ok = 200;
+
+}  // namespace
+
+steady_callers::steady_callers(const crew& daemons, std::vector<std::size_t> entries, int callers,
+                               work_maker make)
+    : daemons_(daemons), entries_(std::move(entries)), make_(std::move(make)) {
+    for (int i = 0; i < callers; ++i) {
+        threads_.emplace_back([this, i] { run(i); });
+    }
+}
+
+steady_callers::~steady_callers() {
+    stop();
+}
+
+void steady_callers::stop() {
+    stopping_ = true;
+    for (auto& it : threads_) {
+        if (it.joinable()) {
+            it.join();
+        }
+    }
+}
+
+std::vector<std::string> steady_callers::failures() const {
+    const std::lock_guard lock(guards_failures_);
+    return failures_;
+}
+
+void steady_callers::run(int caller) {
+    auto next = static_cast<std::size_t>(caller);
+    for (int n = 0; !stopping_;) {
+        const std::size_t entry = entries_[next++ % entries_.size()];
+        if (daemons_.ready(entry)) {
+            send(caller, n++, entry);
+        }
+    }
+}
+
+void steady_callers::send(int caller, int n, std::size_t entry) {
+    call_work work = make_(caller, n);
+    work.answer = "answer " + std::to_string(n) + " of caller " + std::to_string(caller);
+    const call_result result = daemons_.submit(entry, work);
+    if (result.status == ok && result.answer() == work.answer) {
+        ++answered_;
+        return;
+    }
+    const std::lock_guard lock(guards_failures_);
+    failures_.push_back(work.answer + " at entry " + std::to_string(entry) + ": status " +
+                        std::to_string(result.status) + " " + result.body.dump());
+}
+
+}  // namespace cranberrydock::standins
