--- a/test/failure/a_frozen_owner_that_thaws_starts_nothing.cpp
+++ b/test/failure/a_frozen_owner_that_thaws_starts_nothing.cpp
@@ -52,6 +52,7 @@
     }
     steady_callers callers(daemons, others, load, short_work);
     std::vector<std::future<call_result>> calls;
+    calls.reserve(caught);
     for (int i = 0; i < caught; ++i) {
         calls.push_back(daemons.submit_later(*owner, caught_work(i)));
     }
--- a/test/failure/a_rolling_restart_cuts_off_no_request.cpp
+++ b/test/failure/a_rolling_restart_cuts_off_no_request.cpp
@@ -46,6 +46,7 @@
         ASSERT_TRUE(wait_until([&] { return callers.answered() > so_far + between_stops; }));
         const std::int64_t starts = daemons.judge().at("starts");
         std::vector<std::future<call_result>> open;
+        open.reserve(open_at_stop);
         for (int n = 0; n < open_at_stop; ++n) {
             open.push_back(daemons.submit_later(i, long_work(i, n)));
         }
