--- a/packages/cell/include/cranberrydock/cell/cell_machine.hpp
+++ b/packages/cell/include/cranberrydock/cell/cell_machine.hpp
@@ -71,6 +71,10 @@
     // that begins with these records can do without all earlier rows.
     std::vector<work_record> snapshot() const;
 
+    // Slots of VMs that were not heard from and may still run what earlier owners started; nothing
+    // before the first member list.
+    std::optional<base::slot_count> unheard_slots() const;
+
     std::vector<vm_view> vms() const;
     std::vector<broken_promise> broken_promises() const;
     std::vector<policy::team_load> loads() const;
--- a/packages/cell/src/cell_context.cpp
+++ b/packages/cell/src/cell_context.cpp
@@ -61,12 +61,7 @@
 }
 
 void cell_context::publish_teams() {
-    base::slot_count unheard{0};
-    if (now < earlier_owners_lapse()) {
-        for (const auto& it : vms.all()) {
-            unheard += it.second.heard ? base::slot_count{0} : it.second.capacity.slots;
-        }
-    }
+    const base::slot_count unheard = unheard_slots();
     std::vector<policy::team_rules> effective = teams;
     for (auto& it : effective) {
         it.allowance = std::max(it.allowance - unheard, base::slot_count{0});
@@ -74,6 +69,17 @@
     scheduler.set_teams(effective);
 }
 
+base::slot_count cell_context::unheard_slots() const {
+    base::slot_count out{0};
+    if (now >= earlier_owners_lapse()) {
+        return out;
+    }
+    for (const auto& it : vms.all()) {
+        out += it.second.heard ? base::slot_count{0} : it.second.capacity.slots;
+    }
+    return out;
+}
+
 void cell_context::promise_broken(const std::string& promise, const std::string& evidence) {
     metrics.count("cranberrydock_promises_broken_total", "promise=\"" + promise + "\"");
     spdlog::error("event=promise_broken promise={} cell={} epoch={} evidence=\"{}\"", promise,
@@ -88,6 +94,9 @@
 }
 
 base::time_point cell_context::earlier_owners_lapse() const {
+    if (settings.epoch <= base::epoch(1)) {
+        return started;  // there were none
+    }
     return started + settings.unproven_renewal +
            stretched(settings.vm_lease, settings.drift_percent);
 }
--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -61,6 +61,9 @@
     // from counted as full of each team's tasks.
     void publish_teams();
 
+    // Slots of VMs that may run what earlier owners started and were not heard from.
+    base::slot_count unheard_slots() const;
+
     void promise_broken(const std::string& promise, const std::string& evidence);
 
     // When a lease that is stated on the VM's last report has surely lapsed.
@@ -82,6 +85,7 @@
     base::time_point now{};      // of the event in hand
     base::time_point started{};  // of the first event
     base::time_point evidence_until{};
+    bool vms_known = false;  // a member list was read
     bool draining = false;
     bool replaced = false;  // a VM has seen a higher epoch
 
--- a/packages/cell/src/cell_machine.cpp
+++ b/packages/cell/src/cell_machine.cpp
@@ -194,6 +194,13 @@
     return records_of(state_->context.book);
 }
 
+std::optional<base::slot_count> cell_machine::unheard_slots() const {
+    if (!state_->context.vms_known) {
+        return std::nullopt;
+    }
+    return state_->context.unheard_slots();
+}
+
 std::vector<vm_view> cell_machine::vms() const {
     std::vector<vm_view> out;
     for (const auto& it : state_->context.vms.all()) {
--- a/packages/cell/src/stage_vms.cpp
+++ b/packages/cell/src/stage_vms.cpp
@@ -8,6 +8,7 @@
 
 void vms_stage::list(const std::vector<platform::member>& members) {
     context_.vms.list(members, context_.now);
+    context_.vms_known = true;
     attach_recovered();
     for (const auto& it : context_.vms.all()) {
         context_.publish(it.second);
--- a/packages/daemon/src/cell_allowances.cpp
+++ b/packages/daemon/src/cell_allowances.cpp
@@ -21,13 +21,8 @@
 }  // namespace
 
 cell_allowances::cell_allowances(const cell_start& start, platform::table_service& table,
-                                 const base::clock& clock, base::milliseconds settling,
-                                 allowance_client& client)
-    : table_(table),
-      clock_(clock),
-      settled_(clock.now() + settling),
-      client_(client),
-      keeper_(settings_of(start)) {}
+                                 const base::clock& clock, allowance_client& client)
+    : table_(table), clock_(clock), client_(client), keeper_(settings_of(start)) {}
 
 void cell_allowances::set_limits(std::vector<cell::team_limit> limits) {
     limits_ = limits;
@@ -39,14 +34,14 @@
 }
 
 cell::demand_changed cell_allowances::demand() const {
-    const bool settling = clock_.now() < settled_;
+    const std::optional<base::slot_count> unheard = client_.unheard_slots();
     const auto loads = client_.loads();
     cell::demand_changed result;
     for (const auto& limit : limits_) {
         cell::team_demand one;
         one.team = limit.team;
-        // As if VMs that were not heard from could run all of it.
-        one.unheard = settling ? limit.upper_limit : base::slot_count(0);
+        // As if VMs that were not heard from were full of the team's tasks.
+        one.unheard = std::min(limit.upper_limit, unheard.value_or(limit.upper_limit));
         for (const auto& it : loads) {
             if (it.team == limit.team) {
                 one.running = it.running;
--- a/packages/daemon/src/cell_allowances.hpp
+++ b/packages/daemon/src/cell_allowances.hpp
@@ -20,17 +20,17 @@
     virtual ~allowance_client() = default;
     // What the cell has running and queued at this moment.
     virtual std::vector<policy::team_load> loads() const = 0;
+    // Slots of VMs that may run what an earlier owner started and were not heard from; nothing
+    // while it is not known which VMs there are.
+    virtual std::optional<base::slot_count> unheard_slots() const = 0;
     // bound() has other answers: they must be in force before anything more is placed.
     virtual void on_bounds_changed() = 0;
 };
 
 class cell_allowances {
 public:
-    // `settling`: for so long after the takeover VMs may run what an earlier owner started, so no
-    // part is given back.
     cell_allowances(const cell_start& start, platform::table_service& table,
-                    const base::clock& clock, base::milliseconds settling,
-                    allowance_client& client);
+                    const base::clock& clock, allowance_client& client);
 
     void set_limits(std::vector<cell::team_limit> limits);
     void tick();
@@ -50,7 +50,6 @@
 
     platform::table_service& table_;
     const base::clock& clock_;
-    const base::time_point settled_;
     allowance_client& client_;
     cell::allowance_keeper keeper_;
     std::vector<cell::team_limit> limits_;
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -11,13 +11,6 @@
 
 constexpr base::milliseconds retry_soon{200};
 
-// For so long VMs may run what an earlier owner started: it may have renewed their leases until its
-// patience ended.
-base::milliseconds settling_of(const cell::cell_settings& settings, const cell_start& start) {
-    const bool first_owner = start.epoch == base::epoch(1);
-    return first_owner ? base::milliseconds(0) : settings.unproven_renewal + 2 * settings.vm_lease;
-}
-
 }  // namespace
 
 owned_cell::owned_cell(const cell_start& start, const cell::cell_settings& settings,
@@ -31,7 +24,7 @@
       scheduler_(policy::make_scheduler()),
       machine_(settings, *scheduler_, metrics),
       journal_(start, loop, table, clock, *this),
-      allowances_(start, table, clock, settling_of(settings, start), *this) {
+      allowances_(start, table, clock, *this) {
     journal_.read([this](std::vector<cell::work_record> records) { go_live(std::move(records)); });
 }
 
--- a/packages/daemon/src/owned_cell.hpp
+++ b/packages/daemon/src/owned_cell.hpp
@@ -50,6 +50,9 @@
     std::vector<cell::work_record> snapshot() const override { return machine_.snapshot(); }
 
     std::vector<policy::team_load> loads() const override { return machine_.loads(); }
+    std::optional<base::slot_count> unheard_slots() const override {
+        return live_ ? machine_.unheard_slots() : std::nullopt;
+    }
     void on_bounds_changed() override { apply_rules(); }
 
     // Gives the rules to the decider with the allowances that are held now.
