standins: a crew is ready only once every daemon has its configuration and knows every owner

Cause: the constructor promised this and waited only for each owner's own word, so a daemon still at version 0 refused work with 404 unknown_queue (a daemon whose link came up after the push has the version by its next poll, 2 s). Ruled out: the product (the first version is polled as documented). Before: answers_go_to_their_own_request failed once in 3 runs by this.

--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -1,6 +1,7 @@
 // Several daemons over one stand-in platform and fleet.
 #include "crew.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <utility>
@@ -59,6 +60,15 @@
                                   "", headers_of(what.key, what.bearer), body_of(what)}));
 }
 
+// Whether the daemon has the version in force and knows an owner for each of its cells.
+bool knows_all(const net::endpoint& entry, std::int64_t version) {
+    const auto seen = result_of(call(entry, {net::http_method::get, "/v1/config", "", {}, ""}));
+    const auto cells = result_of(call(entry, {net::http_method::get, "/v1/cells", "", {}, ""}));
+    return seen.status == ok && seen.body.at("version") >= version && cells.status == ok &&
+           std::all_of(cells.body.at("cells").begin(), cells.body.at("cells").end(),
+                       [](const json& it) { return it.value("owner", "") != ""; });
+}
+
 }  // namespace
 
 json default_configuration() {
@@ -92,10 +102,11 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
         start(i);
     }
-    patch(0, shape_.configuration);
-    for (const auto& it : shape_.configuration.at("cells").items()) {
-        if (!wait_until_owned(it.key())) {
-            throw std::runtime_error("cell " + it.key() + " got no owner");
+    const std::int64_t version = patch(0, shape_.configuration);
+    for (const auto& it : daemons_) {
+        if (!wait_until([&] { return knows_all(it.address, version); })) {
+            throw std::runtime_error("a daemon does not know version " + std::to_string(version) +
+                                     " with an owner for each cell");
         }
     }
 }
