--- /dev/null
+++ b/test/failure/a_leaving_vm_gets_no_new_work.cpp
@@ -0,0 +1,142 @@
+// One VM leaves by the member list, which shows it late, another by its own word alone, while
+// requests keep coming. Neither is given a new start after a few seconds, and what runs on them
+// finishes.
+#include <cranberrydock/base/clock.hpp>
+
+#include "standins/crew.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr int callers = 6;
+constexpr int long_tasks = 16;
+constexpr int long_task_ms = 12'000;
+constexpr int lag_ms = 1'000;
+constexpr int never_in_this_test = 3'600'000;
+
+// After that no start may come; the list's lag is in it.
+constexpr base::milliseconds few_seconds{4'000};
+// How long starts are looked for in all.
+constexpr base::milliseconds looked_for{9'000};
+
+// Short work without end through every entry, so that each VM would be given some.
+class steady_callers {
+public:
+    explicit steady_callers(const crew& daemons) {
+        for (int i = 0; i < callers; ++i) {
+            threads_.emplace_back([this, &daemons, i] { run(daemons, i); });
+        }
+    }
+    ~steady_callers() { stop(); }
+    steady_callers(const steady_callers&) = delete;
+    steady_callers& operator=(const steady_callers&) = delete;
+
+    void stop() {
+        stopping_ = true;
+        for (auto& it : threads_) {
+            if (it.joinable()) {
+                it.join();
+            }
+        }
+    }
+
+    int done() const { return done_; }
+    int failed() const { return failed_; }
+
+private:
+    void run(const crew& daemons, int i) {
+        call_work work;
+        work.for_ms = 20;
+        while (!stopping_) {
+            const call_result result =
+                daemons.submit(static_cast<std::size_t>(i) % daemons.size(), work);
+            (result.status == ok ? done_ : failed_) += 1;
+        }
+    }
+
+    std::atomic<bool> stopping_{false};
+    std::atomic<int> done_{0};
+    std::atomic<int> failed_{0};
+    std::vector<std::thread> threads_;  // last: they use the members above
+};
+
+class leaving_vm : public ::testing::Test {
+protected:
+    json vm(const std::string& id) const {
+        const json seen = daemons_.list_vms();
+        for (const auto& it : seen.at("vms")) {
+            if (it.at("id") == id) {
+                return it;
+            }
+        }
+        return json::object();
+    }
+
+    // A VM of the team's home region that runs something.
+    std::string busy_vm_of(const std::string& zone) const {
+        std::string out;
+        wait_until([&] {
+            const json seen = daemons_.list_vms();
+            for (const auto& it : seen.at("vms")) {
+                if (it.at("zone") == zone && it.at("running") > 0) {
+                    out = it.at("id");
+                }
+            }
+            return !out.empty();
+        });
+        return out;
+    }
+
+    crew daemons_;
+    base::monotonic_clock clock_;
+};
+
+TEST_F(leaving_vm, gets_no_new_work_and_finishes_what_it_runs) {
+    std::vector<std::future<call_result>> running;
+    for (int i = 0; i < long_tasks; ++i) {
+        call_work work;
+        work.repeatable = false;
+        work.key = "long-" + std::to_string(i);
+        work.for_ms = long_task_ms;
+        work.answer = work.key;
+        running.push_back(
+            daemons_.submit_later(static_cast<std::size_t>(i) % daemons_.size(), work));
+    }
+    ASSERT_TRUE(wait_until([&] { return daemons_.judge().at("starts") == long_tasks; }))
+        << daemons_.judge();
+    const std::string listed = busy_vm_of("northcoast-a");
+    const std::string told = busy_vm_of("northcoast-b");
+    steady_callers callers_of_short_work(daemons_);
+    ASSERT_TRUE(wait_until([&] { return callers_of_short_work.done() > callers; }));
+
+    const auto left = clock_.now();
+    daemons_.command_vm(listed, "leave", {{"lag_ms", lag_ms}});
+    daemons_.command_vm(told, "leave", {{"lag_ms", never_in_this_test}});
+
+    ASSERT_TRUE(wait_until([&] { return clock_.now() - left > looked_for; }));
+    callers_of_short_work.stop();
+    for (const std::string& it : {listed, told}) {
+        EXPECT_LE(vm(it).at("last_start_after_leave_ms"), few_seconds.count()) << it;
+    }
+    EXPECT_EQ(callers_of_short_work.failed(), 0);
+    for (int i = 0; i < long_tasks; ++i) {
+        const call_result result = running.at(static_cast<std::size_t>(i)).get();
+        EXPECT_EQ(result.status, ok) << result.body;
+        EXPECT_EQ(result.answer(), "long-" + std::to_string(i));
+    }
+    EXPECT_EQ(daemons_.breaches(), "");
+}
+
+}  // namespace
--- a/test/failure/answers_go_to_their_own_request.cpp
+++ b/test/failure/answers_go_to_their_own_request.cpp
@@ -63,7 +63,8 @@
 
     void delay_vms() const {
         int n = 0;
-        for (const auto& it : daemons_.list_vms().at("vms")) {
+        const json seen = daemons_.list_vms();
+        for (const auto& it : seen.at("vms")) {
             ++n;
             daemons_.command_vm(it.at("id"), "delay",
                                 {{"command_ms", 10 * n}, {"answer_ms", 180 / n}});
