--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -48,6 +48,9 @@
     out.secret = secret;
     out.heartbeat_period = settings.mesh.heartbeat;
     out.silence_deadline = settings.mesh.silence_deadline;
+    out.near_peers = settings.mesh.near_peers;
+    out.far_period = settings.mesh.far_period;
+    out.usage_period = settings.mesh.usage_period;
     return out;
 }
 
@@ -71,7 +74,7 @@
 }
 
 bool belongs_to(const platform::member& vm, const config::cell& cell) {
-    if (vm.role != platform::member_role::worker || vm.zone != cell.zone) {
+    if (vm.role == platform::member_role::entry || vm.zone != cell.zone) {
         return false;
     }
     return cell.racks.empty() ||
@@ -134,7 +137,7 @@
         }
         stopping_ = true;
         spdlog::info("event=stopping daemon={}", self_.str());
-        timers_.push_back(loop_.after(unready_time, [this] { registry_.stop(); }));
+        timers_.push_back(loop_.after(unready_time, [this] { give_up_cells(); }));
     }
 
     // ---- the mesh
@@ -146,11 +149,13 @@
 
     void on_link(const base::daemon_id& peer, bool up) override {
         spdlog::info("event=link peer={} up={}", peer.str(), up);
-        if (!up) {
-            usage_.erase(peer);
-            routes_.forget(peer);
-            forwarder_.on_peer_lost(peer);
+        if (up) {
+            forwarder_.on_peer_linked(peer);
+            return;
         }
+        usage_.erase(peer);
+        routes_.forget(peer);
+        forwarder_.on_peer_lost(peer);
     }
 
     mesh::heartbeat current_state() override {
@@ -189,6 +194,7 @@
         routes_.lost(cell);
         host_.lose(cell);
         loads_.erase(cell);
+        forwarder_.on_cell_lost(cell);
         registry_.on_drained(cell);
     }
 
@@ -214,6 +220,7 @@
         routes_.lost(cell);
         loads_.erase(cell);
         host_.lose(cell);
+        forwarder_.on_cell_lost(cell);
     }
 
     void on_drain_wanted(const base::cell_id& cell) override { host_.drain(cell); }
@@ -291,6 +298,22 @@
     bool ready() const override { return !stopping_ && config_.current() != nullptr; }
 
 private:
+    void give_up_cells() {
+        giving_up_ = true;
+        registry_.give_up_cells();
+    }
+
+    // The answers to open requests come over the links, which go with the row.
+    void stop_when_answered() {
+        if (giving_up_ && api_.open_requests() == 0) {
+            registry_.stop();
+        }
+        if (registry_stopped_ && api_.open_requests() == 0) {
+            spdlog::info("event=stopped daemon={}", self_.str());
+            loop_.stop();
+        }
+    }
+
     void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
         usage_[from] = what.usage;
         routes_.claimed(from, what.owned);
@@ -329,10 +352,7 @@
         for (const auto& it : routes_.owned()) {
             host_.extend_evidence(it.cell, registry_.evidence_until(it.cell));
         }
-        if (registry_stopped_ && api_.open_requests() == 0) {
-            spdlog::info("event=stopped daemon={}", self_.str());
-            loop_.stop();
-        }
+        stop_when_answered();
     }
 
     void read_members() {
@@ -487,6 +507,7 @@
     std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;  // of other daemons' cells
     std::vector<std::unique_ptr<net::timer>> timers_;
     bool stopping_ = false;
+    bool giving_up_ = false;  // the cells, after the unready time
     bool registry_stopped_ = false;
 };
 
--- a/packages/daemon/src/work_forwarder.cpp
+++ b/packages/daemon/src/work_forwarder.cpp
@@ -82,7 +82,8 @@
     const bool here = *owner == routes_.self();
     const bool sent =
         here ? host_.submit(work.home, work.what, cell::reply_id(id))
-             : peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home, work.what});
+             : linked_.count(*owner) > 0 &&
+                   peers_.send(*owner, mesh::submit_work{mesh::call_id(id), work.home, work.what});
     if (!sent) {
         metrics_.count("cranberrydock_retries_total", "reason=\"owner_unreachable\"");
         retry_later(work);
@@ -151,7 +152,32 @@
     work.done(std::move(outcome));
 }
 
+void work_forwarder::on_cell_lost(const base::cell_id& cell) {
+    for (auto& it : pending_) {
+        if (it.second.home == cell && it.second.sent_to == routes_.self()) {
+            metrics_.count("cranberrydock_retries_total", "reason=\"owner_changed\"");
+            it.second.maybe_run = true;
+            retry_later(it.second);
+        }
+    }
+    const base::refusal gone{base::refusal_reason::cell_without_owner, false, resend_delay,
+                             routes_.self().str() + " owns cell " + cell.str() + " no more"};
+    for (auto it = foreign_.begin(); it != foreign_.end();) {
+        if (it->second.cell != cell) {
+            ++it;
+            continue;
+        }
+        peers_.send(it->second.from, mesh::work_result{it->second.call, gone, {}});
+        it = foreign_.erase(it);
+    }
+}
+
+void work_forwarder::on_peer_linked(const base::daemon_id& peer) {
+    linked_.insert(peer);
+}
+
 void work_forwarder::on_peer_lost(const base::daemon_id& peer) {
+    linked_.erase(peer);
     for (auto& it : pending_) {
         if (it.second.sent_to == peer) {
             metrics_.count("cranberrydock_retries_total", "reason=\"link_lost\"");
@@ -231,7 +257,7 @@
         return;
     }
     const std::int64_t id = next_id_++;
-    foreign_[id] = {from, what.call};
+    foreign_[id] = {from, what.call, what.cell};
     if (!host_.submit(what.cell, what.work, cell::reply_id(id))) {
         foreign_.erase(id);
         const base::refusal full{base::refusal_reason::overloaded, true, retry_soon,
--- a/test/failure/answers_go_to_their_own_request.cpp
+++ b/test/failure/answers_go_to_their_own_request.cpp
@@ -32,7 +32,8 @@
 }
 
 std::size_t size_of(int i) {
-    return static_cast<std::size_t>((i % largest_every == 0 ? large_bytes : small_bytes) + i);
+    const int bytes = i % largest_every == 0 ? large_bytes : small_bytes;
+    return static_cast<std::size_t>(bytes) + static_cast<std::size_t>(i);
 }
 
 json payload_of(int i) {
@@ -90,6 +91,7 @@
 TEST_F(crossed_answers, go_to_their_own_request) {
     delay_vms();
     std::vector<std::future<net::http_result>> running;
+    running.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         running.push_back(std::async(std::launch::async, [this, i] { return ask(i); }));
     }
--- a/test/performance/crews.hpp
+++ b/test/performance/crews.hpp
@@ -29,7 +29,8 @@
     out.configuration["cells"] = nlohmann::json::object();
     for (const auto& it : zones) {
         const std::string region = it.substr(0, it.find('-'));
-        out.fleet.zones += (out.fleet.zones.empty() ? "" : ",") + region + "/" + it;
+        out.fleet.zones.append(out.fleet.zones.empty() ? "" : ",");
+        out.fleet.zones.append(region).append("/").append(it);
         out.configuration["cells"][it] = {{"region", region}, {"zone", it}};
     }
     for (int i = 0; i < size.daemons; ++i) {
--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -66,7 +66,7 @@
     const auto cells = result_of(call(entry, {net::http_method::get, "/v1/cells", "", {}, ""}));
     return seen.status == ok && seen.body.at("version") >= version && cells.status == ok &&
            std::all_of(cells.body.at("cells").begin(), cells.body.at("cells").end(),
-                       [](const json& it) { return it.value("owner", "") != ""; });
+                       [](const json& it) { return !it.value("owner", "").empty(); });
 }
 
 }  // namespace
@@ -109,6 +109,11 @@
                                      " with an owner for each cell");
         }
     }
+    for (const auto& it : shape_.configuration.at("cells").items()) {
+        if (!wait_until_owned(it.key())) {
+            throw std::runtime_error("cell " + it.key() + " got no owner");
+        }
+    }
 }
 
 void crew::start(std::size_t i) {
