--- a/test/failure/answers_go_to_their_own_request.cpp
+++ b/test/failure/answers_go_to_their_own_request.cpp
@@ -32,7 +32,8 @@
 }
 
 std::size_t size_of(int i) {
-    return static_cast<std::size_t>((i % largest_every == 0 ? large_bytes : small_bytes) + i);
+    const int bytes = i % largest_every == 0 ? large_bytes : small_bytes;
+    return static_cast<std::size_t>(bytes) + static_cast<std::size_t>(i);
 }
 
 json payload_of(int i) {
@@ -63,7 +64,8 @@
 
     void delay_vms() const {
         int n = 0;
-        for (const auto& it : daemons_.list_vms().at("vms")) {
+        const json seen = daemons_.list_vms();
+        for (const auto& it : seen.at("vms")) {
             ++n;
             daemons_.command_vm(it.at("id"), "delay",
                                 {{"command_ms", 10 * n}, {"answer_ms", 180 / n}});
@@ -89,6 +91,7 @@
 TEST_F(crossed_answers, go_to_their_own_request) {
     delay_vms();
     std::vector<std::future<net::http_result>> running;
+    running.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         running.push_back(std::async(std::launch::async, [this, i] { return ask(i); }));
     }
--- a/test/standins/crew.cpp
+++ b/test/standins/crew.cpp
@@ -60,6 +60,15 @@
                                   "", headers_of(what.key, what.bearer), body_of(what)}));
 }
 
+// Whether the daemon has the version in force and knows an owner for each of its cells.
+bool knows_all(const net::endpoint& entry, std::int64_t version) {
+    const auto seen = result_of(call(entry, {net::http_method::get, "/v1/config", "", {}, ""}));
+    const auto cells = result_of(call(entry, {net::http_method::get, "/v1/cells", "", {}, ""}));
+    return seen.status == ok && seen.body.at("version") >= version && cells.status == ok &&
+           std::all_of(cells.body.at("cells").begin(), cells.body.at("cells").end(),
+                       [](const json& it) { return !it.value("owner", "").empty(); });
+}
+
 }  // namespace
 
 json default_configuration() {
@@ -95,10 +104,10 @@
         start(i);
     }
     const std::int64_t version = patch(0, shape_.configuration);
-    for (std::size_t i = 0; i < size(); ++i) {
-        if (!wait_until(
-                [&] { return get_json(entry(i), "/v1/config").at("version") >= version; })) {
-            throw std::runtime_error("entry " + std::to_string(i) + " has an old configuration");
+    for (const auto& it : daemons_) {
+        if (!wait_until([&] { return knows_all(it.address, version); })) {
+            throw std::runtime_error("a daemon does not know version " + std::to_string(version) +
+                                     " with an owner for each cell");
         }
     }
     for (const auto& it : shape_.configuration.at("cells").items()) {
