--- a/packages/cell/src/cell_context.cpp
+++ b/packages/cell/src/cell_context.cpp
@@ -62,6 +62,7 @@
 
 void cell_context::publish_teams() {
     const base::slot_count unheard = unheard_slots();
+    published_unheard_ = unheard;
     std::vector<policy::team_rules> effective = teams;
     for (auto& it : effective) {
         it.allowance = std::max(it.allowance - unheard, base::slot_count{0});
@@ -69,6 +70,12 @@
     scheduler.set_teams(effective);
 }
 
+void cell_context::publish_teams_if_changed() {
+    if (unheard_slots() != published_unheard_) {
+        publish_teams();
+    }
+}
+
 base::slot_count cell_context::unheard_slots() const {
     base::slot_count out{0};
     if (now >= earlier_owners_lapse()) {
--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -60,6 +60,8 @@
     // Tells the scheduler what each team may use here, with the slots of VMs that were not heard
     // from counted as full of each team's tasks.
     void publish_teams();
+    // The same, unless no VM was heard and no wait has ended since.
+    void publish_teams_if_changed();
 
     // Slots of VMs that may run what earlier owners started and were not heard from.
     base::slot_count unheard_slots() const;
@@ -108,6 +110,7 @@
     std::int64_t next_attempt = 1;
 
 private:
+    base::slot_count published_unheard_;
     std::int64_t next_command_ = 1;
     std::int64_t next_record_ = 1;
 };
--- a/packages/cell/src/cell_machine.cpp
+++ b/packages/cell/src/cell_machine.cpp
@@ -145,7 +145,7 @@
         expire.expire();
         vms.forget_gone();
         watch.contact_all();
-        context.publish_teams();
+        context.publish_teams_if_changed();
     }
 
     std::optional<pending_record> take_record(record_id id) {
--- a/packages/daemon/src/owned_cell.cpp
+++ b/packages/daemon/src/owned_cell.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr base::milliseconds retry_soon{200};
+// Looking at every team's demand costs more than all else that an idle cell does.
+constexpr base::milliseconds allowance_period{200};
 
 }  // namespace
 
@@ -55,7 +57,9 @@
         apply_rules();
         return;
     }
-    if (std::holds_alternative<cell::clock_tick>(event)) {
+    const bool tick = std::holds_alternative<cell::clock_tick>(event);
+    if (tick && clock_.now() >= next_allowances_) {
+        next_allowances_ = clock_.now() + allowance_period;
         allowances_.tick();
     }
     pass_on(event);
--- a/packages/daemon/src/owned_cell.hpp
+++ b/packages/daemon/src/owned_cell.hpp
@@ -75,6 +75,7 @@
     cell_journal journal_;
     cell_allowances allowances_;
     std::optional<cell::rules_changed> rules_;  // as last told, without allowances
+    base::time_point next_allowances_{};
     bool live_ = false;
     std::vector<cell::cell_event> waiting_;
     // Answers that come after this cell was given up find it gone.
--- a/test/failure/a_killed_owners_work_is_finished_by_the_next.cpp
+++ b/test/failure/a_killed_owners_work_is_finished_by_the_next.cpp
@@ -30,6 +30,7 @@
     crew daemons;
     constexpr std::size_t caller_entry = 2;  // owns neither cell of northcoast
     std::vector<std::future<call_result>> calls;
+    calls.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         calls.push_back(daemons.submit_later(caller_entry, numbered(i)));
     }
--- a/test/failure/plain_runners_are_used_and_their_lost_answers_told.cpp
+++ b/test/failure/plain_runners_are_used_and_their_lost_answers_told.cpp
@@ -57,6 +57,7 @@
     const runners upstreams(daemons);
     constexpr std::size_t caller_entry = 2;
     std::vector<std::future<call_result>> calls;
+    calls.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         calls.push_back(daemons.submit_later(caller_entry, once(i, 100)));
     }
--- a/test/performance/control_cost.cpp
+++ b/test/performance/control_cost.cpp
@@ -5,6 +5,7 @@
 
 #include "crews.hpp"
 
+#include <gflags/gflags.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -13,6 +14,8 @@
 #include <sstream>
 #include <string>
 
+DEFINE_string(only, "", "measure only the row of this name");
+
 namespace {
 
 using namespace cranberrydock;
@@ -143,6 +146,9 @@
 };
 
 void measure(const std::string& name, const crew_size& size, const load& what) {
+    if (!FLAGS_only.empty() && FLAGS_only != name) {
+        return;
+    }
     standins::crew daemons(shape_of(size));
     load_driver driver(daemons, what);
     driver.run_for(warm_up);
@@ -167,7 +173,8 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
     measure("idle_d7_v50_t6", {7, 10, 6}, {});
     measure("load200_d7_v50_t6", {7, 10, 6}, {200, 0});
     measure("load1000_d7_v50_t6", {7, 10, 6}, {1'000, 0});
--- a/test/standins/cell_world.cpp
+++ b/test/standins/cell_world.cpp
@@ -549,7 +549,7 @@
             if (can_change && fault.lasting > evidence_length) {
                 one.frozen_until = now_ + fault.lasting;
                 end_owner(one);
-                after(fault.lasting, [this, &one] {
+                after(fault.lasting, [&one] {
                     one.frozen_until.reset();
                     for (const auto& it : std::exchange(one.asleep, {})) {
                         it();
