--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,6 +1,5 @@
 // A daemon: who is told what. Each part owns its state; this file passes the messages between them.
 #include <cranberrydock/base/clock.hpp>
-#include <cranberrydock/base/digest.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/cell/promise_watch.hpp>
 #include <cranberrydock/daemon/daemon.hpp>
@@ -10,9 +9,12 @@
 #include "cell_host.hpp"
 #include "cell_rules.hpp"
 #include "config_keeper.hpp"
+#include "fleet_usage.hpp"
+#include "fleet_watch.hpp"
 #include "platform_services.hpp"
 #include "registry_keeper.hpp"
 #include "routing_table.hpp"
+#include "settings_of.hpp"
 #include "work_forwarder.hpp"
 
 #include <spdlog/spdlog.h>
@@ -33,45 +35,6 @@
 constexpr base::milliseconds peers_period{1'000};
 // After a stop was asked for, balancers have seen the daemon unready by then.
 constexpr base::milliseconds unready_time{1'000};
-constexpr std::size_t incarnation_bytes = 4;
-constexpr std::size_t most_promises_kept = 1'000;
-
-base::daemon_id name_daemon(const config::identity_settings& identity) {
-    return base::daemon_id(identity.vm.str() + "~" + base::random_hex(incarnation_bytes));
-}
-
-mesh::mesh_settings mesh_settings_of(const config::daemon_settings& settings,
-                                     const base::daemon_id& self, const std::string& secret) {
-    mesh::mesh_settings out;
-    out.listen = settings.listen.mesh;
-    out.self = self;
-    out.secret = secret;
-    out.heartbeat_period = settings.mesh.heartbeat;
-    out.silence_deadline = settings.mesh.silence_deadline;
-    out.near_peers = settings.mesh.near_peers;
-    out.far_period = settings.mesh.far_period;
-    out.usage_period = settings.mesh.usage_period;
-    return out;
-}
-
-cell::ownership_settings ownership_settings_of(const config::daemon_settings& settings,
-                                               const base::daemon_id& self,
-                                               const net::endpoint& mesh,
-                                               const net::endpoint& http) {
-    cell::ownership_settings out;
-    out.self = self;
-    out.vm = settings.identity.vm;
-    out.region = settings.identity.region;
-    out.zone = settings.identity.zone;
-    out.mesh_address = mesh;
-    out.http_address = http;
-    out.renew_period = settings.ownership.renew;
-    out.lease = settings.ownership.lease;
-    out.scan_period = settings.ownership.scan;
-    out.safety_margin = settings.ownership.safety_margin;
-    out.rank_delay = settings.ownership.rank_delay;
-    return out;
-}
 
 bool belongs_to(const platform::member& vm, const config::cell& cell) {
     if (vm.role == platform::member_role::entry || vm.zone != cell.zone) {
@@ -153,7 +116,7 @@
             forwarder_.on_peer_linked(peer);
             return;
         }
-        usage_.erase(peer);
+        usage_.forget(peer);
         routes_.forget(peer);
         forwarder_.on_peer_lost(peer);
     }
@@ -166,7 +129,7 @@
         for (const auto& it : routes_.owned()) {
             out.owned.push_back({it.cell, it.epoch});
         }
-        out.usage = own_usage();
+        out.usage = usage_.own();
         return out;
     }
 
@@ -193,7 +156,7 @@
     void on_drained(const base::cell_id& cell) override {
         routes_.lost(cell);
         host_.lose(cell);
-        loads_.erase(cell);
+        usage_.forget(cell);
         forwarder_.on_cell_lost(cell);
         registry_.on_drained(cell);
     }
@@ -204,7 +167,7 @@
 
     void on_loads(const base::cell_id& cell, const std::vector<policy::team_load>& loads) override {
         if (routes_.owned_here(cell)) {
-            loads_[cell] = loads;
+            usage_.set(cell, loads);
         }
     }
 
@@ -218,7 +181,7 @@
 
     void on_lost(const base::cell_id& cell) override {
         routes_.lost(cell);
-        loads_.erase(cell);
+        usage_.forget(cell);
         host_.lose(cell);
         forwarder_.on_cell_lost(cell);
     }
@@ -290,7 +253,7 @@
     void drain(const base::vm_id& vm, bool drain) override { host_.drain_vm(vm, drain); }
     void promises(entry::promises_callback done) override {
         host_.promises(
-            [own = broken_, done = std::move(done)](std::vector<cell::broken_promise> all) {
+            [own = watch_.broken(), done = std::move(done)](std::vector<cell::broken_promise> all) {
                 all.insert(all.end(), own.begin(), own.end());
                 done(std::move(all));
             });
@@ -315,9 +278,9 @@
     }
 
     void receive(const base::daemon_id& from, const mesh::heartbeat& what) {
-        usage_[from] = what.usage;
+        usage_.set(from, what.usage);
         routes_.claimed(from, what.owned);
-        note_broken(watch_.see(from, what.version));
+        watch_.see_version(from, what.version);
         config_.on_peer_version(from, what.version);
     }
     void receive(const base::daemon_id& from, const mesh::submit_work& what) {
@@ -423,65 +386,9 @@
         }
         for (const auto& it : routes_.owned()) {
             host_.set_limits(it.cell, limits_for(*current, it.cell));
-            host_.set_rules(it.cell, rules_for(*current, usage_elsewhere(it.cell)));
-        }
-        watch_limits(*current);
-    }
-
-    // What every team has running in the whole fleet, as far as this daemon knows, against its
-    // limit.
-    void watch_limits(const config::configuration& current) {
-        std::map<base::team_id, base::slot_count> running;
-        for (const auto& it : usage_elsewhere({})) {
-            running[it.team] += it.running;
-        }
-        for (const auto& it : current.teams) {
-            note_broken(watch_.see({it.id, running[it.id], it.upper_limit}, clock_.now()));
-        }
-    }
-
-    void note_broken(const std::vector<cell::broken_promise>& found) {
-        for (const auto& it : found) {
-            metrics_.count("cranberrydock_promises_broken_total", "promise=\"" + it.promise + "\"");
-            spdlog::error("event=promise_broken promise={} evidence=\"{}\"", it.promise,
-                          it.evidence);
-            if (broken_.size() < most_promises_kept) {
-                broken_.push_back(it);
-            }
+            host_.set_rules(it.cell, rules_for(*current, usage_.elsewhere(it.cell)));
         }
-    }
-
-    std::vector<mesh::team_usage> own_usage() const {
-        std::map<base::team_id, mesh::team_usage> sum;
-        for (const auto& cell : loads_) {
-            for (const auto& it : cell.second) {
-                mesh::team_usage& one = sum[it.team];
-                one.team = it.team;
-                one.running += it.running;
-                one.queued += it.queued;
-            }
-        }
-        std::vector<mesh::team_usage> out;
-        out.reserve(sum.size());
-        for (const auto& it : sum) {
-            out.push_back(it.second);
-        }
-        return out;
-    }
-
-    std::vector<mesh::team_usage> usage_elsewhere(const base::cell_id& cell) const {
-        std::vector<mesh::team_usage> out;
-        for (const auto& it : loads_) {
-            for (const auto& load : it.second) {
-                if (it.first != cell) {
-                    out.push_back({load.team, load.running, load.queued});
-                }
-            }
-        }
-        for (const auto& it : usage_) {
-            out.insert(out.end(), it.second.begin(), it.second.end());
-        }
-        return out;
+        watch_.see_usage(*current, usage_, clock_.now());
     }
 
     net::event_loop& loop_;
@@ -501,10 +408,8 @@
     registry_keeper registry_;
     std::vector<mesh::peer> peers_;  // as last given to the mesh
     std::vector<platform::member> listed_;
-    cell::promise_watch watch_;
-    std::vector<cell::broken_promise> broken_;  // of the fleet; a cell's own are in its host
-    std::map<base::cell_id, std::vector<policy::team_load>> loads_;   // of cells owned here
-    std::map<base::daemon_id, std::vector<mesh::team_usage>> usage_;  // of other daemons' cells
+    fleet_usage usage_;
+    fleet_watch watch_{metrics_};
     std::vector<std::unique_ptr<net::timer>> timers_;
     bool stopping_ = false;
     bool giving_up_ = false;  // the cells, after the unready time
--- /dev/null
+++ b/packages/daemon/src/settings_of.cpp
@@ -0,0 +1,50 @@
+// The parts' settings out of a daemon's.
+#include "settings_of.hpp"
+
+#include <cranberrydock/base/digest.hpp>
+
+namespace cranberrydock::daemon {
+namespace {
+
+constexpr std::size_t incarnation_bytes = 4;
+
+}  // namespace
+
+base::daemon_id name_daemon(const config::identity_settings& identity) {
+    return base::daemon_id(identity.vm.str() + "~" + base::random_hex(incarnation_bytes));
+}
+
+mesh::mesh_settings mesh_settings_of(const config::daemon_settings& settings,
+                                     const base::daemon_id& self, const std::string& secret) {
+    mesh::mesh_settings out;
+    out.listen = settings.listen.mesh;
+    out.self = self;
+    out.secret = secret;
+    out.heartbeat_period = settings.mesh.heartbeat;
+    out.silence_deadline = settings.mesh.silence_deadline;
+    out.near_peers = settings.mesh.near_peers;
+    out.far_period = settings.mesh.far_period;
+    out.usage_period = settings.mesh.usage_period;
+    return out;
+}
+
+cell::ownership_settings ownership_settings_of(const config::daemon_settings& settings,
+                                               const base::daemon_id& self,
+                                               const net::endpoint& mesh,
+                                               const net::endpoint& http) {
+    cell::ownership_settings out;
+    out.self = self;
+    out.vm = settings.identity.vm;
+    out.region = settings.identity.region;
+    out.zone = settings.identity.zone;
+    out.mesh_address = mesh;
+    out.http_address = http;
+    out.renew_period = settings.ownership.renew;
+    out.lease = settings.ownership.lease;
+    out.scan_period = settings.ownership.scan;
+    out.safety_margin = settings.ownership.safety_margin;
+    out.rank_delay = settings.ownership.rank_delay;
+    return out;
+}
+
+}  // namespace cranberrydock::daemon
