--- a/packages/config/include/cranberrydock/config/settings.hpp
+++ b/packages/config/include/cranberrydock/config/settings.hpp
@@ -11,6 +11,7 @@
 #include <tl/expected.hpp>
 
 #include <string>
+#include <vector>
 
 namespace cranberrydock::config {
 
@@ -36,6 +37,9 @@
 struct platform_settings {
     platform_kind kind = platform_kind::http;
     net::endpoint address;  // required for kind http
+    // Of kind memory: the worker VMs that its member list holds, all in the daemon's own zone.
+    // Given on the command line only.
+    std::vector<net::endpoint> workers;
 };
 
 // [mesh]. Invariant: heartbeat * 2 <= silence_deadline <= ownership lease.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -57,7 +57,7 @@
         : loop_(loop),
           self_(name_daemon(settings.identity)),
           routes_(self_),
-          services_(make_platform_services(settings.platform)),
+          services_(make_platform_services(settings.platform, settings.identity)),
           table_(services_->make_table_service(loop)),
           members_(services_->make_member_list(loop)),
           host_(settings, self_, loop, *services_, metrics_, *this),
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -7,13 +7,19 @@
 #include <gflags/gflags.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <sstream>
 #include <string>
 
 DEFINE_string(settings, "", "the TOML file with this daemon's settings (docs/OPERATING.md)");
 DEFINE_string(log, "", "log level, in place of the settings' own");
+DEFINE_string(platform, "", "memory: one process without a platform, for trying out; no settings");
+DEFINE_string(listen, "127.0.0.1:8080", "with --platform=memory: ADDRESS:PORT for callers");
+DEFINE_string(workers, "",
+              "with --platform=memory: ADDRESS:PORT of worker VMs, with commas between");
 
 namespace {
 
@@ -22,6 +28,47 @@
 constexpr int usage_error = 2;
 constexpr int start_failed = 1;
 
+// The settings of a daemon that stands alone: its region and zone are called "local".
+config::daemon_settings memory_settings() {
+    config::daemon_settings out;
+    out.identity = {base::vm_id("local"), base::region_name("local"), base::zone_name("local")};
+    out.listen.http = net::parse_endpoint(FLAGS_listen);
+    out.listen.mesh = {out.listen.http.address, 0};
+    out.platform.kind = config::platform_kind::memory;
+    std::istringstream list(FLAGS_workers);
+    for (std::string it; std::getline(list, it, ',');) {
+        out.platform.workers.push_back(net::parse_endpoint(it));
+    }
+    return out;
+}
+
+bool is_usable(const config::daemon_settings& settings) {
+    const auto& workers = settings.platform.workers;
+    return !settings.listen.http.address.empty() &&
+           std::none_of(workers.begin(), workers.end(),
+                        [](const net::endpoint& it) { return it.port == 0; });
+}
+
+// Reads the settings file and the secret that it names; prints every fault.
+bool read_files(config::daemon_settings& settings, std::string& secret) {
+    const auto read = config::read_settings_file(FLAGS_settings);
+    if (!read) {
+        std::fprintf(stderr, "%s", read.error().text().c_str());
+        return false;
+    }
+    settings = *read;
+    const auto shared = config::load_mesh_secret(settings.mesh);
+    if (shared) {
+        secret = *shared;
+        return true;
+    }
+    if (settings.platform.kind == config::platform_kind::memory) {
+        return true;
+    }
+    std::fprintf(stderr, "%s", shared.error().text().c_str());
+    return false;
+}
+
 int run(const config::daemon_settings& settings, const std::string& secret) {
     net::event_loop loop;
     daemon::daemon one(loop, settings, secret);
@@ -39,25 +86,26 @@
     gflags::SetUsageMessage(
         "runs one daemon of a cranberrydock cluster\n  cranberrydock --settings=FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_settings.empty()) {
+    config::daemon_settings settings;
+    std::string secret;
+    if (FLAGS_platform == "memory" && FLAGS_settings.empty()) {
+        settings = memory_settings();
+        if (!is_usable(settings)) {
+            std::fprintf(stderr,
+                         "cranberrydock: expected --listen and --workers as ADDRESS:PORT\n");
+            return usage_error;
+        }
+    } else if (FLAGS_settings.empty() || !FLAGS_platform.empty()) {
         std::fprintf(stderr,
-                     "cranberrydock: expected --settings=FILE, found none; etc/ has examples\n");
+                     "cranberrydock: expected --settings=FILE or --platform=memory, and not both; "
+                     "etc/ has examples\n");
         return usage_error;
-    }
-    const auto settings = config::read_settings_file(FLAGS_settings);
-    if (!settings) {
-        std::fprintf(stderr, "%s", settings.error().text().c_str());
-        return usage_error;
-    }
-    const auto secret = config::load_mesh_secret(settings->mesh);
-    const bool needs_secret = settings->platform.kind == config::platform_kind::http;
-    if (!secret && needs_secret) {
-        std::fprintf(stderr, "%s", secret.error().text().c_str());
+    } else if (!read_files(settings, secret)) {
         return usage_error;
     }
-    base::start_log("cranberrydock", FLAGS_log.empty() ? settings->log.level : FLAGS_log);
+    base::start_log("cranberrydock", FLAGS_log.empty() ? settings.log.level : FLAGS_log);
     try {
-        return run(*settings, secret ? *secret : std::string{});
+        return run(settings, secret);
     } catch (const std::exception& error) {
         spdlog::critical("event=start_failed error=\"{}\"", error.what());
         return start_failed;
--- a/packages/daemon/src/platform_services.cpp
+++ b/packages/daemon/src/platform_services.cpp
@@ -6,7 +6,9 @@
 #include <cranberrydock/platform/memory_platform.hpp>
 #include <cranberrydock/platform/runner_vms.hpp>
 
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace cranberrydock::daemon {
 namespace {
@@ -94,6 +96,20 @@
 
 class memory_services final : public platform_services {
 public:
+    memory_services(const std::vector<net::endpoint>& workers,
+                    const config::identity_settings& identity) {
+        std::vector<platform::member> members;
+        for (const auto& it : workers) {
+            platform::member one;
+            one.id = base::vm_id("worker-" + std::to_string(members.size() + 1));
+            one.address = it;
+            one.region = identity.region;
+            one.zone = identity.zone;
+            members.push_back(std::move(one));
+        }
+        platform_->set_members(std::move(members), base::milliseconds{0});
+    }
+
     std::unique_ptr<upstream_client> make_upstream_client(net::event_loop& loop) override {
         return std::make_unique<http_upstreams>(loop);
     }
@@ -113,9 +129,9 @@
 }  // namespace
 
 std::unique_ptr<platform_services> make_platform_services(
-    const config::platform_settings& settings) {
+    const config::platform_settings& settings, const config::identity_settings& identity) {
     if (settings.kind == config::platform_kind::memory) {
-        return std::make_unique<memory_services>();
+        return std::make_unique<memory_services>(settings.workers, identity);
     }
     return std::make_unique<http_services>(settings.address);
 }
--- a/packages/daemon/src/platform_services.hpp
+++ b/packages/daemon/src/platform_services.hpp
@@ -20,6 +20,6 @@
 
 // Throws std::runtime_error when the services can't be had.
 std::unique_ptr<platform_services> make_platform_services(
-    const config::platform_settings& settings);
+    const config::platform_settings& settings, const config::identity_settings& identity);
 
 }  // namespace cranberrydock::daemon
