cell: retries have a budget a team; work refused without running is taken in anew

Weighed: forgetting refused work at once (accepted jobs would lose their record); budgets for accepted jobs too (they must finish: they wait for the budget instead). The property's list of expected refusals has retry_budget_spent in addition, a refusal that did not exist before; it checks answers, repeats, limits and "not run" as strictly.

--- a/packages/cell/src/cell_context.cpp
+++ b/packages/cell/src/cell_context.cpp
@@ -1,10 +1,13 @@
 // What the stages of one cell's decider share.
 #include "cell_context.hpp"
 
+#include <cranberrydock/base/rendezvous.hpp>
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -27,6 +30,23 @@
 
 }  // namespace
 
+cell_context::cell_context(cell_settings settings, policy::scheduler& scheduler,
+                           base::metrics& metrics)
+    : settings(std::move(settings)),
+      scheduler(scheduler),
+      metrics(metrics),
+      random(base::rendezvous_weight(this->settings.cell.str(),
+                                     std::to_string(this->settings.epoch.value()))) {}
+
+policy::retry_budget& cell_context::budget_of(const base::team_id& team) {
+    policy::retry_rules rules;
+    // The limit is the queue's and is looked at before.
+    rules.most_attempts = std::numeric_limits<int>::max();
+    rules.first_backoff = settings.retry_backoff;
+    rules.longest_backoff = settings.longest_backoff;
+    return budgets_.try_emplace(team, rules).first->second;
+}
+
 command_id cell_context::command(const vm_state& vm, platform::vm_command_body body,
                                  base::milliseconds timeout, pending_command pending) {
     const command_id id(next_command_++);
--- a/packages/cell/src/cell_context.hpp
+++ b/packages/cell/src/cell_context.hpp
@@ -4,11 +4,13 @@
 
 #include <cranberrydock/cell/cell_machine.hpp>
 #include <cranberrydock/cell/promise_watch.hpp>
+#include <cranberrydock/policy/retry_budget.hpp>
 
 #include "agenda.hpp"
 #include "vm_ledger.hpp"
 #include "work_book.hpp"
 
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -38,8 +40,7 @@
 
 class cell_context {
 public:
-    cell_context(cell_settings settings, policy::scheduler& scheduler, base::metrics& metrics)
-        : settings(std::move(settings)), scheduler(scheduler), metrics(metrics) {}
+    cell_context(cell_settings settings, policy::scheduler& scheduler, base::metrics& metrics);
 
     // Sends a command; its answer comes back under the id.
     command_id command(const vm_state& vm, platform::vm_command_body body,
@@ -77,6 +78,9 @@
     bool may_start() const { return now < evidence_until && !draining && !replaced; }
     bool may_renew() const { return now < evidence_until + settings.unproven_renewal && !replaced; }
 
+    // The retries that the team may still make.
+    policy::retry_budget& budget_of(const base::team_id& team);
+
     int max_attempts(const base::queue_name& queue) const;
     base::attempt_id next_attempt_id();
 
@@ -106,10 +110,13 @@
     std::vector<broken_promise> broken;
     std::vector<cell_effect> out;
 
+    std::mt19937_64 random;  // of pauses; seeded by the cell and the epoch
+
     // Attempts of this owner have numbers below this one.
     std::int64_t next_attempt = 1;
 
 private:
+    std::unordered_map<base::team_id, policy::retry_budget> budgets_;
     base::slot_count published_unheard_;
     std::int64_t next_command_ = 1;
     std::int64_t next_record_ = 1;
--- a/packages/cell/src/stage_admit.cpp
+++ b/packages/cell/src/stage_admit.cpp
@@ -36,6 +36,7 @@
         finish_.refuse_at_once(event.reply_to, shutting_down());
         return;
     }
+    context_.budget_of(event.what.team).note_request();
     work_state fresh;
     fresh.what = event.what;
     fresh.accepted = context_.now;
@@ -44,6 +45,12 @@
 }
 
 void admit_stage::join(work_state& work, const submit& event) {
+    if (may_be_told(work) && may_be_taken_again(work)) {
+        // A queue that was full then may have room now.
+        context_.book.remove(event.what.job);
+        admit(event);
+        return;
+    }
     const bool other_body = !work.what.digest.empty() && work.what.digest != event.what.digest;
     if (other_body) {
         finish_.refuse_at_once(event.reply_to, key_reused());
@@ -105,14 +112,17 @@
 }
 
 void admit_stage::accepted_durable(work_state& work) {
-    for (const auto& it : work.waiters) {
-        context_.answer(it, base::work_accepted{}, work.trace);
-    }
-    work.waiters.clear();
     const bool fresh = work.tasks.front().phase == task_phase::recording;
     if (fresh && !work.outcome) {
         queue_.enqueue(work);
     }
+    if (work.outcome) {
+        return;  // refused by the queue: told once that is written down
+    }
+    for (const auto& it : work.waiters) {
+        context_.answer(it, base::work_accepted{}, work.trace);
+    }
+    work.waiters.clear();
 }
 
 void admit_stage::accepted_failed(work_state& work, bool may_be_written) {
--- a/packages/cell/src/stage_finish.cpp
+++ b/packages/cell/src/stage_finish.cpp
@@ -75,7 +75,9 @@
     work.finished = context_.now;
     tell(work);
     context_.due.add(context_.now + context_.settings.retention, forget_due{work.what.job});
-    if (needs_record(work.what)) {
+    // What was never accepted and never ran leaves nothing to remember.
+    const bool nothing_happened = !work.what.durable && may_be_taken_again(work);
+    if (needs_record(work.what) && !nothing_happened) {
         record_outcome(work);
         return;
     }
--- a/packages/cell/src/stage_recover.cpp
+++ b/packages/cell/src/stage_recover.cpp
@@ -19,6 +19,7 @@
 }
 
 void recover_stage::replay(const accepted_record& record) {
+    reopen(record.what.job);
     if (work_state* const found = context_.book.find(record.what.job); found != nullptr) {
         return;  // a retry was written down once more
     }
@@ -34,7 +35,16 @@
     context_.book.add(std::move(work));
 }
 
+// Work that was refused without having run, and was taken in anew.
+void recover_stage::reopen(const base::job_id& job) {
+    const work_state* const found = context_.book.find(job);
+    if (found != nullptr && may_be_taken_again(*found)) {
+        context_.book.remove(job);
+    }
+}
+
 void recover_stage::replay(const intent_record& record) {
+    reopen(record.job);
     work_state* work = context_.book.find(record.job);
     if (work == nullptr) {
         // Not durable: its caller will come back for it.
--- a/packages/cell/src/stage_recover.hpp
+++ b/packages/cell/src/stage_recover.hpp
@@ -19,6 +19,7 @@
     void replay(const intent_record& record);
     void replay(const not_run_record& record);
     void replay(const outcome_record& record);
+    void reopen(const base::job_id& job);
     void settle(work_state& work);
 
     cell_context& context_;
--- a/packages/cell/src/stage_retry.cpp
+++ b/packages/cell/src/stage_retry.cpp
@@ -1,8 +1,6 @@
 // The stage that decides about further attempts.
 #include "stage_retry.hpp"
 
-#include <cranberrydock/base/rendezvous.hpp>
-
 #include "stage_finish.hpp"
 
 #include <algorithm>
@@ -10,8 +8,6 @@
 namespace cranberrydock::cell {
 namespace {
 
-constexpr int most_doublings = 10;
-
 std::string reasons_of(const task_state& task) {
     std::string out;
     for (const auto& it : task.attempt_reasons) {
@@ -20,14 +16,6 @@
     return out;
 }
 
-// A pause between half and the whole of `full`, the same for the same task and attempt.
-base::duration jittered(base::duration full, const task_state& task) {
-    const auto spread = static_cast<std::uint64_t>(full.count() / 2 + 1);
-    const std::uint64_t draw =
-        base::rendezvous_weight(task.id.str(), std::to_string(task.attempts)) % spread;
-    return full / 2 + base::duration(static_cast<std::int64_t>(draw));
-}
-
 }  // namespace
 
 void retry_stage::not_run(work_state& work, task_state& task, const std::string& reason) {
@@ -67,25 +55,50 @@
                               base::milliseconds{0}, "every attempt failed: " + reasons_of(task)});
         return;
     }
+    if (!spend_retry(work, task, reason)) {
+        return;
+    }
     context_.metrics.count("cranberrydock_retries_total", "reason=\"attempt_failed\"");
-    back_off(work, task);
     if (runs_together(work)) {
         restart_gang(work);
     }
 }
 
+// Takes the retry out of the team's budget and sets its time. False when the work was refused
+// instead; accepted jobs wait for the budget to fill again.
+bool retry_stage::spend_retry(work_state& work, task_state& task, const std::string& reason) {
+    policy::failed_attempt last;
+    last.attempts = task.attempts;
+    last.may_run_again = true;
+    last.why = {base::refusal_reason::attempts_exhausted, false, base::milliseconds{0}, reason};
+    const auto decision =
+        context_.budget_of(work.what.team).after(last, context_.now, context_.random);
+    if (const auto* const again = std::get_if<policy::retry_at>(&decision)) {
+        wait_until(task, again->when);
+        return true;
+    }
+    if (work.what.durable) {
+        wait_until(task, context_.now + context_.settings.longest_backoff);
+        return true;
+    }
+    task.phase = task_phase::ended;
+    finish_.refuse(work, std::get<policy::no_retry>(decision).why);
+    return false;
+}
+
+void retry_stage::wait_until(task_state& task, base::time_point when) {
+    task.phase = task_phase::backing_off;
+    task.retry_at = when;
+    context_.due.add(when, retry_due{task.id});
+}
+
 void retry_stage::back_off(work_state& work, task_state& task) {
     if (!work.known) {
         task.phase = task_phase::held;
         return;
     }
-    const int doublings = std::min(std::max(task.attempts - 1, 0), most_doublings);
-    const base::duration full =
-        std::min<base::duration>(base::duration(context_.settings.retry_backoff) * (1 << doublings),
-                                 context_.settings.longest_backoff);
-    task.phase = task_phase::backing_off;
-    task.retry_at = context_.now + jittered(full, task);
-    context_.due.add(task.retry_at, retry_due{task.id});
+    // Nothing has run, so this costs the team no retry.
+    wait_until(task, context_.now + context_.settings.retry_backoff);
 }
 
 // The tasks of a gang run together or not at all: when one has to start again, the others do too.
--- a/packages/cell/src/stage_retry.hpp
+++ b/packages/cell/src/stage_retry.hpp
@@ -29,6 +29,8 @@
     void restart_gang(work_state& work);
 
 private:
+    bool spend_retry(work_state& work, task_state& task, const std::string& reason);
+    void wait_until(task_state& task, base::time_point when);
     void back_off(work_state& work, task_state& task);
 
     cell_context& context_;
--- a/packages/cell/src/work_book.cpp
+++ b/packages/cell/src/work_book.cpp
@@ -108,6 +108,12 @@
     return work.outcome_recorded || !work.what.durable || !refused;
 }
 
+bool may_be_taken_again(const work_state& work) {
+    const auto* const refused = work.outcome ? std::get_if<base::refusal>(&*work.outcome) : nullptr;
+    return refused != nullptr && refused->not_run && !work.cancelled &&
+           refused->reason != base::refusal_reason::cancelled;
+}
+
 bool never_dispatched(const work_state& work) {
     return std::all_of(work.tasks.begin(), work.tasks.end(), [](const task_state& it) {
         return it.attempts == 0 && !it.current && !it.answer;
--- a/packages/cell/src/work_book.hpp
+++ b/packages/cell/src/work_book.hpp
@@ -124,6 +124,10 @@
 // or else a next owner would run what was called refused.
 bool may_be_told(const work_state& work);
 
+// Whether the same work may be taken in anew: it was refused without having run, and not because
+// its team cancelled it.
+bool may_be_taken_again(const work_state& work);
+
 // Whether no task of the work was ever dispatched: only then may it be called "not run".
 bool never_dispatched(const work_state& work);
 
--- a/test/standins/cell_world_callers.cpp
+++ b/test/standins/cell_world_callers.cpp
@@ -81,6 +81,7 @@
     unknown_ += refused->reason == base::refusal_reason::outcome_unknown ? 1 : 0;
     const bool expected = refused->reason == base::refusal_reason::outcome_unknown ||
                           refused->reason == base::refusal_reason::attempts_exhausted ||
+                          refused->reason == base::refusal_reason::retry_budget_spent ||
                           refused->reason == base::refusal_reason::cancelled;
     if (!expected) {
         breach("caller " + std::to_string(one.index) +
