cell: an owner's own stop spends no retry; two leftovers out

Cause, found by reading: a task that its owner stops to start it again (a gang's restart, a preemption) went through the path of failed attempts, which since the retry budget takes a retry from the team and may refuse the request for it. A special case stood in front of the wrong mechanism: the stop now has its own, beside the one for attempts that did not run. Not seen failing: no test spends a team's whole budget by preemption. Also gone: a copy of all tasks with their answers, of which only the emptiness was asked, and an accessor that nobody called.

--- a/packages/cell/src/stage_admit.cpp
+++ b/packages/cell/src/stage_admit.cpp
@@ -88,7 +88,7 @@
 
 void admit_stage::start(work_state& work) {
     context_.trace(work, "admit", context_.settings.owner.str(), "taken in");
-    const std::vector<task_state> earlier = work.tasks;
+    const bool had_tasks = !work.tasks.empty();
     for (std::size_t i = 0; i < work.what.task_count; ++i) {
         task_state task;
         task.id = name_task(work.what, i, context_.settings.epoch);
@@ -102,7 +102,7 @@
                         {pending_record::kind::accepted, work.what.job, {}, {}});
         return;
     }
-    if (!earlier.empty() && all_answered(work)) {
+    if (had_tasks && all_answered(work)) {
         task_state& last = work.tasks.back();
         finish_.complete_task(work, last, *last.answer,
                               {last.id, policy::end_kind::completed, {}, {}});
--- a/packages/cell/src/stage_collect.cpp
+++ b/packages/cell/src/stage_collect.cpp
@@ -346,9 +346,7 @@
         return;
     }
     if (ended.restart_when_stopped && seen.end == platform::task_end::stopped && !work.outcome) {
-        // The stop was the owner's own decision and uses up no attempt.
-        task.attempts = std::max(0, task.attempts - 1);
-        retry_.failed(work, task, how, "stopped to start again");
+        retry_.stopped(work, task, how);
         return;
     }
     if (work.outcome) {
--- a/packages/cell/src/stage_retry.cpp
+++ b/packages/cell/src/stage_retry.cpp
@@ -34,6 +34,14 @@
     }
 }
 
+void retry_stage::stopped(work_state& work, task_state& task, const policy::task_ended& how) {
+    const std::string where = task.current ? task.current->vm.str() : "";
+    context_.trace(work, "attempt", where, "stopped to start again", how.ran_for);
+    finish_.release(task, how);
+    task.attempts = std::max(0, task.attempts - 1);
+    back_off(work, task);
+}
+
 void retry_stage::failed(work_state& work, task_state& task, const policy::task_ended& how,
                          const std::string& reason) {
     const std::string where = task.current ? task.current->vm.str() : "";
--- a/packages/cell/src/stage_retry.hpp
+++ b/packages/cell/src/stage_retry.hpp
@@ -18,6 +18,10 @@
     // The attempt is proven not to have run: it may always be tried again.
     void not_run(work_state& work, task_state& task, const std::string& reason);
 
+    // The owner stopped the attempt itself, for it to start again: that uses up neither an attempt
+    // nor a retry of the team.
+    void stopped(work_state& work, task_state& task, const policy::task_ended& how);
+
     // The attempt ended without an answer, or its lease lapsed. Only for work that may be repeated.
     void failed(work_state& work, task_state& task, const policy::task_ended& how,
                 const std::string& reason);
--- a/packages/daemon/src/work_forwarder.hpp
+++ b/packages/daemon/src/work_forwarder.hpp
@@ -57,9 +57,6 @@
     // Sends again what waits for an owner, and gives up what has waited too long.
     void tick();
 
-    // Work of this daemon's callers that was not answered yet.
-    std::size_t open_works() const { return pending_.size(); }
-
 private:
     // Work of a caller of this daemon.
     struct pending_work {
