ctl: team set and queue set share how an entry is set

Cause: both built a patch from the options that were given, sent it and printed the new version, in the same lines. Now set_entry and put_given do it; each command says its fields.

--- a/packages/ctl/src/config_edit.cpp
+++ b/packages/ctl/src/config_edit.cpp
@@ -67,4 +67,15 @@
     }
 }
 
+exit_code set_entry(const edited_entry& entry, const command_context& context) {
+    const json patch = {{entry.list, {{entry.name, entry.fields}}}};
+    const auto version = send_patch(patch.dump(), true, context);
+    if (!version) {
+        return version.error();
+    }
+    context.out.result({{entry.word, entry.name}, {"version", *version}},
+                       "version " + std::to_string(*version) + " is accepted\n");
+    return exit_code::ok;
+}
+
 }  // namespace cranberrydock::ctl
--- a/packages/ctl/src/queue_set_command.cpp
+++ b/packages/ctl/src/queue_set_command.cpp
@@ -4,20 +4,14 @@
 namespace cranberrydock::ctl {
 namespace {
 
-// Only what was given, so that the patch keeps its meaning whatever else changes.
 json fields_of(const edit_options& wanted) {
     json out = json::object();
-    const auto put = [&](const char* field, const auto& value) {
-        if (value) {
-            out[field] = *value;
-        }
-    };
-    put("policy", wanted.policy);
-    put("open", wanted.open);
-    put("open_team", wanted.open_team);
-    put("max_queued_per_team", wanted.max_queued_per_team);
-    put("max_attempts", wanted.max_attempts);
-    put("default_deadline_ms", wanted.default_deadline_ms);
+    put_given(out, "policy", wanted.policy);
+    put_given(out, "open", wanted.open);
+    put_given(out, "open_team", wanted.open_team);
+    put_given(out, "max_queued_per_team", wanted.max_queued_per_team);
+    put_given(out, "max_attempts", wanted.max_attempts);
+    put_given(out, "default_deadline_ms", wanted.default_deadline_ms);
     return out;
 }
 
@@ -35,14 +29,8 @@
 
     exit_code run(const std::vector<std::string>& arguments,
                   const command_context& context) const override {
-        const json patch = {{"queues", {{arguments[0], fields_of(context.settings.edit)}}}};
-        const auto version = send_patch(patch.dump(), true, context);
-        if (!version) {
-            return version.error();
-        }
-        context.out.result({{"queue", arguments[0]}, {"version", *version}},
-                           "version " + std::to_string(*version) + " is accepted\n");
-        return exit_code::ok;
+        return set_entry({"queues", "queue", arguments[0], fields_of(context.settings.edit)},
+                         context);
     }
 };
 
--- a/packages/ctl/src/team_set_command.cpp
+++ b/packages/ctl/src/team_set_command.cpp
@@ -4,17 +4,11 @@
 namespace cranberrydock::ctl {
 namespace {
 
-// Only what was given, so that the patch keeps its meaning whatever else changes.
 json fields_of(const edit_options& wanted) {
     json out = json::object();
-    const auto put = [&](const char* field, const auto& value) {
-        if (value) {
-            out[field] = *value;
-        }
-    };
-    put("home_region", wanted.home_region);
-    put("share", wanted.share);
-    put("upper_limit", wanted.upper_limit);
+    put_given(out, "home_region", wanted.home_region);
+    put_given(out, "share", wanted.share);
+    put_given(out, "upper_limit", wanted.upper_limit);
     return out;
 }
 
@@ -31,14 +25,8 @@
 
     exit_code run(const std::vector<std::string>& arguments,
                   const command_context& context) const override {
-        const json patch = {{"teams", {{arguments[0], fields_of(context.settings.edit)}}}};
-        const auto version = send_patch(patch.dump(), true, context);
-        if (!version) {
-            return version.error();
-        }
-        context.out.result({{"team", arguments[0]}, {"version", *version}},
-                           "version " + std::to_string(*version) + " is accepted\n");
-        return exit_code::ok;
+        return set_entry({"teams", "team", arguments[0], fields_of(context.settings.edit)},
+                         context);
     }
 };
 
