fleet: who asks the adviser, a bounded look at a backlog, gangs that do not form, silent owners

Questions open together counted on the same room; now each reserves what it expects of the VMs that it names. - With 2,000 jobs waiting a decision took 4 ms of processor time, and 25 a second were made.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -28,15 +28,16 @@
 // Of the longest lease, what a renewal gives: shorter leases let lost work start again sooner, and
 // longer ones outlive a change of owners.
 constexpr double lease_share = 0.75;
+// Of the time that VMs wait for a gang to be complete; the rest is for stopping it.
+constexpr double gang_share = 0.6;
 constexpr base::milliseconds longest_drain{3'000};
 // Of the time between SIGTERM and SIGKILL: serving on, and waiting for the last answers.
 constexpr double drain_share = 0.6;
 constexpr double wait_share = 0.3;
 constexpr base::milliseconds answer_poll{50};
 constexpr base::milliseconds ended_margin{30'000};
-// Each call may write for several jobs, so that a third of the calls' rate in transactions of one
-// part after another carries the load; more parts cost more calls.
-constexpr std::size_t writes_per_part = 600;
+// More parts than this carry no more, for the owner has to write to all of them.
+constexpr std::size_t most_job_parts = 8;
 
 base::milliseconds share_of(base::milliseconds whole, double share) {
     return base::milliseconds(
@@ -53,10 +54,13 @@
     out.run = name_of_this_run();
     out.peers = site.peers;
     out.strength = site.cores;
-    out.job_parts =
-        std::max<std::size_t>(1, (site.store_writes_per_s + writes_per_part - 1) / writes_per_part);
+    // As many as the store can write to at its full rate: while it is slow, that is what counts.
+    out.job_parts = std::clamp<std::size_t>(
+        site.store_writes_per_s / std::max<std::size_t>(1, site.part_writes_per_s), 1,
+        most_job_parts);
     out.drain = std::min(longest_drain, share_of(site.stop_grace, drain_share));
     out.owner.session.lease = share_of(site.longest_lease, lease_share);
+    out.owner.scheduler.gang_patience = share_of(site.gang_wait, gang_share);
     out.owner.keep_ended = site.keep_ended + ended_margin;
     return out;
 }
--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -40,6 +40,8 @@
     milliseconds takeover_after{1'300};
     // The same when the holder's VM refuses connections: a renewal has been missed as well.
     milliseconds takeover_of_refusing_after{550};
+    // The same when several questions in a row were not answered: two renewals have been missed.
+    milliseconds takeover_of_silent_after{900};
 };
 
 class ownership {
@@ -57,6 +59,13 @@
     void holder_ended(const std::string& run) { ended_run_ = run; }
     // Its VM says that nothing listens there; a broken network may say so too.
     void holder_refused(const std::string& run) { refused_run_ = run; }
+    // It does not answer, or does again.
+    void holder_silent(const std::string& run) { silent_run_ = run; }
+    void holder_answers(const std::string& run) {
+        if (silent_run_ == run) {
+            silent_run_.clear();
+        }
+    }
     // Whether the owner before this one has surely ended.
     bool earlier_owner_ended() const { return earlier_ended_; }
     // Takers wait for so long in addition, so that the one nearest to the store comes first.
@@ -103,6 +112,7 @@
     base::time_point rest_until_{};
     std::string ended_run_;
     std::string refused_run_;
+    std::string silent_run_;
     bool earlier_ended_ = false;
     milliseconds stagger_{0};
     base::time_point last_sent_{};  // of the write under way or last under way
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -58,6 +58,9 @@
     int start_tries = 3;
     // Tickets are not used in the last part of their life: the start has to reach the VM.
     milliseconds ticket_margin{250};
+    // VMs stop a gang's members that have waited for the others for too long. A gang of which a
+    // member is not known to have started after this time is stopped before that.
+    milliseconds gang_patience{1'800};
     // VMs with failures of several jobs get no work for so long.
     milliseconds quarantine{4'000};
     // Gangs that cannot be placed keep later, less urgent work off the VMs granted to them.
@@ -105,8 +108,8 @@
     void advice_given(const advice_question& question,
                       const tl::expected<advice_answer, order_failure>& answer, const moment& now);
 
-    // What is to be done now. `free_advisers`: questions that may be asked at once.
-    decisions decide(const moment& now, int free_advisers);
+    // What is to be done now.
+    decisions decide(const moment& now, const adviser_room& advisers);
 
     // When decide() has something to do though nothing happened: a due time, a quarantine's end.
     std::optional<base::time_point> next_wakeup(const moment& now) const;
--- a/packages/fleet/src/advice.cpp
+++ b/packages/fleet/src/advice.cpp
@@ -57,11 +57,12 @@
             !may_run(*vm, work)) {
             continue;
         }
-        std::int64_t n = std::min<std::int64_t>(tasks_fitting(spec.need, vm->free()), waiting);
+        std::int64_t n =
+            std::min<std::int64_t>(tasks_fitting(spec.need, vm->free_to_name()), waiting);
         if (spec.max_per_vm > 0) {
             n = std::min<std::int64_t>(n, spec.max_per_vm);
         }
-        candidates.push_back({vm, n, known, vm->free().cores.value()});
+        candidates.push_back({vm, n, known, vm->free_to_name().cores.value()});
     }
     // VMs granted before are granted again; then those with room, the fullest of them for small
     // steps, so that wide gangs find room elsewhere.
@@ -83,6 +84,7 @@
     const double wanted =
         static_cast<double>(waiting) * (spec.gang ? spare_room_of_gangs : spare_room);
     double expected = 0;
+    std::int64_t room_named = 0;  // in tasks
     advice_question out;
     out.step = *work.where;
     for (const auto& it : candidates) {
@@ -90,17 +92,44 @@
             break;
         }
         expected += static_cast<double>(it.tasks) * (it.known ? 1.0 : share);
+        room_named += it.tasks;
         out.vms.push_back(it.vm->facts.id);
     }
     if (out.vms.empty()) {
         return std::nullopt;
     }
+    for (std::size_t i = 0; i < out.vms.size() && room_named > 0; ++i) {
+        const double tasks =
+            static_cast<double>(waiting * candidates[i].tasks) / static_cast<double>(room_named);
+        const resources room{base::millicores(static_cast<std::int64_t>(
+                                 tasks * static_cast<double>(spec.need.cores.value()))),
+                             base::mebibytes(static_cast<std::int64_t>(
+                                 tasks * static_cast<double>(spec.need.memory.value()))),
+                             {},
+                             {}};
+        candidates[i].vm->asked_for += room;
+        expectations[out.step].push_back({candidates[i].vm->number, room});
+    }
     return out;
 }
 
+void scheduler::state::forget_expectations(const step_ref& where) {
+    const auto found = expectations.find(where);
+    if (found == expectations.end()) {
+        return;
+    }
+    for (const auto& it : found->second) {
+        if (vm_record* const vm = vm_numbers[it.vm]) {
+            vm->asked_for -= it.room;
+        }
+    }
+    expectations.erase(found);
+}
+
 void scheduler::advice_given(const advice_question& question,
                              const tl::expected<advice_answer, order_failure>& answer,
                              const moment& now) {
+    state_->forget_expectations(question.step);
     detail::job_record* job = nullptr;
     detail::step_state* const step = state_->find_step(
         {question.step.job, question.step.occurrence, question.step.step, 0}, &job);
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -103,8 +103,9 @@
     const bool ended = own_predecessor || record_.run == ended_run_;
     auto wait = stagger_;
     if (!record_.holder.empty() && !ended) {
-        wait += record_.run == refused_run_ ? settings_.takeover_of_refusing_after
-                                            : settings_.takeover_after;
+        wait += record_.run == refused_run_  ? settings_.takeover_of_refusing_after
+                : record_.run == silent_run_ ? settings_.takeover_of_silent_after
+                                             : settings_.takeover_after;
     }
     if (!unchanged_since_ || !unchanged_until_ || *unchanged_until_ - *unchanged_since_ < wait) {
         return step::nothing;
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Questions that take the adviser longer than this leave some advisers free for short ones.
-constexpr milliseconds long_question{100};
-constexpr int advisers_kept_for_short_questions = 2;
 constexpr std::size_t least_named = 6;  // VMs, by which a question is judged long
 // Questions are asked for work that can be placed now or soon: for so much more than is free.
 constexpr double lookahead_share = 0.25;
@@ -231,6 +228,7 @@
             ++index;
         }
     }
+    forming.insert(*work.where);
     return true;
 }
 
@@ -245,21 +243,23 @@
 void scheduler::state::ask_for(open_step& work, placing_round& round, const moment& now,
                                decisions& out) {
     const bool is_long = cost_of(*work.advice, least_named) > long_question;
-    const int kept = is_long ? advisers_kept_for_short_questions : 0;
-    if (round.free_advisers <= kept || round.ahead <= 0 || work.step->question_open) {
+    int& room = is_long ? round.advisers.long_questions : round.advisers.questions;
+    if (room <= 0 || round.ahead <= 0 || work.step->question_open) {
         return;
     }
     if (auto question = question_for(work, round, now)) {
+        question->service_time = cost_of(*work.advice, question->vms.size());
         work.step->question_open = true;
         work.step->last_question = now.steady;
         out.questions.push_back(std::move(*question));
-        --round.free_advisers;
+        --round.advisers.questions;
+        round.advisers.long_questions -= is_long ? 1 : 0;
     }
 }
 
-void scheduler::state::place_work(const moment& now, int free_advisers, decisions& out) {
+void scheduler::state::place_work(const moment& now, const adviser_room& advisers, decisions& out) {
     placing_round round;
-    round.free_advisers = free_advisers;
+    round.advisers = advisers;
     resources free;
     resources total;
     for (vm_record* const vm : vm_numbers) {
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -16,6 +16,9 @@
     for (const auto& it : state_->configuration->queues) {
         state_->queues[it.name] = &it;
     }
+    for (const auto& it : state_->jobs) {
+        it.second->queue = state_->find_queue(it.second->spec.queue);
+    }
 }
 
 void scheduler::inherited_runs_known(const moment& /*now*/) {
@@ -38,11 +41,13 @@
     }
 }
 
-decisions scheduler::decide(const moment& now, int free_advisers) {
+decisions scheduler::decide(const moment& now, const adviser_room& advisers) {
     decisions out;
+    state_->drop_closed_steps();  // before their jobs are forgotten
     state_->forget_ended();
     state_->open_due(now);
-    state_->place_work(now, free_advisers, out);
+    state_->place_work(now, advisers, out);
+    state_->check_forming(now);
     state_->order_stops(now, out);
     return out;
 }
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -41,14 +41,16 @@
     dirty.insert(job.spec.id);
 }
 
-const queue_config* scheduler::state::queue_of(const job_record& job) const {
-    const auto it = queues.find(job.spec.queue);
+const queue_config* scheduler::state::find_queue(const queue_name& name) const {
+    const auto it = queues.find(name);
     return it == queues.end() ? nullptr : it->second;
 }
 
-queue_terms scheduler::state::terms_of(const job_record& job) const {
-    const queue_config* const queue = queue_of(job);
-    return queue == nullptr ? job.spec.terms : queue->terms;
+void scheduler::state::note_open(const step_ref& where, job_record& job, step_state& step) {
+    if (!step.open) {
+        step.open = true;
+        open.push_back({where, &job, &step});
+    }
 }
 
 void scheduler::state::add_occurrence(job_record& job, int occurrence) {
@@ -65,14 +67,14 @@
 
 // Puts the steps whose predecessors are done among the open ones.
 void scheduler::state::open_steps(job_record& job, int occurrence) {
-    const auto& steps = job.occurrences[occurrence];
+    auto& steps = job.occurrences[occurrence];
     for (std::size_t i = 0; i < steps.size(); ++i) {
         const auto& after = steps[i].spec->after;
         const bool ready = std::all_of(after.begin(), after.end(), [&](int it) {
             return steps[static_cast<std::size_t>(it)].finished();
         });
         if (ready && !steps[i].finished()) {
-            open.insert({job.spec.id, occurrence, static_cast<int>(i)});
+            note_open({job.spec.id, occurrence, static_cast<int>(i)}, job, steps[i]);
         }
     }
 }
@@ -107,6 +109,7 @@
     }
     auto& job = *state_->jobs.emplace(spec.id, std::make_unique<job_record>()).first->second;
     job.spec = spec;
+    job.queue = state_->find_queue(spec.queue);
     job.inherited = inherited;
     const auto customer = state_->configuration->customers.find(spec.customer);
     if (customer != state_->configuration->customers.end()) {
@@ -213,7 +216,7 @@
     note_change(job);
     metrics->count("cranberrydock_task_failures_total", "");
     if (!step.spec->long_running &&
-        static_cast<int>(one.failed_runs.size()) >= terms_of(job).max_attempts) {
+        static_cast<int>(one.failed_runs.size()) >= job.terms().max_attempts) {
         finish_job(job, job_state::failed, now);
     }
 }
@@ -236,7 +239,6 @@
         for (std::size_t i = 0; i < occurrence.second.size(); ++i) {
             const step_ref where{job.spec.id, occurrence.first, static_cast<int>(i)};
             auto& step = occurrence.second[i];
-            open.erase(where);
             // The members of a gang that is done end by themselves.
             if (!(step.spec->gang && step.finished())) {
                 stop_step(where, step, reason);
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -61,6 +61,8 @@
     bool reachable = true;
     std::map<task_ref, placed_run> runs;
     resources used;  // the sum over `runs`
+    // What steps whose questions name this VM are expected to take of it, if it is granted.
+    resources asked_for;
     end_number last_end;
     std::deque<unsaved_end> unsaved;
     time_point avoid_until{};  // quarantine, or the VM had no room though there should have been
@@ -68,6 +70,14 @@
     std::set<job_id> failed_jobs;
 
     resources free() const { return facts.capacity - used; }
+    // For steps that have not asked yet: two that count on the same room would find it taken.
+    resources free_to_name() const { return facts.capacity - used - asked_for; }
+};
+
+// What an open question expects of one of the VMs that it names.
+struct expectation {
+    std::size_t vm = 0;  // its number
+    resources room;
 };
 
 struct grant {
@@ -93,12 +103,15 @@
     std::set<std::size_t> denied;  // asked about and not granted
     bool question_open = false;
     time_point last_question{};
+    bool open = false;  // among the scheduler's open steps
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
 
 struct job_record {
     job_spec spec;
+    const queue_config* queue =
+        nullptr;  // of the configuration in force; null: it has been removed
     job_state state = job_state::queued;
     bool inherited = false;
     bool over_share = false;  // beyond the jobs a second that its customer is entitled to
@@ -113,9 +126,18 @@
     // Expected time from each step's start to the job's end, as it was reckoned at `chains_at`.
     std::vector<milliseconds> chains;
     time_point chains_at{};
+
+    const queue_terms& terms() const { return queue == nullptr ? spec.terms : queue->terms; }
+};
+
+// A step that may have tasks to start. Its job lives as long as the step is open.
+struct open_place {
+    step_ref where;
+    job_record* job = nullptr;
+    step_state* step = nullptr;
 };
 
-// A step that has tasks to start. Points to what lives as long as the decision.
+// The same, with what a decision has found out about it.
 struct open_step {
     const step_ref* where = nullptr;
     job_record* job = nullptr;
@@ -132,8 +154,8 @@
 struct placing_round {
     std::vector<vm_record*> usable;
     std::vector<bool> reserved;  // by the numbers of VMs: kept for gangs that wait
-    int free_advisers = 0;
-    std::int64_t ahead = 0;  // millicores that questions may still be asked for
+    adviser_room advisers;       // questions that may still be asked
+    std::int64_t ahead = 0;      // millicores that questions may still be asked for
 
     bool is_reserved(const vm_record& vm) const {
         return vm.number < reserved.size() && reserved[vm.number];
@@ -163,8 +185,11 @@
     std::unordered_map<vm_id, std::unique_ptr<detail::vm_record>> vms;
     std::vector<detail::vm_record*> vm_numbers;  // null for those that are gone
     std::unordered_map<job_id, std::unique_ptr<detail::job_record>> jobs;
-    // Steps that may have tasks to start; what has none is dropped when it is met.
-    std::set<step_ref> open;
+    // Steps that may have tasks to start, each once; what has none is dropped by the next decision.
+    std::vector<detail::open_place> open;
+    std::size_t next_sample = 0;  // of the work that a decision leaves out
+    std::map<step_ref, std::vector<detail::expectation>> expectations;  // of open questions
+    std::set<step_ref> forming;                     // gangs whose members are being started
     std::set<job_id> timed;                         // jobs with occurrences that are not due yet
     std::set<std::pair<vm_id, task_ref>> stopping;  // runs whose end is wanted
     std::set<job_id> dirty;
@@ -182,6 +207,7 @@
     // scheduler_jobs.cpp
     void note_change(detail::job_record& job);
     void open_steps(detail::job_record& job, int occurrence);
+    void note_open(const step_ref& where, detail::job_record& job, detail::step_state& step);
     void add_occurrence(detail::job_record& job, int occurrence);
     void open_due(const moment& now);
     detail::step_state* find_step(const task_ref& task, detail::job_record** job);
@@ -192,8 +218,7 @@
     void finish_job(detail::job_record& job, job_state end, const moment& now);
     void stop_runs_of(detail::job_record& job, const std::string& reason);
     void stop_step(const step_ref& where, detail::step_state& step, const std::string& reason);
-    const queue_config* queue_of(const detail::job_record& job) const;
-    queue_terms terms_of(const detail::job_record& job) const;
+    const queue_config* find_queue(const queue_name& name) const;
     const std::vector<milliseconds>& chains_of(detail::job_record& job, const moment& now);
     void forget_ended();
 
@@ -205,6 +230,7 @@
     // Takes the run off the VM's books; its task may be started again.
     void release(detail::vm_record& vm, const task_ref& task);
     void want_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
+    void give_up_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void handle_end(detail::vm_record& vm, const task_end& end, const moment& now);
     void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
     void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
@@ -213,13 +239,14 @@
 
     // work_order.cpp
     std::vector<detail::open_step> work_in_order(const moment& now);
+    detail::open_step judge(const detail::open_place& place, const moment& now);
     void drop_closed_steps();
 
     // placing.cpp
     bool usable(const detail::vm_record& vm, const moment& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
     resources customer_room(const customer_name& customer) const;
-    void place_work(const moment& now, int free_advisers, decisions& out);
+    void place_work(const moment& now, const adviser_room& advisers, decisions& out);
     bool place_tasks(detail::open_step& work, const detail::placing_round& round, const moment& now,
                      decisions& out);
     bool place_gang(detail::open_step& work, const detail::placing_round& round, const moment& now,
@@ -237,7 +264,10 @@
     std::optional<advice_question> question_for(detail::open_step& work,
                                                 const detail::placing_round& round,
                                                 const moment& now);
+    void forget_expectations(const step_ref& where);
 
+    // Stops the gangs that have taken too long to form.
+    void check_forming(const moment& now);
     void order_stops(const moment& now, decisions& out);
 };
 
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -121,7 +121,7 @@
     if (is_final(job->state)) {
         ending.insert(task.job);
     } else if (!state.done) {
-        open.insert({task.job, task.occurrence, task.step});
+        note_open({task.job, task.occurrence, task.step}, *job, *step);
     }
 }
 
@@ -134,6 +134,41 @@
     }
 }
 
+// Stops a run that may or may not have started; a gang without it can't work.
+void scheduler::state::give_up_start(vm_record& vm, placed_run& run, const std::string& reason) {
+    want_stop(vm, run, reason);
+    job_record* job = nullptr;
+    step_state* const step = find_step(run.task, &job);
+    if (step != nullptr && step->spec->gang && !step->finished()) {
+        stop_step({run.task.job, run.task.occurrence, run.task.step}, *step, reason);
+    }
+}
+
+void scheduler::state::check_forming(const moment& now) {
+    for (auto it = forming.begin(); it != forming.end();) {
+        job_record* job = nullptr;
+        step_state* const step = find_step({it->job, it->occurrence, it->step, 0}, &job);
+        bool forms = false;
+        bool late = false;
+        for (std::size_t i = 0; step != nullptr && i < step->tasks.size(); ++i) {
+            const vm_record* const vm = step->tasks[i].vm;
+            const auto run =
+                vm == nullptr
+                    ? decltype(vm->runs.begin()){}
+                    : vm->runs.find({it->job, it->occurrence, it->step, static_cast<int>(i)});
+            if (vm != nullptr && run != vm->runs.end() &&
+                run->second.phase == run_phase::starting) {
+                forms = true;
+                late |= now.steady - run->second.ordered > settings.gang_patience;
+            }
+        }
+        if (late) {
+            stop_step(*it, *step, "gang_start_late");
+        }
+        it = forms && !late ? std::next(it) : forming.erase(it);
+    }
+}
+
 void scheduler::state::order_stops(const moment& now, decisions& out) {
     for (const auto& it : stopping) {
         vm_record* const vm = find_vm(it.first);
@@ -176,7 +211,7 @@
         }
         run->start_open = false;
         if (!run->confirmed) {
-            state_->want_stop(*vm, *run, "start_unanswered");
+            state_->give_up_start(*vm, *run, "start_unanswered");
         }
         return start_outcome::settled;
     }
@@ -186,7 +221,7 @@
     }
     if (run->start_orders > 1) {
         // An earlier order to the same effect may have been carried out.
-        state_->want_stop(*vm, *run, "start_unclear");
+        state_->give_up_start(*vm, *run, "start_unclear");
         return start_outcome::settled;
     }
     job_record* job = nullptr;
--- a/packages/net/include/cranberrydock/net/http.hpp
+++ b/packages/net/include/cranberrydock/net/http.hpp
@@ -26,7 +26,9 @@
         return a.address == b.address && a.port == b.port;
     }
     friend bool operator!=(const endpoint& a, const endpoint& b) { return !(a == b); }
-    friend bool operator<(const endpoint& a, const endpoint& b) { return a.text() < b.text(); }
+    friend bool operator<(const endpoint& a, const endpoint& b) {
+        return a.port != b.port ? a.port < b.port : a.address < b.address;
+    }
 };
 
 // Reads "ADDRESS:PORT"; port 0 in the answer means that the text is not of that form.
--- a/packages/steward/include/cranberrydock/steward/adviser_pool.hpp
+++ b/packages/steward/include/cranberrydock/steward/adviser_pool.hpp
@@ -4,7 +4,7 @@
 
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/metrics.hpp>
-#include <cranberrydock/fleet/vm_control.hpp>
+#include <cranberrydock/fleet/adviser_choice.hpp>
 #include <cranberrydock/steward/lifetime.hpp>
 #include <cranberrydock/steward/peer_calls.hpp>
 
@@ -22,21 +22,15 @@
     // The other daemons, by the names of their VMs.
     void set_peers(const std::map<std::string, std::shared_ptr<peer>>& peers);
 
-    // Questions that can be asked at once.
-    int free() const;
+    fleet::adviser_room room() const { return choice_.room(clock_.now()); }
     void ask(const fleet::advice_question& question, const fleet::advice_done& done);
 
 private:
-    struct adviser {
-        std::shared_ptr<fleet::placement_adviser> calls;  // null: this VM's own
-        int open = 0;
-        base::time_point avoid_until{};
-    };
-
     fleet::placement_adviser& own_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
-    std::map<std::string, adviser> advisers_;
+    std::map<std::string, std::shared_ptr<peer>> peers_;
+    fleet::adviser_choice choice_;
     lifetime lifetime_;
 };
 
--- a/packages/steward/src/adviser_pool.cpp
+++ b/packages/steward/src/adviser_pool.cpp
@@ -3,75 +3,51 @@
 
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
+#include <set>
 
 namespace cranberrydock::steward {
 namespace {
 
-// One question is answered while the next is on its way.
-constexpr int most_open = 2;
-constexpr base::milliseconds ask_timeout{1'800};
-constexpr base::milliseconds avoid_after_failure{1'500};
+// A question is given up after its service time twice and this, which covers those before it.
+constexpr base::milliseconds waiting_time{1'800};
 const char* const own_name = "";
 
 }  // namespace
 
 adviser_pool::adviser_pool(fleet::placement_adviser& own, base::metrics& metrics)
     : own_(own), metrics_(metrics) {
-    advisers_[own_name] = {};
+    choice_.set_advisers({own_name});
 }
 
 void adviser_pool::set_peers(const std::map<std::string, std::shared_ptr<peer>>& peers) {
-    for (auto it = advisers_.begin(); it != advisers_.end();) {
-        const bool gone = it->first != own_name && peers.count(it->first) == 0;
-        it = gone ? advisers_.erase(it) : std::next(it);
-    }
+    peers_ = peers;
+    std::set<std::string> names{own_name};
     for (const auto& it : peers) {
-        advisers_[it.first].calls = it.second;
-    }
-}
-
-int adviser_pool::free() const {
-    int out = 0;
-    for (const auto& it : advisers_) {
-        if (clock_.now() >= it.second.avoid_until) {
-            out += std::max(0, most_open - it.second.open);
-        }
+        names.insert(it.first);
     }
-    return out;
+    choice_.set_advisers(names);
 }
 
 void adviser_pool::ask(const fleet::advice_question& question, const fleet::advice_done& done) {
     const auto now = clock_.now();
-    auto best = advisers_.end();
-    for (auto it = advisers_.begin(); it != advisers_.end(); ++it) {
-        const bool usable = now >= it->second.avoid_until;
-        if (usable && (best == advisers_.end() || it->second.open < best->second.open)) {
-            best = it;
-        }
-    }
-    if (best == advisers_.end()) {
-        best = advisers_.find(own_name);
-    }
-    ++best->second.open;
-    fleet::placement_adviser& calls = best->second.calls ? *best->second.calls : own_;
-    calls.ask(
-        question, ask_timeout,
-        lifetime_.guard([this, name = best->first, now, done](const auto& answer) {
-            const auto took = std::chrono::duration_cast<base::milliseconds>(clock_.now() - now);
-            metrics_.observe("cranberrydock_advice_ms", "", static_cast<double>(took.count()));
-            const auto it = advisers_.find(name);
-            if (it != advisers_.end()) {
-                --it->second.open;
-                if (!answer) {
-                    it->second.avoid_until = clock_.now() + avoid_after_failure;
-                    spdlog::info("event=adviser_failed through={} reason={} took_ms={}",
-                                 name.empty() ? "self" : name, fleet::to_string(answer.error()),
-                                 took.count());
-                }
-            }
-            done(answer);
-        }));
+    const std::string name = choice_.choose(now, question.service_time);
+    const auto number = choice_.asked(name, now, question.service_time);
+    const auto through = peers_.find(name);
+    fleet::placement_adviser& calls = through == peers_.end() ? own_ : *through->second;
+    calls.ask(question, waiting_time + question.service_time * 2,
+              lifetime_.guard([this, name, number, now, done](const auto& answer) {
+                  const auto later = clock_.now();
+                  const auto took = std::chrono::duration_cast<base::milliseconds>(later - now);
+                  metrics_.observe("cranberrydock_advice_ms", "",
+                                   static_cast<double>(took.count()));
+                  choice_.answered(name, number, later, answer.has_value());
+                  if (!answer) {
+                      spdlog::info("event=adviser_failed through={} reason={} took_ms={}",
+                                   name.empty() ? "self" : name, fleet::to_string(answer.error()),
+                                   took.count());
+                  }
+                  done(answer);
+              }));
 }
 
 }  // namespace cranberrydock::steward
--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cranberrydock::steward {
 
@@ -116,9 +117,13 @@
         std::vector<fleet::scheduler::unsaved_job> sent;
         std::vector<fleet::job_id> removed;  // sent for removal
         bool busy = false;
+        base::time_point sent_at;
+        base::duration usual_time{0};  // of a write, smoothed
         std::unique_ptr<net::timer> next;
     };
     std::map<fleet::part_name, part_state> parts;
+    // Jobs whose row of progress may be in the store.
+    std::unordered_set<fleet::job_id> progress_rows;
     // How jobs have ended under this owner, and who waits to hear of an end that is being saved.
     std::unordered_map<fleet::job_id, known_status> endings;
     struct waiting_caller {
@@ -144,6 +149,9 @@
     int decision_count = 0;
     int start_count = 0;
     int question_count = 0;
+    int report_count = 0;  // of VMs
+    int told_count = 0;    // jobs that entries told of
+    int status_count = 0;  // questions of entries about jobs
     std::vector<std::unique_ptr<net::timer>> retries;
     lifetime alive;
 };
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -17,8 +17,9 @@
 // A question whose answer is lost costs this much and a little more.
 constexpr base::milliseconds follow_wait{700};
 constexpr base::milliseconds log_period{2'000};
-// Changes within so long are read together: each call to the store is paid for.
-constexpr base::milliseconds jobs_pause{30};
+// Changes within so long are read together: each call to the store is paid for. Jobs are usually
+// heard of from their entries before.
+constexpr base::milliseconds jobs_pause{100};
 constexpr base::milliseconds members_pause{200};
 
 }  // namespace
@@ -78,7 +79,7 @@
         return;  // it is decided soon, or not at all
     }
     const auto before = clock.now();
-    const auto decided = scheduler.decide(now(), advisers.free());
+    const auto decided = scheduler.decide(now(), advisers.room());
     last_decision = clock.now();
     last_decision_time = last_decision - before;
     deciding += last_decision_time;
@@ -104,14 +105,19 @@
     const auto room = scheduler.capacity();
     spdlog::info(
         "event=owner_load fence={} jobs={} runs={} vms={} cores={} cores_used={} starts={} "
-        "questions={} free_advisers={} decisions={} deciding_us={}",
+        "questions={} free_advisers={} decisions={} deciding_us={} reports={} jobs_told={} "
+        "status_questions={}",
         owner.value(), scheduler.job_count(), scheduler.run_count(), sessions.size(),
         room.cores.value(), scheduler.in_use().cores.value(), start_count, question_count,
-        advisers.free(), decision_count, deciding.count());
+        advisers.room().questions, decision_count, deciding.count(), report_count, told_count,
+        status_count);
     deciding = base::duration{0};
     decision_count = 0;
     start_count = 0;
     question_count = 0;
+    report_count = 0;
+    told_count = 0;
+    status_count = 0;
 }
 
 owner_task::owner_task(net::event_loop& loop, fleet::row_store& store, fleet::vm_control& vms,
@@ -144,13 +150,19 @@
 }
 
 void owner_task::job_written(const fleet::job_id& job, const std::string& row) {
+    ++state_->told_count;
     if (state_->jobs_known) {
         state_->take_job({state_->layout.job_row(job), row, {}, false}, false);
         state_->wake();
     }
 }
 
+bool owner_task::has_read(const fleet::job_id& job) const {
+    return state_->scheduler.status_of(job).has_value() || state_->endings.count(job) > 0;
+}
+
 void owner_task::job_status(const fleet::job_id& job, const status_done& done) {
+    ++state_->status_count;
     const auto ended = state_->endings.find(job);
     if (ended != state_->endings.end()) {
         done(ended->second);
--- a/packages/steward/src/owner_vms.cpp
+++ b/packages/steward/src/owner_vms.cpp
@@ -31,6 +31,7 @@
         early_reports[vm] = {report, asked};
         return;
     }
+    ++report_count;
     judged.insert(vm);
     unanswering.erase(vm);
     const fleet::end_number listed = scheduler.last_end(vm);
--- /dev/null
+++ b/test/correctness/a_gang_that_does_not_form_is_stopped_in_time.cpp
@@ -0,0 +1,91 @@
+// Members of a gang work only together, and VMs end those that have waited too long for the others.
+// A gang of which a member is not known to have started is stopped before that, whole.
+#include <cranberrydock/fleet/scheduler.hpp>
+
+#include "standins/fleet_work.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+
+class gang_of_three : public testing::Test {
+public:
+    gang_of_three() {
+        owner.configure(std::make_shared<const fleet::fleet_configuration>(two_queues()));
+        for (const char* const name : {"vm-a", "vm-b", "vm-c"}) {
+            fleet::vm_facts facts;
+            facts.id = fleet::vm_id(name);
+            facts.service = fleet::service_name("svc");
+            facts.capacity = vm_of(1'000);
+            owner.vm_seen(facts);
+            owner.vm_reported(facts.id, {}, now.steady, now);
+        }
+        owner.inherited_runs_known(now);
+        auto step = step_of(3, 1'000);
+        step.gang = true;
+        owner.job_submitted(job_of("gang", "batch", {step}), nullptr, false, now);
+        starts = owner.decide(now, {}).starts;
+    }
+
+    void pass(base::milliseconds time) {
+        now.steady += time;
+        now.wall = fleet::unix_time(now.wall.value() + time.count());
+    }
+
+    void answer(const fleet::start_decision& start,
+                const tl::expected<fleet::vm_time, fleet::order_failure>& answer) {
+        owner.start_answered(start.vm, start.task, start.run, answer, now);
+    }
+
+    std::set<int> stopped() {
+        std::set<int> out;
+        for (const auto& it : owner.decide(now, {}).stops) {
+            out.insert(it.task.index);
+        }
+        return out;
+    }
+
+    const fleet::scheduler_settings settings;
+    base::metrics metrics;
+    fleet::moment now{base::time_point(std::chrono::seconds(100)), fleet::unix_time(1'000'000)};
+    fleet::scheduler owner{fleet::fence(1), settings, metrics};
+    std::vector<fleet::start_decision> starts;
+    const std::set<int> all{0, 1, 2};
+};
+
+TEST_F(gang_of_three, a_start_that_is_never_answered) {
+    ASSERT_EQ(starts.size(), 3U);
+    answer(starts[0], fleet::vm_time(1));
+    answer(starts[1], fleet::vm_time(1));
+    pass(settings.gang_patience - base::milliseconds(1));
+    EXPECT_TRUE(stopped().empty());
+    pass(base::milliseconds(2));
+    EXPECT_EQ(stopped(), all);
+}
+
+TEST_F(gang_of_three, a_start_whose_answers_are_lost) {
+    ASSERT_EQ(starts.size(), 3U);
+    answer(starts[0], fleet::vm_time(1));
+    answer(starts[1], fleet::vm_time(1));
+    for (int i = 0; i < settings.start_tries; ++i) {
+        EXPECT_TRUE(stopped().empty());
+        answer(starts[2], tl::make_unexpected(fleet::order_failure::answer_lost));
+    }
+    EXPECT_EQ(stopped(), all);
+}
+
+TEST_F(gang_of_three, one_that_has_formed_is_left_alone) {
+    ASSERT_EQ(starts.size(), 3U);
+    for (const auto& it : starts) {
+        answer(it, fleet::vm_time(1));
+    }
+    pass(settings.gang_patience * 3);
+    EXPECT_TRUE(stopped().empty());
+}
+
+}  // namespace
--- a/test/correctness/an_end_that_is_listed_again_counts_once.cpp
+++ b/test/correctness/an_end_that_is_listed_again_counts_once.cpp
@@ -55,7 +55,7 @@
     ASSERT_TRUE(owner.status_of(job.id).has_value());
     EXPECT_EQ(owner.status_of(job.id)->state, fleet::job_state::failed);
     owner.inherited_runs_known(now);
-    EXPECT_TRUE(owner.decide(now, 1).starts.empty());
+    EXPECT_TRUE(owner.decide(now, {1, 1}).starts.empty());
 }
 
 TEST_F(two_vms, saved_failures_are_not_counted_again) {
@@ -71,7 +71,7 @@
     report("vm-b", {});
     EXPECT_EQ(owner.status_of(job.id)->state, fleet::job_state::active);
     owner.inherited_runs_known(now);
-    EXPECT_EQ(owner.decide(now, 1).starts.size(), 1U);
+    EXPECT_EQ(owner.decide(now, {1, 1}).starts.size(), 1U);
 }
 
 }  // namespace
--- a/test/correctness/the_fleet_changes_owners_safely.cpp
+++ b/test/correctness/the_fleet_changes_owners_safely.cpp
@@ -91,6 +91,20 @@
     EXPECT_FALSE(one.earlier_owner_ended());
 }
 
+TEST_F(follower, an_owner_that_answers_nobody_is_replaced_sooner) {
+    read(held_by("vm-2", "7"), 1);
+    one.holder_silent("6");  // an earlier run
+    pass(settings.takeover_of_silent_after);
+    one.row_unchanged(now);
+    EXPECT_EQ(one.next(now), ownership::step::nothing);
+    one.holder_silent("7");
+    one.holder_answers("7");
+    EXPECT_EQ(one.next(now), ownership::step::nothing);
+    one.holder_silent("7");
+    EXPECT_EQ(one.next(now), ownership::step::acquire);
+    EXPECT_FALSE(one.earlier_owner_ended());
+}
+
 TEST_F(follower, an_owner_stops_when_its_renewals_fail) {
     read(held_by("", ""), 1);
     ASSERT_EQ(one.next(now), ownership::step::acquire);
--- a/test/correctness/what_an_owner_finds_is_taken_into_account.cpp
+++ b/test/correctness/what_an_owner_finds_is_taken_into_account.cpp
@@ -47,7 +47,7 @@
     found.running.push_back({{fleet::job_id("unknown"), 0, 0, 0}, fleet::run_number(1), {}, 0});
     owner.vm_reported(vm, found, now.steady, now);
     owner.job_submitted(job, nullptr, false, now);
-    const auto first = owner.decide(now, 1);
+    const auto first = owner.decide(now, {1, 1});
     EXPECT_TRUE(first.starts.empty());
     ASSERT_EQ(first.stops.size(), 1U);
     EXPECT_EQ(first.stops[0].task.job, fleet::job_id("unknown"));
@@ -60,13 +60,13 @@
                           fleet::end_kind::stopped,
                           {}});
     owner.vm_reported(vm, ended, now.steady, now);
-    EXPECT_EQ(owner.decide(now, 1).starts.size(), 1U);
+    EXPECT_EQ(owner.decide(now, {1, 1}).starts.size(), 1U);
 }
 
 TEST_F(one_vm, an_ended_job_is_not_begun_again) {
     owner.vm_reported(vm, {}, now.steady, now);
     owner.job_submitted(job, nullptr, false, now);
-    const auto started = owner.decide(now, 1).starts;
+    const auto started = owner.decide(now, {1, 1}).starts;
     ASSERT_EQ(started.size(), 1U);
     owner.start_answered(vm, started[0].task, started[0].run, fleet::vm_time(1), now);
     pass(100);
@@ -75,18 +75,18 @@
         {fleet::end_number(1), started[0].task, started[0].run, fleet::end_kind::done, {}});
     owner.vm_reported(vm, done, now.steady, now);
     save();
-    owner.decide(now, 1);
+    owner.decide(now, {1, 1});
     EXPECT_EQ(owner.job_count(), 0U);
 
     owner.job_submitted(job, nullptr, false, now);
-    EXPECT_TRUE(owner.decide(now, 1).starts.empty());
+    EXPECT_TRUE(owner.decide(now, {1, 1}).starts.empty());
     EXPECT_EQ(owner.job_count(), 0U);
 }
 
 TEST_F(one_vm, an_end_is_kept_until_its_job_is_saved) {
     owner.vm_reported(vm, {}, now.steady, now);
     owner.job_submitted(job, nullptr, false, now);
-    const auto started = owner.decide(now, 1).starts;
+    const auto started = owner.decide(now, {1, 1}).starts;
     ASSERT_EQ(started.size(), 1U);
     owner.start_answered(vm, started[0].task, started[0].run, fleet::vm_time(1), now);
     fleet::vm_report done;
--- a/test/standins/fleet_crew.cpp
+++ b/test/standins/fleet_crew.cpp
@@ -91,7 +91,8 @@
             {"limits", {{"cpuShare", 1.0}, {"memoryMb", 260}, {"linkMbps", 1000}}},
             {"bounds", {{"holdMaxMs", 6000}, {"graceS", 6}, {"status_s", 120}}},
             {"advice", site_->adviser().text()},
-            {"platform", {{"address", site_->store().text()}, {"writesPerS", 600}}}};
+            {"platform",
+             {{"address", site_->store().text()}, {"writesPerS", 600}, {"partWritesPerS", 200}}}};
         std::ofstream(one->settings_file) << settings.dump();
         members_.push_back(std::move(one));
     }
--- a/test/standins/fleet_world.cpp
+++ b/test/standins/fleet_world.cpp
@@ -105,7 +105,7 @@
     for (const auto& it : vms_) {
         watch(*it);
     }
-    carry_out(scheduler_->decide(now(), 1));
+    carry_out(scheduler_->decide(now(), {1, 1}));
     judge();
     // What has changed is saved now and then, so that owners die with unsaved progress.
     if (std::uniform_int_distribution<int>(0, 3)(random_) == 0) {
