steward: jobs are written together while the store is slow, and VMs are asked once their ends are saved

Daemons gave a write up after 0.4 s and repeated it while the store still did the first, so that its queue held only writes that nobody waited for; next to nothing was accepted for 5 s. A job that existed already made a whole batch of the owner fail.

Now a write is never given up before its callers; one that is suspicious is handed to the owner as well, and while the store is slow all jobs are. The owner answers for jobs that it has read, keeps doubtful jobs apart, joins repeats, and does not begin what can't be answered in time. Jobs handed to an owner that falls silent are taken back. A daemon's way to the store counts as broken only after 0.8 s without a success: a part's 429 is no sign of that.

A VM that had listed an end was asked again after 60 ms, mostly before the end was saved, listed it again and was then left alone for 250 ms. It is asked as soon as its ends are saved.

Ruled out: more writers (refused by the part, 429), hedging every write through the owner (conflicts).

--- a/packages/steward/include/cranberrydock/steward/entry.hpp
+++ b/packages/steward/include/cranberrydock/steward/entry.hpp
@@ -41,9 +41,8 @@
 };
 
 // Looks at what every daemon knows.
-class fleet_view {
+class fleet_view : public owner_writer {
 public:
-    virtual ~fleet_view() = default;
     // Null until the first configuration has been read.
     virtual std::shared_ptr<const fleet::fleet_configuration> configuration() const = 0;
     virtual const fleet::owner_record& owner() const = 0;
@@ -52,9 +51,6 @@
     virtual bool shutting_down() const = 0;
     // What the owner knows of a job; nothing when it can't be asked or doesn't know the job.
     virtual void ask_owner(const fleet::job_id& job, status_done done) = 0;
-    // Has the owner make a job durable; false when this daemon is the owner or knows none.
-    virtual bool write_through_owner(const fleet::job_id& job, const std::string& row,
-                                     base::milliseconds timeout, const write_done& done) = 0;
     // Tells the owner of a job that is durable now, if it can be reached.
     virtual void tell_owner(const fleet::job_id& job, const std::string& row) = 0;
 };
@@ -78,8 +74,7 @@
     void submit(const caller& who, tl::expected<job_draft, std::string> draft,
                 const answer_done<job_accepted>& done);
     // Makes a job durable that a peer has admitted.
-    void write(const fleet::job_id& job, const std::string& row, base::milliseconds timeout,
-               const write_done& done);
+    void write(const handed_job& what, base::milliseconds timeout, const write_done& done);
     void status(const caller& who, const answer_done<job_status>& done);
     void cancel(const caller& who, const answer_done<job_status>& done);
     // Whether the caller's path ends at a queue, with no job's id behind it.
--- a/packages/steward/include/cranberrydock/steward/owner_task.hpp
+++ b/packages/steward/include/cranberrydock/steward/owner_task.hpp
@@ -56,6 +56,9 @@
     // A job has been made durable while this owner was known.
     void job_written(const fleet::job_id& job, const std::string& row);
 
+    // Whether the job is known to be in the store, ended or not.
+    bool has_read(const fleet::job_id& job) const;
+
     // What is known of a job, once that is durable.
     void job_status(const fleet::job_id& job, const status_done& done);
 
--- a/packages/steward/include/cranberrydock/steward/peer_calls.hpp
+++ b/packages/steward/include/cranberrydock/steward/peer_calls.hpp
@@ -48,8 +48,7 @@
     // from the store as well, a little later.
     virtual void job_written(const written_job& job, base::milliseconds timeout) = 0;
     // Has the peer make the job durable, together with what others hand it.
-    virtual void write_job(const fleet::job_id& job, const std::string& row,
-                           base::milliseconds timeout, write_done done) = 0;
+    virtual void write_job(const handed_job& what, base::milliseconds timeout, write_done done) = 0;
 };
 
 std::shared_ptr<peer> make_peer(net::http_client& http, const net::endpoint& address);
@@ -63,8 +62,8 @@
     virtual fleet::row_store& direct_store() = 0;
     virtual void job_status(const fleet::job_id& job, status_done done) = 0;
     virtual void job_written(const written_job& job) = 0;
-    virtual void write_job(const fleet::job_id& job, const std::string& row,
-                           base::milliseconds timeout, const write_done& done) = 0;
+    virtual void write_job(const handed_job& what, base::milliseconds timeout,
+                           const write_done& done) = 0;
 };
 
 // Answers peers' calls, and whoever collects this daemon's metrics.
--- a/packages/steward/include/cranberrydock/steward/relayed_store.hpp
+++ b/packages/steward/include/cranberrydock/steward/relayed_store.hpp
@@ -36,7 +36,8 @@
     void note(const std::string& name, bool worked);
 
     struct record {
-        int failures = 0;  // in a row
+        int failures = 0;           // in a row
+        base::time_point worked{};  // when it last did
         base::time_point avoid_until{};
     };
 
--- a/packages/steward/include/cranberrydock/steward/vm_session.hpp
+++ b/packages/steward/include/cranberrydock/steward/vm_session.hpp
@@ -18,10 +18,10 @@
     base::milliseconds lease{4'500};  // given with each renewal
     base::milliseconds wait{700};     // the VM may keep a renewal open until something ends
     base::milliseconds retry_pause{150};
-    // After a report with ends the VM is not asked for so long: its next report would come at once
-    // and list the same ends, for they can't be durable yet.
-    base::milliseconds ends_pause{60};
-    // The same while earlier ends are still not durable: the store is slow or away.
+    // After a report with ends the VM is not asked before they are durable, which is looked at so
+    // often: its next report would come at once and list the same ends.
+    base::milliseconds ends_pause{20};
+    // It is asked all the same after so long: the store is slow or away.
     base::milliseconds unsaved_pause{250};
 };
 
@@ -70,6 +70,7 @@
     void answered(base::time_point asked, const fleet::vm_report& report);
     void failed(fleet::order_failure failure);
     void check_lapse();
+    void ask_when_saved(base::time_point latest);
     void again(base::milliseconds pause);
 
     net::event_loop& loop_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -24,9 +24,13 @@
 constexpr base::milliseconds tell_owner_timeout{500};
 constexpr base::milliseconds probe_period{200};
 constexpr base::milliseconds probe_timeout{400};
+// An owner that has answered no probe for so long is not relied on.
+constexpr base::milliseconds owner_silence{600};
+constexpr int silent_probes_until_gone = 2;
 constexpr base::milliseconds announce_retry{500};
 // Takers wait for so many times of what a write takes them.
 constexpr int stagger_per_write = 3;
+constexpr base::milliseconds longest_stagger{250};  // a write may have met a busy store
 
 // A daemon that is weaker than the strongest leaves a takeover to the others for up to so long.
 constexpr base::milliseconds weakest_wait{3'500};
@@ -115,23 +119,27 @@
         }
     }
 
-    bool write_through_owner(const fleet::job_id& job, const std::string& row,
-                             base::milliseconds timeout, const write_done& done) override {
-        const auto it = peers.find(ownership.record().holder);
-        if (owning || it == peers.end()) {
-            return false;
-        }
-        metrics.count("cranberrydock_submissions_written_together_total", "");
-        it->second->write_job(job, row, timeout, done);
-        return true;
+    bool owner_answers() const override {
+        const auto& record = ownership.record();
+        return !owning && peers.count(record.holder) > 0 && owner_alive_run == record.run &&
+               clock.now() - owner_alive < owner_silence;
+    }
+
+    bool has_read(const fleet::job_id& job) const override {
+        return owning && owning->has_read(job);
+    }
+
+    void write_through_owner(const handed_job& what, base::milliseconds timeout,
+                             const write_done& done) override {
+        peers.at(ownership.record().holder)->write_job(what, timeout, done);
     }
 
     // peer_services
-    void write_job(const fleet::job_id& job, const std::string& row, base::milliseconds timeout,
+    void write_job(const handed_job& what, base::milliseconds timeout,
                    const write_done& done) override {
-        callers.write(job, row, timeout, [this, job, row, done](write_outcome outcome) {
+        callers.write(what, timeout, [this, what, done](write_outcome outcome) {
             if (owning && outcome == write_outcome::written) {
-                owning->job_written(job, row);
+                owning->job_written(what.job, what.row);
             }
             done(outcome);
         });
@@ -251,7 +259,7 @@
         const double weakness = 1.0 - settings.strength / strongest;
         const base::milliseconds wait(
             static_cast<std::int64_t>(weakness * static_cast<double>(weakest_wait.count())));
-        ownership.set_stagger(write_time * stagger_per_write + wait);
+        ownership.set_stagger(std::min(write_time * stagger_per_write, longest_stagger) + wait);
     }
 
     // Gives the fleet to a daemon that serves it better: one that is much stronger, or, when this
@@ -309,6 +317,13 @@
         it->second->probe(probe_timeout, alive.guard([this, run = record.run](peer_life life) {
             if (life == peer_life::process_gone) {
                 ownership.holder_refused(run);
+            } else if (life == peer_life::answers) {
+                owner_alive = clock.now();
+                owner_alive_run = run;
+                silent_probes = 0;
+                ownership.holder_answers(run);
+            } else if (++silent_probes >= silent_probes_until_gone) {
+                ownership.holder_silent(run);
             }
         }));
     }
@@ -485,6 +500,9 @@
     std::unique_ptr<owner_task> owning;
     base::time_point store_heard{};
     base::time_point owner_heard{};
+    base::time_point owner_alive{};  // when it last answered a probe
+    std::string owner_alive_run;
+    int silent_probes = 0;  // of the owner, in a row
     bool stopping = false;
     std::unique_ptr<net::timer> tick;
     std::unique_ptr<net::timer> probing;
--- a/packages/steward/src/entry.cpp
+++ b/packages/steward/src/entry.cpp
@@ -53,7 +53,7 @@
       layout_(layout),
       view_(view),
       metrics_(metrics),
-      writer_(loop, store, layout, metrics) {}
+      writer_(loop, store, layout, view, metrics) {}
 
 tl::expected<entry::admitted, refusal> entry::admit(const caller& who) const {
     const auto configuration = view_.configuration();
@@ -145,7 +145,6 @@
     const auto patience = who.patience.count() > 0 ? who.patience : default_patience;
     const auto begun = clock_.now();
     const std::string row = encode_job(job);
-    // While the store is slow, jobs are written together by the owner.
     const auto written = lifetime_.guard(
         [this, done, row, id = job.id, queue = job.queue, begun](write_outcome outcome) {
             const auto took = std::chrono::duration_cast<base::milliseconds>(clock_.now() - begun);
@@ -176,15 +175,11 @@
                                "under the same id"});
             }
         });
-    if (!writer_.slow() ||
-        !view_.write_through_owner(job.id, row, patience - answer_margin, written)) {
-        writer_.write(job.id, row, begun + patience - answer_margin, written);
-    }
+    writer_.write(job.id, row, begun + patience - answer_margin, written);
 }
 
-void entry::write(const fleet::job_id& job, const std::string& row, base::milliseconds timeout,
-                  const write_done& done) {
-    writer_.write(job, row, clock_.now() + timeout, done);
+void entry::write(const handed_job& what, base::milliseconds timeout, const write_done& done) {
+    writer_.write_for_peer(what, clock_.now() + timeout, done);
 }
 
 // A question about one job.
--- a/packages/steward/src/owner_loading.cpp
+++ b/packages/steward/src/owner_loading.cpp
@@ -78,6 +78,7 @@
                 }
                 for (const auto& it : read->rows) {
                     const fleet::job_id id(it.address.name.str());
+                    progress_rows.insert(id);
                     const auto found = fleet::decode_progress(it.value);
                     if (!found) {
                         spdlog::error("event=row_unreadable table=progress row={} error=\"{}\"",
--- a/packages/steward/src/owner_saving.cpp
+++ b/packages/steward/src/owner_saving.cpp
@@ -8,13 +8,19 @@
 namespace cranberrydock::steward {
 namespace {
 
-// Up to three rows a job, besides the fence; the store takes 100 entries.
-constexpr std::size_t most_jobs = 32;
+// The store takes 100 entries in a transaction; two are the fence's.
+constexpr std::size_t most_entries = 98;
+constexpr std::size_t entries_of_end = 3;  // at most: the job's end, and two rows that it replaces
 constexpr std::size_t most_removals = 20;
-constexpr base::milliseconds store_timeout{1'500};
+// A write is given up after several times of what writes take, for the store does it all the same
+// and the next one waits for it.
+constexpr int timeout_in_usual_times = 4;
+constexpr base::duration least_timeout{base::milliseconds{1'500}};
+constexpr base::duration longest_timeout{base::milliseconds{4'000}};
+constexpr int smoothing = 2;  // how many writes the usual time follows
 constexpr base::milliseconds retry_pause{100};
 // What changes within so long is saved together: each call to the store is paid for.
-constexpr base::milliseconds save_pause{25};
+constexpr base::milliseconds save_pause{40};
 constexpr base::milliseconds longest_wait_for_save{300};
 
 }  // namespace
@@ -44,15 +50,22 @@
     what.conditions.push_back({fence_row(name), part.fence_version});
     what.puts.push_back({fence_row(name), std::to_string(owner.value())});
     part.sent.clear();
-    while (!part.waiting.empty() && part.sent.size() < most_jobs) {
+    std::size_t entries = 0;
+    while (!part.waiting.empty() && entries + entries_of_end <= most_entries) {
         auto one = std::move(part.waiting.begin()->second);
         part.waiting.erase(part.waiting.begin());
         if (is_final(one.progress.state)) {
             what.puts.push_back({layout.ended_row(one.job), encode_progress(one.progress)});
             what.removals.push_back(layout.job_row(one.job));
-            what.removals.push_back(layout.progress_row(one.job));
+            entries += entries_of_end - 1;
+            if (progress_rows.erase(one.job) > 0) {
+                what.removals.push_back(layout.progress_row(one.job));
+                ++entries;
+            }
         } else {
             what.puts.push_back({layout.progress_row(one.job), encode_progress(one.progress)});
+            progress_rows.insert(one.job);
+            ++entries;
         }
         part.sent.push_back(std::move(one));
     }
@@ -61,7 +74,10 @@
             what.removals.push_back(layout.ended_row(it));
         }
     }
-    store.commit(what, store_timeout,
+    part.sent_at = clock.now();
+    const auto timeout = std::clamp<base::duration>(part.usual_time * timeout_in_usual_times,
+                                                    least_timeout, longest_timeout);
+    store.commit(what, std::chrono::duration_cast<base::milliseconds>(timeout),
                  alive.guard([this, name](const auto& answer) { progress_sent(name, answer); }));
 }
 
@@ -70,6 +86,9 @@
     const tl::expected<fleet::store_version, fleet::store_error>& answer) {
     part_state& part = parts[name];
     part.busy = false;
+    if (answer || answer.error().failure != fleet::store_failure::refused) {
+        part.usual_time += (clock.now() - part.sent_at - part.usual_time) / smoothing;
+    }
     const auto later = [this, name, &part](base::milliseconds pause) {
         part.next = loop.after(pause, [this, name] {
             parts[name].next.reset();
@@ -99,6 +118,9 @@
     }
     // Newer progress of the same job replaces what was sent.
     for (auto& it : part.sent) {
+        if (is_final(it.progress.state)) {
+            progress_rows.insert(it.job);  // it may be there still
+        }
         part.waiting.emplace(it.job, std::move(it));
     }
     part.sent.clear();
--- a/packages/steward/src/peer_calls.cpp
+++ b/packages/steward/src/peer_calls.cpp
@@ -90,9 +90,8 @@
         });
     }
 
-    void write_job(const fleet::job_id& job, const std::string& row, base::milliseconds timeout,
-                   write_done done) override {
-        call(write_path, encode(detail::write_call{job, row, timeout - answer_margin}), timeout,
+    void write_job(const handed_job& what, base::milliseconds timeout, write_done done) override {
+        call(write_path, encode(detail::write_call{what, timeout - answer_margin}), timeout,
              [done = std::move(done)](const net::http_result& result) {
                  const bool not_sent =
                      !result && result.error().failure == net::http_failure::not_sent;
@@ -185,7 +184,7 @@
             respond(ok(""));
         } else if (request.path == write_path) {
             const auto call = detail::decode_write_call(request.body);
-            services_.write_job(call.job, call.row, call.timeout, [respond](write_outcome outcome) {
+            services_.write_job(call.what, call.timeout, [respond](write_outcome outcome) {
                 respond(ok(detail::encode(outcome)));
             });
         } else if (request.path == alive_path) {
--- a/packages/steward/src/peer_codec.cpp
+++ b/packages/steward/src/peer_codec.cpp
@@ -208,14 +208,16 @@
 }
 
 std::string encode(const write_call& call) {
-    return to_bytes({{"job", call.job.str()},
-                     {"row", bytes_of(call.row)},
+    return to_bytes({{"job", call.what.job.str()},
+                     {"row", bytes_of(call.what.row)},
+                     {"may_be_written", call.what.may_be_written},
                      {"timeout_ms", call.timeout.count()}});
 }
 
 write_call decode_write_call(const std::string& body) {
     const json from = json::from_cbor(body);
-    return {fleet::job_id(from.at("job").get<std::string>()), text_of(from.at("row")),
+    return {{fleet::job_id(from.at("job").get<std::string>()), text_of(from.at("row")),
+             from.at("may_be_written").get<bool>()},
             base::milliseconds(from.at("timeout_ms").get<std::int64_t>())};
 }
 
--- a/packages/steward/src/peer_codec.hpp
+++ b/packages/steward/src/peer_codec.hpp
@@ -42,8 +42,7 @@
 written_job decode_written_job(const std::string& body);
 
 struct write_call {
-    fleet::job_id job;
-    std::string row;
+    handed_job what;
     base::milliseconds timeout{0};
 };
 std::string encode(const write_call& call);
--- a/packages/steward/src/relayed_store.cpp
+++ b/packages/steward/src/relayed_store.cpp
@@ -8,8 +8,10 @@
 namespace cranberrydock::steward {
 namespace {
 
-// So many failures in a row mean that a way does not work; single ones happen under load.
+// So many failures in a row, and no success for so long, mean that a way does not work; single ones
+// happen under load.
 constexpr int failures_until_avoided = 2;
+constexpr base::milliseconds silence_until_avoided{800};
 constexpr base::milliseconds avoid_direct{700};
 constexpr base::milliseconds avoid_peer{1'000};
 constexpr int most_avoided_times = 3;  // longer the more often in a row a way has failed
@@ -57,9 +59,11 @@
     record& one = records_[name];
     if (worked) {
         one = {};
+        one.worked = clock_.now();
         return;
     }
-    if (++one.failures >= failures_until_avoided) {
+    if (++one.failures >= failures_until_avoided &&
+        clock_.now() - one.worked >= silence_until_avoided) {
         const int times = std::min(one.failures - 1, most_avoided_times);
         one.avoid_until = clock_.now() + (name.empty() ? avoid_direct : avoid_peer) * times;
     }
--- a/packages/steward/src/vm_session.cpp
+++ b/packages/steward/src/vm_session.cpp
@@ -110,7 +110,6 @@
     lapse_reported_ = false;
     boot_ = report.boot;
     heard_ = clock_reading{report.now, clock_.now()};
-    const fleet::end_number known = last_listed_;
     if (!report.ends.empty()) {
         last_listed_ = report.ends.back().number;
     }
@@ -118,11 +117,22 @@
     if (report.ends.empty()) {
         ask();
     } else {
-        const bool old_ends = report.ends.front().number <= known;
-        again(old_ends ? settings_.unsaved_pause : settings_.ends_pause);
+        ask_when_saved(clock_.now() + settings_.unsaved_pause);
     }
 }
 
+// Until the ends are durable the VM would list the same ones at once.
+void vm_session::ask_when_saved(base::time_point latest) {
+    next_ = loop_.after(settings_.ends_pause, [this, latest] {
+        const bool saved = listener_.acknowledgeable(facts_.id) >= last_listed_;
+        if (saved || clock_.now() >= latest) {
+            ask();
+        } else {
+            ask_when_saved(latest);
+        }
+    });
+}
+
 void vm_session::failed(fleet::order_failure failure) {
     if (failure == fleet::order_failure::lower_fence) {
         listener_.on_higher_fence(facts_.id);
--- /dev/null
+++ b/test/standins/slow_store.hpp
@@ -0,0 +1,70 @@
+// A store whose parts do one transaction after another and take long over it, as the platform's
+// does in its slow times, on the test's own event loop. It does also what its caller has given up.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/fleet/row_store.hpp>
+#include <cranberrydock/net/event_loop.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+struct slow_store_plan {
+    base::milliseconds answer{0};             // on the way to the caller
+    base::milliseconds transaction{5};        // of each part, one after another
+    base::milliseconds longest_queue{1'000};  // of a part; more is refused
+};
+
+class slow_store final : public fleet::row_store {
+public:
+    slow_store(net::event_loop& loop, const slow_store_plan& plan) : loop_(loop), plan_(plan) {}
+
+    void commit(const fleet::row_transaction& what, base::milliseconds timeout,
+                fleet::commit_done done) override;
+    void read(const fleet::table_name& table, const fleet::part_name& part,
+              const fleet::row_name& from, std::size_t limit, base::milliseconds timeout,
+              fleet::read_done done) override;
+    void follow(const fleet::table_name& table, fleet::store_version after, base::milliseconds wait,
+                fleet::read_done done) override;
+
+    // For transactions that begin from now on.
+    void set_plan(const slow_store_plan& plan) { plan_ = plan; }
+    // Takes calls and does nothing from now on.
+    void fall_silent() { silent_ = true; }
+
+    bool has(const fleet::row_address& row) const { return rows_.count(key_of(row)) > 0; }
+    int transactions() const { return transactions_; }
+
+private:
+    using row_key = std::tuple<std::string, std::string, std::string>;
+    static row_key key_of(const fleet::row_address& row) {
+        return {row.table.str(), row.part.str(), row.name.str()};
+    }
+    struct call {
+        fleet::commit_done done;
+        std::vector<std::unique_ptr<net::timer>> timers;
+    };
+    void carry_out(const fleet::row_transaction& what, const std::shared_ptr<call>& from);
+    void answer(const std::shared_ptr<call>& to,
+                const tl::expected<fleet::store_version, fleet::store_error>& result,
+                base::milliseconds after);
+
+    net::event_loop& loop_;
+    slow_store_plan plan_;
+    base::monotonic_clock clock_;
+    std::map<row_key, fleet::store_version> rows_;
+    std::map<std::string, base::time_point> free_from_;  // by part
+    std::vector<std::shared_ptr<call>> calls_;
+    fleet::store_version version_;
+    bool silent_ = false;
+    int transactions_ = 0;
+};
+
+}  // namespace cranberrydock::standins
