fleet: a daemon whose answer is overdue is asked nothing more; a silent owner is replaced without waiting for a reading

Now an overdue answer (250 ms, or its service time) stops further questions at once, a daemon that failed is tried with single questions, ever more rarely, and a question is given up after twice its expected time. What is a long question is reckoned from the shortest of the queues: on the first sites masks (66 ms) counted as short beside previews (6 ms). Urgent questions leave out the room that long ones expect.

A taker counted the row as unchanged only up to the last reading of its feed, each 0.5 s; it now counts on between two readings, for its write has the condition that nothing was written.

Tests: a_daemon_that_falls_silent_costs_few_questions, counts_the_time_between_two_readings_up_to_a_limit.

--- a/packages/fleet/include/cranberrydock/fleet/adviser_choice.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/adviser_choice.hpp
@@ -1,6 +1,8 @@
 // Which daemon asks a placement question. The adviser's service answers each daemon's questions one
 // after another, so a short question behind a long one waits for it, and a far daemon costs the way
-// to it and back. Pure: the caller tells what was asked and answered, and when.
+// to it and back. A daemon whose answer is overdue is asked nothing more, and one that has failed
+// is tried with single questions, ever more rarely. Pure: the caller tells what was asked and
+// answered, and when.
 //
 // Answers overload: a burst of urgent work whose questions take milliseconds, while wide gangs ask
 // questions that take most of a second.
@@ -25,7 +27,11 @@
 
     // The daemon that is expected to have the answer first; long questions leave the nearest
     // daemons to short ones. Needs at least one daemon.
-    std::string choose(base::time_point now, milliseconds service_time) const;
+    std::string choose(base::time_point now, milliseconds service_time, bool is_long) const;
+
+    // How long the daemon may take for the question before it counts as failed.
+    milliseconds patience(const std::string& name, base::time_point now,
+                          milliseconds service_time) const;
 
     using question_number = std::uint64_t;
     question_number asked(const std::string& name, base::time_point now, milliseconds service_time);
@@ -35,6 +41,7 @@
 private:
     struct open_question {
         base::time_point asked;
+        base::time_point expected;  // the answer
         milliseconds service_time;
         bool alone;  // nothing else was open: its time tells how far the daemon is
     };
@@ -43,12 +50,14 @@
         base::time_point free_from{};  // when the service is expected to have answered all of these
         base::duration round_trip{0};  // to the daemon, from there to the service, and back
         bool measured = false;
+        int failures = 0;  // in a row
         base::time_point avoid_until{};
     };
 
+    static bool usable(const adviser& one, base::time_point now);
     static base::time_point expected_answer(const adviser& one, base::time_point now,
                                             milliseconds service_time);
-    std::set<std::string> usable(base::time_point now) const;
+    std::set<std::string> usable_names(base::time_point now) const;
     // Of these the nearest, which long questions leave alone.
     std::set<std::string> kept_for_short(const std::set<std::string>& names) const;
 
--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -42,6 +42,9 @@
     milliseconds takeover_of_refusing_after{550};
     // The same when several questions in a row were not answered: two renewals have been missed.
     milliseconds takeover_of_silent_after{900};
+    // Between two readings the row counts as unchanged for so long: a change would have been told
+    // at once, and a taker's write has the condition that there was none.
+    milliseconds between_readings{700};
 };
 
 class ownership {
--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -120,11 +120,9 @@
     step_ref step;
     std::vector<vm_id> vms;
     milliseconds service_time{0};  // that the adviser is said to need for it
+    bool is_long = false;          // it should not be asked where short ones would wait for it
 };
 
-// Questions longer than this are not asked where short ones would have to wait for them.
-constexpr milliseconds long_question{100};
-
 // How many questions may be asked at once, and how many of them may be long.
 struct adviser_room {
     int questions = 0;
--- a/packages/fleet/src/advice.cpp
+++ b/packages/fleet/src/advice.cpp
@@ -6,6 +6,7 @@
 
 namespace cranberrydock::fleet {
 
+using detail::least_named;
 using detail::open_step;
 using detail::placing_round;
 using detail::vm_record;
@@ -13,7 +14,6 @@
 namespace {
 
 constexpr std::size_t most_named = 100;  // the adviser takes no more
-constexpr std::size_t least_named = 6;
 // Room named over what is needed, for what others take meanwhile. A gang needs its room at once.
 constexpr double spare_room = 1.5;
 constexpr double spare_room_of_gangs = 2.5;
@@ -39,6 +39,11 @@
 
 }  // namespace
 
+bool scheduler::state::asks_long(const advice_cost& cost) const {
+    constexpr int times_the_shortest = 3;
+    return detail::cost_of(cost, least_named) > shortest_question * times_the_shortest;
+}
+
 std::optional<advice_question> scheduler::state::question_for(open_step& work,
                                                               const placing_round& round,
                                                               const moment& now) {
@@ -49,6 +54,7 @@
     const step_spec& spec = *step.spec;
     const auto waiting = std::count_if(step.tasks.begin(), step.tasks.end(),
                                        [](const auto& it) { return !it.done && it.vm == nullptr; });
+    const bool is_long = asks_long(*work.advice);
     std::vector<candidate> candidates;
     for (vm_record* const vm : round.usable) {
         const auto granted = step.grants.find(vm->number);
@@ -58,11 +64,11 @@
             continue;
         }
         std::int64_t n =
-            std::min<std::int64_t>(tasks_fitting(spec.need, vm->free_to_name()), waiting);
+            std::min<std::int64_t>(tasks_fitting(spec.need, vm->free_to_name(is_long)), waiting);
         if (spec.max_per_vm > 0) {
             n = std::min<std::int64_t>(n, spec.max_per_vm);
         }
-        candidates.push_back({vm, n, known, vm->free_to_name().cores.value()});
+        candidates.push_back({vm, n, known, vm->free_to_name(is_long).cores.value()});
     }
     // VMs granted before are granted again; then those with room, the fullest of them for small
     // steps, so that wide gangs find room elsewhere.
@@ -107,8 +113,8 @@
                                  tasks * static_cast<double>(spec.need.memory.value()))),
                              {},
                              {}};
-        candidates[i].vm->asked_for += room;
-        expectations[out.step].push_back({candidates[i].vm->number, room});
+        candidates[i].vm->asked_for(is_long) += room;
+        expectations[out.step].push_back({candidates[i].vm->number, room, is_long});
     }
     return out;
 }
@@ -120,7 +126,7 @@
     }
     for (const auto& it : found->second) {
         if (vm_record* const vm = vm_numbers[it.vm]) {
-            vm->asked_for -= it.room;
+            vm->asked_for(it.is_long) -= it.room;
         }
     }
     expectations.erase(found);
--- a/packages/fleet/src/adviser_choice.cpp
+++ b/packages/fleet/src/adviser_choice.cpp
@@ -14,7 +14,13 @@
 constexpr std::size_t most_open_short = 8;
 // One daemon in so many is kept for short questions.
 constexpr std::size_t daemons_per_kept = 6;
-constexpr milliseconds avoid_after_failure{1'500};
+// An answer that is late by so much, or by the question's own service time, is overdue.
+constexpr milliseconds overdue_after{250};
+// Avoided for so long after a failure, twice as long after each further one, at most so many times.
+constexpr milliseconds avoid_after_failure{500};
+constexpr int most_doublings = 5;
+// A question is given up after this and twice the time that it is expected to take.
+constexpr milliseconds least_patience{400};
 constexpr int smoothing = 4;  // how many answers the round trip follows
 
 }  // namespace
@@ -28,10 +34,19 @@
     }
 }
 
-std::set<std::string> adviser_choice::usable(base::time_point now) const {
+bool adviser_choice::usable(const adviser& one, base::time_point now) {
+    if (now < one.avoid_until || (one.failures > 0 && !one.open.empty())) {
+        return false;
+    }
+    return std::none_of(one.open.begin(), one.open.end(), [now](const auto& it) {
+        return now > it.second.expected + std::max(overdue_after, it.second.service_time);
+    });
+}
+
+std::set<std::string> adviser_choice::usable_names(base::time_point now) const {
     std::set<std::string> out;
     for (const auto& it : advisers_) {
-        if (now >= it.second.avoid_until) {
+        if (usable(it.second, now)) {
             out.insert(it.first);
         }
     }
@@ -42,9 +57,11 @@
     std::vector<std::pair<base::duration, std::string>> by_distance;
     by_distance.reserve(names.size());
     for (const auto& it : names) {
-        by_distance.emplace_back(advisers_.at(it).round_trip, it);
+        if (advisers_.at(it).failures == 0) {
+            by_distance.emplace_back(advisers_.at(it).round_trip, it);
+        }
     }
-    const auto kept = static_cast<std::ptrdiff_t>(names.size() / daemons_per_kept);
+    const auto kept = static_cast<std::ptrdiff_t>(by_distance.size() / daemons_per_kept);
     std::partial_sort(by_distance.begin(), by_distance.begin() + kept, by_distance.end());
     std::set<std::string> out;
     for (auto it = by_distance.begin(); it != by_distance.begin() + kept; ++it) {
@@ -54,13 +71,15 @@
 }
 
 adviser_room adviser_choice::room(base::time_point now) const {
-    const auto names = usable(now);
+    const auto names = usable_names(now);
     const auto kept = kept_for_short(names);
     adviser_room out;
     for (const auto& it : names) {
         const std::size_t open = advisers_.at(it).open.size();
         const bool is_kept = kept.count(it) > 0;
-        const std::size_t most = is_kept ? most_open_short : most_open;
+        const std::size_t most = advisers_.at(it).failures > 0 ? 1
+                                 : is_kept                     ? most_open_short
+                                                               : most_open;
         const int n = static_cast<int>(most - std::min(most, open));
         out.questions += n;
         out.long_questions += is_kept ? 0 : n;
@@ -74,10 +93,10 @@
     return std::max(now + one_way, one.free_from) + service_time + one_way;
 }
 
-std::string adviser_choice::choose(base::time_point now, milliseconds service_time) const {
+std::string adviser_choice::choose(base::time_point now, milliseconds service_time,
+                                   bool is_long) const {
     CRANBERRYDOCK_CHECK(!advisers_.empty(), "at least one daemon that can ask");
-    const auto names = usable(now);
-    const bool is_long = service_time > long_question;
+    const auto names = usable_names(now);
     const auto kept = is_long ? kept_for_short(names) : std::set<std::string>{};
     const auto best_of = [&](const auto& allowed) {
         auto best = advisers_.end();
@@ -98,11 +117,18 @@
     return best->first;
 }
 
+milliseconds adviser_choice::patience(const std::string& name, base::time_point now,
+                                      milliseconds service_time) const {
+    const auto expected = expected_answer(advisers_.at(name), now, service_time) - now;
+    return std::chrono::duration_cast<milliseconds>(expected * 2) + least_patience;
+}
+
 adviser_choice::question_number adviser_choice::asked(const std::string& name, base::time_point now,
                                                       milliseconds service_time) {
     adviser& one = advisers_.at(name);
+    const auto expected = expected_answer(one, now, service_time);
+    one.open[++last_question_] = {now, expected, service_time, one.open.empty()};
     one.free_from = std::max(now + one.round_trip / 2, one.free_from) + service_time;
-    one.open[++last_question_] = {now, service_time, one.open.empty()};
     return last_question_;
 }
 
@@ -123,9 +149,15 @@
         one.free_from = now;
     }
     if (!worked) {
-        one.avoid_until = now + avoid_after_failure;
+        // Questions that were open together fail together.
+        if (now >= one.avoid_until) {
+            one.avoid_until =
+                now + avoid_after_failure * (1 << std::min(one.failures, most_doublings));
+            ++one.failures;
+        }
         return;
     }
+    one.failures = 0;
     if (what.alone) {
         const base::duration beyond =
             std::max<base::duration>(base::duration{0}, now - what.asked - what.service_time);
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cranberrydock::fleet {
 
 using nlohmann::json;
@@ -107,7 +109,11 @@
                 : record_.run == silent_run_ ? settings_.takeover_of_silent_after
                                              : settings_.takeover_after;
     }
-    if (!unchanged_since_ || !unchanged_until_ || *unchanged_until_ - *unchanged_since_ < wait) {
+    if (!unchanged_since_ || !unchanged_until_) {
+        return step::nothing;
+    }
+    const auto until = std::min(now, *unchanged_until_ + settings_.between_readings);
+    if (until - *unchanged_since_ < wait) {
         return step::nothing;
     }
     writing_ = true;
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -14,15 +14,9 @@
 
 namespace {
 
-constexpr std::size_t least_named = 6;  // VMs, by which a question is judged long
 // Questions are asked for work that can be placed now or soon: for so much more than is free.
 constexpr double lookahead_share = 0.25;
 
-milliseconds cost_of(const advice_cost& cost, std::size_t vms) {
-    return cost.per_question +
-           std::chrono::duration_cast<milliseconds>(cost.per_vm * static_cast<std::int64_t>(vms));
-}
-
 }  // namespace
 
 bool scheduler::state::usable(const vm_record& vm, const moment& now) const {
@@ -242,13 +236,14 @@
 
 void scheduler::state::ask_for(open_step& work, placing_round& round, const moment& now,
                                decisions& out) {
-    const bool is_long = cost_of(*work.advice, least_named) > long_question;
+    const bool is_long = asks_long(*work.advice);
     int& room = is_long ? round.advisers.long_questions : round.advisers.questions;
     if (room <= 0 || round.ahead <= 0 || work.step->question_open) {
         return;
     }
     if (auto question = question_for(work, round, now)) {
-        question->service_time = cost_of(*work.advice, question->vms.size());
+        question->is_long = is_long;
+        question->service_time = detail::cost_of(*work.advice, question->vms.size());
         work.step->question_open = true;
         work.step->last_question = now.steady;
         out.questions.push_back(std::move(*question));
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -3,6 +3,8 @@
 
 #include "scheduler_state.hpp"
 
+#include <algorithm>
+
 namespace cranberrydock::fleet {
 
 scheduler::scheduler(fence owner, const scheduler_settings& settings, base::metrics& metrics)
@@ -13,8 +15,13 @@
 void scheduler::configure(std::shared_ptr<const fleet_configuration> configuration) {
     state_->configuration = std::move(configuration);
     state_->queues.clear();
+    state_->shortest_question = milliseconds::max();
     for (const auto& it : state_->configuration->queues) {
         state_->queues[it.name] = &it;
+        if (it.advice) {
+            state_->shortest_question = std::min(state_->shortest_question,
+                                                 detail::cost_of(*it.advice, detail::least_named));
+        }
     }
     for (const auto& it : state_->jobs) {
         it.second->queue = state_->find_queue(it.second->spec.queue);
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -61,8 +61,10 @@
     bool reachable = true;
     std::map<task_ref, placed_run> runs;
     resources used;  // the sum over `runs`
-    // What steps whose questions name this VM are expected to take of it, if it is granted.
-    resources asked_for;
+    // What steps whose questions name this VM are expected to take of it, if it is granted; those
+    // with short questions and those with long ones.
+    resources asked_for_by_short;
+    resources asked_for_by_long;
     end_number last_end;
     std::deque<unsaved_end> unsaved;
     time_point avoid_until{};  // quarantine, or the VM had no room though there should have been
@@ -70,14 +72,27 @@
     std::set<job_id> failed_jobs;
 
     resources free() const { return facts.capacity - used; }
-    // For steps that have not asked yet: two that count on the same room would find it taken.
-    resources free_to_name() const { return facts.capacity - used - asked_for; }
+    // For steps that have not asked yet: two that count on the same room would find it taken. Short
+    // questions are urgent work's, which does not wait for what long ones may need later.
+    resources free_to_name(bool is_long) const {
+        const resources left = facts.capacity - used - asked_for_by_short;
+        return is_long ? left - asked_for_by_long : left;
+    }
+    resources& asked_for(bool is_long) { return is_long ? asked_for_by_long : asked_for_by_short; }
 };
 
+constexpr std::size_t least_named = 6;  // VMs, in a question to the adviser
+
+inline milliseconds cost_of(const advice_cost& cost, std::size_t vms) {
+    return cost.per_question +
+           std::chrono::duration_cast<milliseconds>(cost.per_vm * static_cast<std::int64_t>(vms));
+}
+
 // What an open question expects of one of the VMs that it names.
 struct expectation {
     std::size_t vm = 0;  // its number
     resources room;
+    bool is_long = false;
 };
 
 struct grant {
@@ -182,6 +197,7 @@
     std::shared_ptr<const fleet_configuration> configuration =
         std::make_shared<fleet_configuration>();
     std::unordered_map<queue_name, const queue_config*> queues;  // of `configuration`
+    milliseconds shortest_question{0};                           // of its queues
     std::unordered_map<vm_id, std::unique_ptr<detail::vm_record>> vms;
     std::vector<detail::vm_record*> vm_numbers;  // null for those that are gone
     std::unordered_map<job_id, std::unique_ptr<detail::job_record>> jobs;
@@ -219,6 +235,8 @@
     void stop_runs_of(detail::job_record& job, const std::string& reason);
     void stop_step(const step_ref& where, detail::step_state& step, const std::string& reason);
     const queue_config* find_queue(const queue_name& name) const;
+    // Whether the shortest questions should not have to wait for such ones.
+    bool asks_long(const advice_cost& cost) const;
     const std::vector<milliseconds>& chains_of(detail::job_record& job, const moment& now);
     void forget_ended();
 
--- a/packages/steward/src/adviser_pool.cpp
+++ b/packages/steward/src/adviser_pool.cpp
@@ -8,8 +8,6 @@
 namespace cranberrydock::steward {
 namespace {
 
-// A question is given up after its service time twice and this, which covers those before it.
-constexpr base::milliseconds waiting_time{1'800};
 const char* const own_name = "";
 
 }  // namespace
@@ -30,24 +28,24 @@
 
 void adviser_pool::ask(const fleet::advice_question& question, const fleet::advice_done& done) {
     const auto now = clock_.now();
-    const std::string name = choice_.choose(now, question.service_time);
+    const std::string name = choice_.choose(now, question.service_time, question.is_long);
+    const auto patience = choice_.patience(name, now, question.service_time);
     const auto number = choice_.asked(name, now, question.service_time);
     const auto through = peers_.find(name);
     fleet::placement_adviser& calls = through == peers_.end() ? own_ : *through->second;
-    calls.ask(question, waiting_time + question.service_time * 2,
-              lifetime_.guard([this, name, number, now, done](const auto& answer) {
-                  const auto later = clock_.now();
-                  const auto took = std::chrono::duration_cast<base::milliseconds>(later - now);
-                  metrics_.observe("cranberrydock_advice_ms", "",
-                                   static_cast<double>(took.count()));
-                  choice_.answered(name, number, later, answer.has_value());
-                  if (!answer) {
-                      spdlog::info("event=adviser_failed through={} reason={} took_ms={}",
-                                   name.empty() ? "self" : name, fleet::to_string(answer.error()),
-                                   took.count());
-                  }
-                  done(answer);
-              }));
+    calls.ask(
+        question, patience, lifetime_.guard([this, name, number, now, done](const auto& answer) {
+            const auto later = clock_.now();
+            const auto took = std::chrono::duration_cast<base::milliseconds>(later - now);
+            metrics_.observe("cranberrydock_advice_ms", "", static_cast<double>(took.count()));
+            choice_.answered(name, number, later, answer.has_value());
+            if (!answer) {
+                spdlog::info("event=adviser_failed through={} reason={} took_ms={}",
+                             name.empty() ? "self" : name, fleet::to_string(answer.error()),
+                             took.count());
+            }
+            done(answer);
+        }));
 }
 
 }  // namespace cranberrydock::steward
--- a/test/correctness/short_questions_do_not_wait_behind_long_ones.cpp
+++ b/test/correctness/short_questions_do_not_wait_behind_long_ones.cpp
@@ -34,13 +34,15 @@
 struct outcome {
     std::vector<base::duration> short_times;
     std::vector<base::duration> long_times;
+    int asked_in_vain = 0;  // of a daemon that is silent
 };
 
 using chooser =
     std::function<std::string(fleet::adviser_choice&, base::time_point, base::milliseconds)>;
 
 // Plays the load; a question is dropped where there is no room for it, as the scheduler would wait.
-outcome play(const chooser& choose, std::uint32_t seed) {
+// From its `silent_from`th second on the nearest daemon answers nothing.
+outcome play(const chooser& choose, std::uint32_t seed, int silent_from = played_s) {
     std::mt19937 random(seed);
     std::map<std::string, daemon_model> daemons;
     std::set<std::string> names;
@@ -51,35 +53,43 @@
     }
     fleet::adviser_choice choice;
     choice.set_advisers(names);
+    const base::time_point begin{std::chrono::seconds(100)};
 
     struct answer {
         base::time_point at;
         std::string name;
         fleet::adviser_choice::question_number question;
+        bool worked;
     };
     std::vector<answer> under_way;
     outcome out;
     const auto ask = [&](base::time_point now, base::milliseconds service) {
         const auto room = choice.room(now);
-        const bool is_long = service > fleet::long_question;
+        const bool is_long = service == long_service;
         if ((is_long ? room.long_questions : room.questions) <= 0) {
             return;
         }
         const std::string name = choose(choice, now, service);
+        const bool silent = name == "d0" && now >= begin + std::chrono::seconds(silent_from);
+        const auto patience = choice.patience(name, now, service);
         const auto question = choice.asked(name, now, service);
+        if (silent) {
+            ++out.asked_in_vain;
+            under_way.push_back({now + patience, name, question, false});
+            return;
+        }
         daemon_model& through = daemons[name];
         through.free_from = std::max(through.free_from, now + through.round_trip / 2) + service;
         const auto at = through.free_from + through.round_trip / 2;
-        under_way.push_back({at, name, question});
+        under_way.push_back({at, name, question, true});
         (is_long ? out.long_times : out.short_times).push_back(at - now);
     };
-    const base::time_point begin{std::chrono::seconds(100)};
     constexpr int ms_per_s = 1'000;
     for (int ms = 0; ms < played_s * ms_per_s; ++ms) {
         const auto now = begin + base::milliseconds(ms);
         for (auto it = under_way.begin(); it != under_way.end();) {
             if (it->at <= now) {
-                choice.answered(it->name, it->question, now, true);
+                choice.answered(it->name, it->question, now, it->worked);
                 it = under_way.erase(it);
             } else {
                 ++it;
@@ -104,8 +114,10 @@
 TEST(adviser_choice, urgent_questions_are_answered_in_time) {
     constexpr std::uint32_t seed = 20261204;
     SCOPED_TRACE("seed " + std::to_string(seed));
-    const auto played = play(
-        [](auto& choice, auto now, auto service) { return choice.choose(now, service); }, seed);
+    const auto played =
+        play([](auto& choice, auto now,
+                auto service) { return choice.choose(now, service, service == long_service); },
+             seed);
     ASSERT_GT(played.short_times.size(), std::size_t{short_per_s * played_s * 9 / 10});
     ASSERT_GT(played.long_times.size(), std::size_t{long_per_s * played_s * 9 / 10});
     EXPECT_LT(percentile(played.short_times, 0.99), short_bound);
@@ -131,15 +143,31 @@
     EXPECT_GT(percentile(played.short_times, 0.99), short_bound);
 }
 
+TEST(adviser_choice, a_daemon_that_falls_silent_costs_few_questions) {
+    constexpr std::uint32_t seed = 20261204;
+    constexpr int silent_from = 5;
+    const auto played =
+        play([](auto& choice, auto now,
+                auto service) { return choice.choose(now, service, service == long_service); },
+             seed, silent_from);
+    // What is open when it falls silent or comes before that shows, and now and then one.
+    constexpr int most_in_vain = 100;
+    EXPECT_LT(played.asked_in_vain, most_in_vain);
+    EXPECT_LT(percentile(played.short_times, 0.99), short_bound);
+}
+
 TEST(adviser_choice, a_daemon_that_failed_is_left_alone_for_a_while) {
     fleet::adviser_choice choice;
     choice.set_advisers({"a", "b"});
     base::time_point now{std::chrono::seconds(100)};
-    const auto first = choice.choose(now, short_service);
+    const auto first = choice.choose(now, short_service, false);
     choice.answered(first, choice.asked(first, now, short_service), now, false);
-    EXPECT_NE(choice.choose(now, short_service), first);
+    EXPECT_NE(choice.choose(now, short_service, false), first);
+    // Then a single question tells whether it works again.
     now += std::chrono::seconds(10);
-    EXPECT_EQ(choice.room(now).questions, choice.room(now).long_questions);
+    EXPECT_EQ(choice.room(now).questions, 3);
+    choice.answered(first, choice.asked(first, now, short_service), now, true);
+    EXPECT_EQ(choice.room(now).questions, 4);
 }
 
 TEST(adviser_choice, daemons_come_and_go) {
@@ -149,7 +177,7 @@
     const auto question = choice.asked("b", now, long_service);
     choice.set_advisers({"a"});
     choice.answered("b", question, now, true);
-    EXPECT_EQ(choice.choose(now, short_service), "a");
+    EXPECT_EQ(choice.choose(now, short_service, false), "a");
     choice.set_advisers({"a", "b"});
     choice.answered("b", question, now, true);  // of its earlier life
     EXPECT_EQ(choice.room(now).questions, 4);
--- a/test/correctness/the_fleet_changes_owners_safely.cpp
+++ b/test/correctness/the_fleet_changes_owners_safely.cpp
@@ -69,6 +69,22 @@
     EXPECT_EQ(one.next(now), ownership::step::acquire);
 }
 
+TEST_F(follower, counts_the_time_between_two_readings_up_to_a_limit) {
+    read(held_by("vm-2", "7"), 1);
+    one.holder_silent("7");
+    pass(settings.between_readings);
+    EXPECT_EQ(one.next(now), ownership::step::nothing);
+    one.row_unchanged(now);
+    pass(settings.takeover_of_silent_after - settings.between_readings);
+    EXPECT_EQ(one.next(now), ownership::step::acquire);
+
+    ownership cut_off("vm-1", "100", settings);
+    cut_off.row_read(held_by("vm-2", "7"), fleet::store_version(1), now);
+    cut_off.holder_silent("7");
+    pass(std::chrono::seconds(60));
+    EXPECT_EQ(cut_off.next(now), ownership::step::nothing);
+}
+
 TEST_F(follower, takes_a_free_row_and_its_own_earlier_runs_at_once) {
     read(held_by("", "7"), 1);
     EXPECT_EQ(one.next(now), ownership::step::acquire);
