test: a randomised soak of real daemons against the stand-in of the platform

Daemons are processes of their own; faults come from outside: connections delayed, reset, silenced, swallowed or cut one way by loopback links (to the store, to each VM, from callers), processes killed, stopped, paused, told to reload and started again, VMs that crash and VM clocks that run 2 % fast or slow, a store that refuses, is silent, loses answers or its history, keys that change. Callers keep their connections open. It checks what callers are told and what VMs see: accepted work ends as it should, refused work has not run, final states stay, no VM is overcommitted, no task runs twice or in two places, a withdrawn key stops working, no daemon ends by itself, a stopped one ends with 0.

Programs that a test starts inherit no descriptors any more: a link could not be opened anew while a daemon held its port.

--- /dev/null
+++ b/test/soak/network.hpp
@@ -0,0 +1,48 @@
+// The loopback network of a soak: links that pass connections on, with faults to order, on a thread
+// of their own.
+#pragma once
+
+#include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/net/event_loop.hpp>
+
+#include "standins/relay.hpp"
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace cranberrydock::soak {
+
+enum class link_fault {
+    delay,       // each way, while it lasts
+    reset,       // open connections are closed
+    silence,     // open connections swallow everything, for good
+    black_hole,  // the same for new ones, while it lasts
+    one_way,     // answers are swallowed, while it lasts
+};
+
+class network {
+public:
+    network();
+    ~network();
+    network(const network&) = delete;
+    network& operator=(const network&) = delete;
+
+    // A link to `target`; connect to what is returned instead.
+    net::endpoint add(const net::endpoint& target);
+    std::size_t size() const { return links_.size(); }
+
+    void begin(std::size_t link, link_fault fault, base::milliseconds delay);
+    void end(std::size_t link);
+
+private:
+    void on_loop(const std::function<void()>& action);
+
+    net::event_loop loop_;
+    base::monotonic_clock clock_;
+    std::vector<std::unique_ptr<standins::relay_link>> links_;  // used on the loop's thread only
+    std::thread thread_;
+};
+
+}  // namespace cranberrydock::soak
--- a/test/standins/fleet_crew.cpp
+++ b/test/standins/fleet_crew.cpp
@@ -38,6 +38,14 @@
     return ntohs(bound.sin_port);
 }
 
+// An address that no other test of this machine uses at the same time.
+std::string address_of_daemon(int number) {
+    constexpr int values = 250;
+    const int pid = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + pid / values % values) + "." +
+           std::to_string(1 + pid % values) + "." + std::to_string(number + 1);
+}
+
 net::http_method method_of(const std::string& word) {
     if (word == "POST") {
         return net::http_method::post;
@@ -73,7 +81,7 @@
     site_->put("op", "config", configuration(1, false));
     for (int i = 0; i < daemons; ++i) {
         auto one = std::make_unique<member>();
-        const std::string address = "127.0.0." + std::to_string(i + 1);
+        const std::string address = address_of_daemon(i);
         one->name = "edge-" + std::to_string(i);
         one->callers = {address, free_port(address)};
         one->readiness = {address, free_port(address)};
@@ -92,7 +100,9 @@
             {"bounds", {{"holdMaxMs", 6000}, {"graceS", 6}, {"status_s", 120}}},
             {"advice", site_->adviser().text()},
             {"platform",
-             {{"address", site_->store().text()}, {"writesPerS", 600}, {"partWritesPerS", 200}}}};
+             {{"address", (plan.through ? plan.through(site_->store()) : site_->store()).text()},
+              {"writesPerS", 600},
+              {"partWritesPerS", 200}}}};
         std::ofstream(one->settings_file) << settings.dump();
         members_.push_back(std::move(one));
     }
@@ -120,6 +130,19 @@
     members_[static_cast<std::size_t>(daemon)]->running->signal(SIGTERM);
 }
 
+void fleet_crew::signal(int daemon, int number) {
+    members_[static_cast<std::size_t>(daemon)]->running->signal(number);
+}
+
+std::optional<int> fleet_crew::ended(int daemon) {
+    return members_[static_cast<std::size_t>(daemon)]->running->wait_until_ended(
+        base::milliseconds(0));
+}
+
+const net::endpoint& fleet_crew::callers_of(int daemon) const {
+    return members_[static_cast<std::size_t>(daemon)]->callers;
+}
+
 std::optional<int> fleet_crew::wait_until_ended(int daemon) {
     return members_[static_cast<std::size_t>(daemon)]->running->wait_until_ended(end_timeout);
 }
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -39,6 +39,11 @@
     tl::expected<fleet::vm_report, fleet::order_failure> watch(fleet::fence owner,
                                                                const fleet::watch_order& order);
 
+    // Ends that no owner has acknowledged.
+    const std::vector<fleet::task_end>& unacknowledged() const { return ends_; }
+    // Whether its leases have run out.
+    bool lapsed() const { return now_ > lease_; }
+
     void advance(base::milliseconds by);
     // Loses everything and comes back as another incarnation.
     void crash();
--- a/test/standins/process.cpp
+++ b/test/standins/process.cpp
@@ -46,6 +46,8 @@
     dup2(output_fd, STDOUT_FILENO);
     append_to(what.output_file.c_str(), STDOUT_FILENO);
     append_to(what.log_file.c_str(), STDERR_FILENO);
+    // A listening socket of the test's that lived on in the program could not be opened anew.
+    syscall(SYS_close_range, STDERR_FILENO + 1, ~0U, 0);
     execv(path, arguments);
     _exit(exit_cannot_start);
 }
--- a/test/standins/relay.cpp
+++ b/test/standins/relay.cpp
@@ -108,13 +108,15 @@
         link.silence();
     } else if (action == "black_hole") {
         link.black_hole();
+    } else if (action == "one_way") {
+        link.one_way();
     } else if (action == "restore") {
         link.restore();
     } else if (action == "delay") {
         link.set_delay(base::milliseconds{in.value("ms", 0)});
     } else {
         throw bad_request(
-            "expected \"action\" to be one of target cut silence black_hole restore delay");
+            "expected \"action\" to be one of target cut silence black_hole one_way restore delay");
     }
 }
 
--- a/test/standins/relay.hpp
+++ b/test/standins/relay.hpp
@@ -8,7 +8,8 @@
 //     cut        closes every connection and refuses new ones
 //     silence    open connections swallow everything, for good; new ones work
 //     black_hole as silence, and new ones are accepted and swallow everything, too
-//     restore    ends cut and black_hole; what has been silenced stays so
+//     one_way    open and new connections pass on what is sent and swallow every answer
+//     restore    ends cut, black_hole and one_way; what has been silenced stays so
 //     delay      {"ms":30}: each way, for open and new connections
 //   POST /control/bandwidth  {"bytes_per_second":3750000}: shared by all links, each way, for new
 //     connections; 0: unlimited
@@ -53,6 +54,7 @@
     void cut();
     void silence();
     void black_hole();
+    void one_way();
     void restore();
 
     const net::endpoint& listening_on() const { return listen_; }
@@ -72,6 +74,7 @@
     relay_bandwidth bandwidth_;
     base::milliseconds delay_{0};
     bool black_hole_ = false;
+    bool one_way_ = false;
     std::uint64_t next_ = 0;
     std::map<std::uint64_t, std::unique_ptr<relay_connection>> connections_;
     platform::delayed_calls calls_;
--- a/test/standins/relay_connection.cpp
+++ b/test/standins/relay_connection.cpp
@@ -78,7 +78,8 @@
 void relay_connection::on_read(bufferevent* raw, void* self) {
     auto* one = static_cast<relay_connection*>(self);
     std::string bytes = drain(raw);
-    if (one->silent_ || one->closing_) {
+    const bool swallowed = one->swallows_answers_ && raw == one->target_.get();
+    if (one->silent_ || one->closing_ || swallowed) {
         return;
     }
     one->take(raw == one->client_.get() ? one->there_ : one->back_, std::move(bytes));
--- a/test/standins/relay_connection.hpp
+++ b/test/standins/relay_connection.hpp
@@ -61,6 +61,8 @@
 
     // From now on everything is swallowed and nothing is told to either end, for good.
     void silence() { silent_ = true; }
+    // The same for what the target sends only.
+    void swallow_answers() { swallows_answers_ = true; }
 
 private:
     static void on_read(bufferevent* raw, void* self);
@@ -78,6 +80,7 @@
     std::function<void()> closed_;
     base::milliseconds delay_{0};
     bool silent_ = false;
+    bool swallows_answers_ = false;
     bool closing_ = false;
     bufferevent_ptr client_;
     bufferevent_ptr target_;
--- a/test/standins/relay_link.cpp
+++ b/test/standins/relay_link.cpp
@@ -54,6 +54,9 @@
     if (black_hole_) {
         one->silence();
     }
+    if (one_way_) {
+        one->swallow_answers();
+    }
     connections_[number] = std::move(one);
 }
 
@@ -80,8 +83,16 @@
     silence();
 }
 
+void relay_link::one_way() {
+    one_way_ = true;
+    for (auto& it : connections_) {
+        it.second->swallow_answers();
+    }
+}
+
 void relay_link::restore() {
     black_hole_ = false;
+    one_way_ = false;
     if (!listener_) {
         open();
     }
--- a/test/standins/shared_site.cpp
+++ b/test/standins/shared_site.cpp
@@ -146,9 +146,10 @@
             fleet::vm_facts facts;
             facts.id = fleet::vm_id("i-" + std::to_string(number));
             facts.boot = fleet::boot_time(1'000 + number);
-            vm = std::make_unique<fleet_vm>(facts, [this](const auto&, const auto&) {
+            vm = std::make_unique<fleet_vm>(facts, [this](const auto& task, const auto&) {
                 fleet_task_plan out;
                 out.runs_for = site.plan.task_time;
+                out.fails = site.plan.fails && site.plan.fails(task);
                 out.need.cores = base::millicores(1'000);
                 return out;
             });
@@ -159,7 +160,7 @@
             constexpr int memory_mb = 65'536;
             const json row = {
                 {"service", "svc"},
-                {"address", server->listening_on().text()},
+                {"address", site.seen(server->listening_on()).text()},
                 {"zone", "z"},
                 {"version", "v1"},
                 {"slots", 8},
@@ -259,6 +260,7 @@
             base::time_point until;
         };
 
+        double owed_ms = 0;  // of the VM's clock, below a millisecond
         state& site;
         base::monotonic_clock clock;
         std::unique_ptr<net::http_server> server;
@@ -387,6 +389,10 @@
         }
     }
 
+    net::endpoint seen(const net::endpoint& at) const {
+        return plan.through ? plan.through(at) : at;
+    }
+
     void write(const row_id& id, const std::string& value) {
         ++rows.version;
         rows.put(id, base::to_base64(value));
@@ -395,6 +401,7 @@
 
     void judge_start(const vm_port& where, const fleet::task_ref& task) {
         ++start_count;
+        ++starts_of[task.job];
         if (done.count(task) > 0) {
             breaches.push_back("started again after it was done: " + task_name(task));
         }
@@ -412,17 +419,35 @@
         }
     }
 
+    // An end that the owner has not acknowledged counts for nothing once its VM has gone or its
+    // leases have lapsed.
+    void forget_unacknowledged(const vm_port& where) {
+        for (const auto& it : where.vm->unacknowledged()) {
+            done.erase(it.task);
+        }
+    }
+
     void advance() {
-        for (const auto& it : vms) {
-            const auto before = it->vm->running();
-            it->vm->advance(vm_step);
+        for (std::size_t i = 0; i < vms.size(); ++i) {
+            vm_port& port = *vms[i];
+            const double rate =
+                plan.clock_rates.empty() ? 1.0 : plan.clock_rates[i % plan.clock_rates.size()];
+            port.owed_ms += static_cast<double>(vm_step.count()) * rate;
+            const base::milliseconds step(static_cast<std::int64_t>(port.owed_ms));
+            port.owed_ms -= static_cast<double>(step.count());
+            const auto before = port.vm->running();
+            port.vm->advance(step);
             for (const auto& run : before) {
-                const bool ended = it->vm->running().count(run.first) == 0;
-                if (ended && run.second.left <= vm_step) {
+                const bool ended = port.vm->running().count(run.first) == 0;
+                if (ended && run.second.left <= step && !run.second.plan.fails) {
                     done.insert(run.first);
+                    ever_done.insert(run.first);
                 }
             }
-            it->answer_watches();
+            if (port.vm->lapsed()) {
+                forget_unacknowledged(port);
+            }
+            port.answer_watches();
         }
         answer_feeds();
     }
@@ -445,8 +470,10 @@
     std::vector<net::http_responder> unanswered;
     store_mode mode = store_mode::serves;
     int answers_to_lose = 0;
-    std::set<fleet::task_ref> done;
+    std::set<fleet::task_ref> done;       // and may not be started again
+    std::set<fleet::task_ref> ever_done;  // even if nobody had to take note of it
     std::vector<std::string> breaches;
+    std::map<fleet::job_id, int> starts_of;
     int start_count = 0;
     int call_count = 0;
     int watch_count = 0;
@@ -496,6 +523,7 @@
 void shared_site::crash_vm(int index) {
     on_loop([&] {
         auto& port = *state_->vms[static_cast<std::size_t>(index)];
+        state_->forget_unacknowledged(port);
         port.vm->crash();
         port.announce();
     });
@@ -523,6 +551,23 @@
     return out;
 }
 
+shared_site::job_facts shared_site::facts_of(const fleet::job_id& job) {
+    job_facts out;
+    on_loop([&] {
+        for (const auto& it : state_->ever_done) {
+            out.done += it.job == job ? 1 : 0;
+        }
+        for (const auto& vm : state_->vms) {
+            for (const auto& it : vm->vm->running()) {
+                out.running += it.first.job == job ? 1 : 0;
+            }
+        }
+        const auto starts = state_->starts_of.find(job);
+        out.starts = starts == state_->starts_of.end() ? 0 : starts->second;
+    });
+    return out;
+}
+
 int shared_site::starts() {
     int out = 0;
     on_loop([&] { out = state_->start_count; });
--- a/test/standins/shared_site.hpp
+++ b/test/standins/shared_site.hpp
@@ -3,6 +3,7 @@
 // its own; everything is judged.
 #pragma once
 
+#include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
 
@@ -19,6 +20,12 @@
     int vms = 6;
     std::int64_t vm_millicores = 8'000;
     base::milliseconds task_time{300};
+    // How the daemons reach what listens here; empty: directly.
+    std::function<net::endpoint(const net::endpoint&)> through;
+    // Whether each run of the task fails; empty: none does.
+    std::function<bool(const fleet::task_ref&)> fails;
+    // Of the VMs' clocks, in turn: how fast they run. Empty: all at 1.
+    std::vector<double> clock_rates;
 };
 
 enum class store_mode {
@@ -48,6 +55,13 @@
     // Value of a row; empty when there is none. Parts are looked through.
     std::string row(const std::string& table, const std::string& key);
     std::vector<std::string> breaches();
+    // Of one job: tasks that have ended done, that run now, and starts of any.
+    struct job_facts {
+        int done = 0;
+        int running = 0;
+        int starts = 0;
+    };
+    job_facts facts_of(const fleet::job_id& job);
     int starts();
     int store_calls();
     int watches();
