steward: work for a label that no VM has is refused at once; dropped log lines are counted on /metrics

The owner's row now tells the labels that VMs have had, once the members have been read; entries refuse other labels with can_never_fit. The count of log lines that the writing thread dropped had no reader.

Test: a_fleet_serves_its_callers.refusals_have_their_status_and_reason.

--- a/packages/fleet/include/cranberrydock/fleet/adviser_choice.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/adviser_choice.hpp
@@ -42,8 +42,8 @@
     struct open_question {
         base::time_point asked;
         base::time_point expected;  // the answer
-        milliseconds service_time;
-        bool alone;  // nothing else was open: its time tells how far the daemon is
+        milliseconds service_time{0};
+        bool alone = false;  // nothing else was open: its time tells how far the daemon is
     };
     struct adviser {
         std::map<question_number, open_question> open;
--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace cranberrydock::fleet {
@@ -27,8 +28,9 @@
     std::map<queue_name, std::int64_t> waiting_jobs;
     // Queues in which new work could not be served any more, and for how long that will last.
     std::map<queue_name, milliseconds> overloaded;
-    // The largest VM, and each label that a VM has: what never fits is refused at once.
+    // The largest VM, and each label that a VM has had: what never fits is refused at once.
     resources largest_vm;
+    std::set<vm_label> labels;
 };
 
 std::string encode_owner(const owner_record& record);
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -18,7 +18,12 @@
     for (const auto& it : record.overloaded) {
         overloaded[it.first.str()] = it.second.count();
     }
+    json labels = json::array();
+    for (const auto& it : record.labels) {
+        labels.push_back(it.str());
+    }
     const json out = {{"holder", record.holder},
+                      {"labels", std::move(labels)},
                       {"run", record.run},
                       {"fence", record.owner.value()},
                       {"waiting", std::move(waiting)},
@@ -43,6 +48,9 @@
         for (const auto& it : from.at("overloaded_ms").items()) {
             out.overloaded[queue_name(it.key())] = milliseconds(it.value().get<std::int64_t>());
         }
+        for (const auto& it : from.value("labels", json::array())) {
+            out.labels.insert(vm_label(it.get<std::string>()));
+        }
         out.largest_vm.cores = base::millicores(from.value("largest_cores", std::int64_t{0}));
         out.largest_vm.memory = base::mebibytes(from.value("largest_memory", std::int64_t{0}));
         out.largest_vm.accelerators =
--- a/packages/steward/src/entry.cpp
+++ b/packages/steward/src/entry.cpp
@@ -101,6 +101,11 @@
         if (owner.largest_vm.cores.value() > 0 && !fits(it.need, owner.largest_vm)) {
             return not_run(refusal_reason::can_never_fit, "a task needs more than any VM has");
         }
+        if (!it.required_label.empty() && !owner.labels.empty() &&
+            owner.labels.count(it.required_label) == 0) {
+            return not_run(refusal_reason::can_never_fit,
+                           "no VM has the label " + it.required_label.str());
+        }
     }
     const auto overload = owner.overloaded.find(who.queue->name);
     if (overload != owner.overloaded.end() && view_.owner_age() < oldest_figures) {
--- a/packages/steward/src/owner_loading.cpp
+++ b/packages/steward/src/owner_loading.cpp
@@ -180,6 +180,7 @@
         return;
     }
     largest_vm = max_of(largest_vm, facts->capacity);
+    labels.insert(facts->labels.begin(), facts->labels.end());
     scheduler.vm_seen(*facts);
     auto& session = sessions[id];
     if (session) {
--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -98,6 +98,7 @@
     std::map<fleet::vm_id, std::unique_ptr<vm_session>> sessions;
     std::vector<std::unique_ptr<vm_session>> ended_sessions;  // destroyed at the next decision
     fleet::resources largest_vm;
+    std::set<fleet::vm_label> labels;  // that any VM has had
 
     detail::rows_listener job_rows;
     detail::rows_listener member_rows;
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -171,10 +171,9 @@
     const auto known = state_->scheduler.status_of(job);
     if (!known || !state_->rights.may_order()) {
         done(std::nullopt);
-    } else if (known->state == fleet::job_state::cancelled) {
-        done(known_status{known->customer, known->state});  // its row says so already
-    } else if (is_final(known->state)) {
-        // Told when the end is durable: another owner must not say otherwise.
+    } else if (is_final(known->state) && known->state != fleet::job_state::cancelled) {
+        // Told when the end is durable: another owner must not say otherwise. The row of a
+        // cancelled job says so already.
         state_->waiting_callers[job].push_back({done, state_->clock.now()});
     } else {
         done(known_status{known->customer, known->state});
@@ -184,6 +183,9 @@
 void owner_task::describe(fleet::owner_record& record) const {
     record.waiting_jobs = state_->scheduler.jobs_not_started();
     record.largest_vm = state_->largest_vm;
+    if (state_->members_known) {
+        record.labels = state_->labels;
+    }
 }
 
 }  // namespace cranberrydock::steward
--- a/packages/steward/src/peer_calls.cpp
+++ b/packages/steward/src/peer_calls.cpp
@@ -1,4 +1,5 @@
 // The daemons' calls to each other.
+#include <cranberrydock/base/log.hpp>
 #include <cranberrydock/steward/peer_calls.hpp>
 
 #include "peer_codec.hpp"
@@ -193,6 +194,8 @@
         } else if (request.path == alive_path) {
             respond(ok(""));
         } else if (request.path == metrics_path) {
+            metrics_.set("cranberrydock_log_lines_dropped", "",
+                         static_cast<double>(base::dropped_log_lines()));
             net::http_response out = ok(metrics_.text());
             out.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
             respond(std::move(out));
--- a/packages/steward/src/submission_writer.cpp
+++ b/packages/steward/src/submission_writer.cpp
@@ -212,7 +212,7 @@
 
 // Takes the jobs of one transaction from the queue; those that the owner takes are left out.
 submission_writer::transaction_ptr submission_writer::next_transaction(part_queue& queue) {
-    const auto out = std::make_shared<transaction>();
+    auto out = std::make_shared<transaction>();
     const bool by_owner = others_do_better();
     std::deque<submission_ptr> rest;
     while (!queue.waiting.empty() && out->jobs.size() < most_jobs) {
--- a/test/correctness/a_fleet_serves_its_callers.cpp
+++ b/test/correctness/a_fleet_serves_its_callers.cpp
@@ -64,6 +64,15 @@
         },
         generous));
     EXPECT_EQ(crew.site().starts(), 0);
+    const auto labelled = [&](const std::string& label) {
+        return crew
+            .call(0, "POST", "/urgent/" + job_id_text(++number),
+                  R"({"spec":"x","phases":[{"count":1,"cpu":1000,"memMb":1,"requirements":")" +
+                      label + R"("}]})")
+            .status;
+    };
+    EXPECT_EQ(labelled("nowhere"), 429);
+    EXPECT_EQ(labelled("a"), ok);
 }
 
 TEST_F(fleet_callers, a_cancelled_job_stops) {
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -46,6 +46,7 @@
         return std::uniform_int_distribution<int>(from, to)(random);
     };
     std::vector<double> weights;
+    weights.reserve(kinds.size());
     for (const auto& it : kinds) {
         weights.push_back(it.weight);
     }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -301,7 +301,7 @@
         key_ = "key-" + std::to_string(++version_);
         crew_.site().put("op", "config", fleet_crew::configuration(version_, false, key_));
         for (int i = 0; i < FLAGS_daemons; ++i) {
-            const std::string path = "/urgent/00000000000000e" + std::to_string(i);
+            const std::string path = "/urgent/c00000000000000" + std::to_string(i);
             const nlohmann::json step = {{"count", 2}, {"cpu", 1'000}, {"memMb", 10}};
             const std::string body =
                 nlohmann::json{{"spec", "calm"}, {"phases", nlohmann::json::array({step})}}.dump();
