steward: an entry tells the owner the version of the row that it has written

Its end was saved without a condition, for the store's feed had not yet told the owner the version of the job's row. The commit's answer holds it, so the entry passes it on.

--- a/packages/steward/include/cranberrydock/steward/entry.hpp
+++ b/packages/steward/include/cranberrydock/steward/entry.hpp
@@ -54,7 +54,7 @@
     // Tells the owner of a row that is durable now, if it can be reached. `told` is called when it
     // has heard, or can't be reached in time.
     virtual void tell_owner(const fleet::job_id& job, const std::string& row,
-                            std::function<void()> told) = 0;
+                            fleet::store_version version, std::function<void()> told) = 0;
 };
 
 struct job_accepted {};
--- a/packages/steward/include/cranberrydock/steward/owner_task.hpp
+++ b/packages/steward/include/cranberrydock/steward/owner_task.hpp
@@ -62,7 +62,8 @@
     void earlier_owner_gone();
 
     // A job has been made durable while this owner was known.
-    void job_written(const fleet::job_id& job, const std::string& row);
+    void job_written(const fleet::job_id& job, const std::string& row,
+                     fleet::store_version version);
 
     // Whether the job is known to be in the store, ended or not.
     bool has_read(const fleet::job_id& job) const;
--- a/packages/steward/include/cranberrydock/steward/peer_calls.hpp
+++ b/packages/steward/include/cranberrydock/steward/peer_calls.hpp
@@ -28,6 +28,7 @@
     fleet::fence owner;  // the owner that is meant
     fleet::job_id job;
     std::string row;
+    fleet::store_version version;  // of the row; 0: not known
 };
 
 enum class peer_life {
--- a/packages/steward/include/cranberrydock/steward/submission_writer.hpp
+++ b/packages/steward/include/cranberrydock/steward/submission_writer.hpp
@@ -36,7 +36,12 @@
     unclear,  // may be written now or later
 };
 
-using write_done = std::function<void(write_outcome)>;
+struct write_result {
+    write_outcome outcome = write_outcome::refused;
+    fleet::store_version version;  // of the row that was written; 0: not known
+};
+
+using write_done = std::function<void(const write_result&)>;
 
 // A job that a daemon hands to the owner.
 struct handed_job {
@@ -119,8 +124,8 @@
     // Tries again a little later, if there is time.
     void again(const submission_ptr& one);
     void note_time(base::duration took);
-    void settle(submission& one, write_outcome outcome);
-    static write_outcome failure_of(const submission& one);
+    void settle(submission& one, const write_result& result);
+    static write_result failure_of(const submission& one);
 
     net::event_loop& loop_;
     fleet::row_store& store_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -109,16 +109,17 @@
         }
     }
 
-    void tell_owner(const fleet::job_id& job, const std::string& row,
+    void tell_owner(const fleet::job_id& job, const std::string& row, fleet::store_version version,
                     std::function<void()> told) override {
         const auto& record = ownership.record();
         const auto it = peers.find(record.holder);
         if (!owning && it != peers.end()) {
-            it->second->job_written({record.owner, job, row}, tell_owner_timeout, std::move(told));
+            it->second->job_written({record.owner, job, row, version}, tell_owner_timeout,
+                                    std::move(told));
             return;
         }
         if (owning) {
-            owning->job_written(job, row);
+            owning->job_written(job, row, version);
         }
         told();
     }
@@ -141,16 +142,16 @@
     // peer_services
     void write_job(const handed_job& what, base::milliseconds timeout,
                    const write_done& done) override {
-        callers.write(what, timeout, [this, what, done](write_outcome outcome) {
-            if (owning && outcome == write_outcome::written) {
-                owning->job_written(what.job, what.row);
+        callers.write(what, timeout, [this, what, done](const write_result& result) {
+            if (owning && result.outcome == write_outcome::written) {
+                owning->job_written(what.job, what.row, result.version);
             }
-            done(outcome);
+            done(result);
         });
     }
     void job_written(const written_job& job) override {
         if (owning && job.owner == ownership.record().owner) {
-            owning->job_written(job.job, job.row);
+            owning->job_written(job.job, job.row, job.version);
         }
     }
     fleet::placement_adviser& adviser() override { return own_adviser; }
--- a/packages/steward/src/entry.cpp
+++ b/packages/steward/src/entry.cpp
@@ -151,7 +151,8 @@
     const auto begun = clock_.now();
     const std::string row = encode_job(job);
     const auto written = lifetime_.guard(
-        [this, done, row, id = job.id, queue = job.queue, begun](write_outcome outcome) {
+        [this, done, row, id = job.id, queue = job.queue, begun](const write_result& result) {
+            const write_outcome outcome = result.outcome;
             const auto took = std::chrono::duration_cast<base::milliseconds>(clock_.now() - begun);
             metrics_.observe("cranberrydock_submission_write_ms", "",
                              static_cast<double>(took.count()));
@@ -165,7 +166,7 @@
                     spdlog::info("event=job_accepted job={} queue={} took_ms={}", id.str(),
                                  queue.str(), took.count());
                 }
-                view_.tell_owner(id, row, [] {});
+                view_.tell_owner(id, row, result.version, [] {});
                 done(job_accepted{});
                 return;
             }
@@ -332,7 +333,7 @@
             metrics_.count("cranberrydock_jobs_cancelled_total", "");
             spdlog::info("event=job_cancelled job={}", one->job.str());
             // The caller may ask next what has become of the job: the owner knows by then.
-            view_.tell_owner(one->job, cancelled, lifetime_.guard([one] {
+            view_.tell_owner(one->job, cancelled, *answer, lifetime_.guard([one] {
                 one->done(job_status{fleet::job_state::cancelled});
             }));
             return;
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -149,10 +149,11 @@
     state_->earlier_gone = true;
 }
 
-void owner_task::job_written(const fleet::job_id& job, const std::string& row) {
+void owner_task::job_written(const fleet::job_id& job, const std::string& row,
+                             fleet::store_version version) {
     ++state_->told_count;
     if (state_->jobs_known) {
-        state_->take_job({state_->layout.job_row(job), row, {}, false}, false);
+        state_->take_job({state_->layout.job_row(job), row, version, false}, false);
         state_->wake();
     }
 }
--- a/packages/steward/src/peer_calls.cpp
+++ b/packages/steward/src/peer_calls.cpp
@@ -99,9 +99,9 @@
              [done = std::move(done)](const net::http_result& result) {
                  const bool not_sent =
                      !result && result.error().failure == net::http_failure::not_sent;
-                 done(decoded<write_outcome>(
-                     result, not_sent ? write_outcome::refused : write_outcome::unclear,
-                     detail::decode_outcome));
+                 done(decoded<write_result>(
+                     result, {not_sent ? write_outcome::refused : write_outcome::unclear, {}},
+                     detail::decode_write_result));
              });
     }
 
@@ -188,8 +188,8 @@
             respond(ok(""));
         } else if (request.path == write_path) {
             const auto call = detail::decode_write_call(request.body);
-            services_.write_job(call.what, call.timeout, [respond](write_outcome outcome) {
-                respond(ok(detail::encode(outcome)));
+            services_.write_job(call.what, call.timeout, [respond](const write_result& result) {
+                respond(ok(detail::encode(result)));
             });
         } else if (request.path == alive_path) {
             respond(ok(""));
--- a/packages/steward/src/peer_codec.cpp
+++ b/packages/steward/src/peer_codec.cpp
@@ -197,14 +197,17 @@
 }
 
 std::string encode(const written_job& job) {
-    return to_bytes(
-        {{"fence", job.owner.value()}, {"job", job.job.str()}, {"row", bytes_of(job.row)}});
+    return to_bytes({{"fence", job.owner.value()},
+                     {"job", job.job.str()},
+                     {"row", bytes_of(job.row)},
+                     {"version", job.version.value()}});
 }
 
 written_job decode_written_job(const std::string& body) {
     const json from = json::from_cbor(body);
     return {fleet::fence(from.at("fence").get<std::int64_t>()),
-            fleet::job_id(from.at("job").get<std::string>()), text_of(from.at("row"))};
+            fleet::job_id(from.at("job").get<std::string>()), text_of(from.at("row")),
+            fleet::store_version(from.at("version").get<std::int64_t>())};
 }
 
 std::string encode(const write_call& call) {
@@ -221,17 +224,20 @@
             base::milliseconds(from.at("timeout_ms").get<std::int64_t>())};
 }
 
-std::string encode(write_outcome outcome) {
-    return to_bytes({{"outcome", static_cast<int>(outcome)}});
+std::string encode(const write_result& result) {
+    return to_bytes(
+        {{"outcome", static_cast<int>(result.outcome)}, {"version", result.version.value()}});
 }
 
-write_outcome decode_outcome(const std::string& body) {
-    const int outcome = json::from_cbor(body).at("outcome").get<int>();
+write_result decode_write_result(const std::string& body) {
+    const json from = json::from_cbor(body);
+    const int outcome = from.at("outcome").get<int>();
     if (outcome < 0 || outcome > static_cast<int>(write_outcome::unclear)) {
         throw std::invalid_argument("expected the outcome of a write, found " +
                                     std::to_string(outcome));
     }
-    return static_cast<write_outcome>(outcome);
+    return {static_cast<write_outcome>(outcome),
+            fleet::store_version(from.at("version").get<std::int64_t>())};
 }
 
 std::string encode(const std::optional<known_status>& status) {
--- a/packages/steward/src/peer_codec.hpp
+++ b/packages/steward/src/peer_codec.hpp
@@ -47,8 +47,8 @@
 };
 std::string encode(const write_call& call);
 write_call decode_write_call(const std::string& body);
-std::string encode(write_outcome outcome);
-write_outcome decode_outcome(const std::string& body);
+std::string encode(const write_result& result);
+write_result decode_write_result(const std::string& body);
 
 std::string encode(const std::optional<known_status>& status);
 std::optional<known_status> decode_status(const std::string& body);
--- a/packages/steward/src/submission_writer.cpp
+++ b/packages/steward/src/submission_writer.cpp
@@ -63,7 +63,7 @@
         return;
     }
     if (until - clock_.now() < needed_time()) {
-        done(what.may_be_written ? write_outcome::unclear : write_outcome::refused);
+        done({what.may_be_written ? write_outcome::unclear : write_outcome::refused, {}});
         return;
     }
     const auto one = std::make_shared<submission>();
@@ -89,8 +89,9 @@
                                       [this, one = one.get(), number] { give_up(*one, number); })});
 }
 
-write_outcome submission_writer::failure_of(const submission& one) {
-    return one.may_be_written || one.ways > 0 ? write_outcome::unclear : write_outcome::refused;
+write_result submission_writer::failure_of(const submission& one) {
+    const bool unclear = one.may_be_written || one.ways > 0;
+    return {unclear ? write_outcome::unclear : write_outcome::refused, {}};
 }
 
 // One waiter's time is over.
@@ -99,16 +100,16 @@
     one.waiters[waiter].done = nullptr;
     one.open = std::any_of(one.waiters.begin(), one.waiters.end(),
                            [](const auto& it) { return it.done != nullptr; });
-    const auto outcome = failure_of(one);
+    const auto result = failure_of(one);
     if (!one.open) {
         open_.erase(one.job);  // may destroy it
     }
     if (done) {
-        done(outcome);
+        done(result);
     }
 }
 
-void submission_writer::settle(submission& one, write_outcome outcome) {
+void submission_writer::settle(submission& one, const write_result& result) {
     if (!one.open) {
         return;
     }
@@ -118,7 +119,7 @@
     open_.erase(one.job);
     for (const auto& it : waiters) {
         if (it.done) {
-            it.done(outcome);
+            it.done(result);
         }
     }
 }
@@ -156,15 +157,16 @@
     ++one->ways;
     owner_.write_through_owner(
         {one->job, one->row, elsewhere}, left,
-        lifetime_.guard([this, one, now, number](write_outcome outcome) {
+        lifetime_.guard([this, one, now, number](const write_result& result) {
             handed_.erase(number);
             --one->ways;
-            if (outcome == write_outcome::written || outcome == write_outcome::known) {
+            if (result.outcome == write_outcome::written ||
+                result.outcome == write_outcome::known) {
                 note_time(clock_.now() - now);
-                settle(*one, outcome);
+                settle(*one, result);
                 return;
             }
-            one->may_be_written |= outcome == write_outcome::unclear;
+            one->may_be_written |= result.outcome == write_outcome::unclear;
             again(one);
         }));
     return true;
@@ -222,7 +224,7 @@
             continue;
         }
         if (owner_.has_read(one->job)) {
-            settle(*one, write_outcome::known);
+            settle(*one, {write_outcome::known, {}});
             continue;
         }
         if (one->until - clock_.now() < needed_time()) {
@@ -326,12 +328,12 @@
     }
     for (const auto& it : what->jobs) {
         if (answer) {
-            settle(*it, write_outcome::written);
+            settle(*it, {write_outcome::written, *answer});
         } else if (refused || lost) {
             it->may_be_written |= lost;
             again(it);
         } else if (exists(answer.error().rows, it->job)) {
-            settle(*it, write_outcome::known);
+            settle(*it, {write_outcome::known, {}});
         } else if (it->open && it->ways == 0) {
             parts_[part].waiting.push_back(it);  // another job of the transaction exists
         }
--- a/test/failure/jobs_are_taken_while_the_store_is_slow.cpp
+++ b/test/failure/jobs_are_taken_while_the_store_is_slow.cpp
@@ -72,11 +72,12 @@
                 const fleet::job_id job("job-" + std::to_string(i));
                 auto& taker = *daemons[static_cast<std::size_t>(1 + i % (daemon_count - 1))];
                 const auto sent = clock.now();
-                taker.writer.write(job, "row", sent + patience, [this, job, sent](auto outcome) {
-                    EXPECT_EQ(outcomes.count(job), 0U) << "answered twice";
-                    outcomes[job] = outcome;
-                    EXPECT_LT(clock.now() - sent, patience + base::milliseconds(500));
-                });
+                taker.writer.write(
+                    job, "row", sent + patience, [this, job, sent](const auto& result) {
+                        EXPECT_EQ(outcomes.count(job), 0U) << "answered twice";
+                        outcomes[job] = result.outcome;
+                        EXPECT_LT(clock.now() - sent, patience + base::milliseconds(500));
+                    });
             }));
         }
         submitted += n;
@@ -175,8 +176,8 @@
     int answers = 0;
     for (int i = 0; i < 3; ++i) {
         taker.writer.write(fleet::job_id("same"), "row", clock.now() + patience,
-                           [&answers](auto outcome) {
-                               EXPECT_TRUE(accepted(outcome));
+                           [&answers](const auto& result) {
+                               EXPECT_TRUE(accepted(result.outcome));
                                ++answers;
                            });
     }
