steward: an end that was saved though its answer was lost no longer holds up its part

That row was gone, and a conflict lists only rows that are there, so the condition stayed and the part saved nothing more until the next owner: half of the jobs after it never ended.

On a conflict the versions of all jobs that wait for saving are forgotten, and those of rows found as submitted are taken again. The stand-in now lists only rows that are there.

Test: failure/a_fleet_outlives_its_owner.lost_answers_to_saved_ends.

--- a/packages/steward/src/owner_saving.cpp
+++ b/packages/steward/src/owner_saving.cpp
@@ -150,19 +150,27 @@
 
 void owner_task::state::take_cancellations(part_state& part,
                                            const std::vector<fleet::stored_row>& found) {
+    // Whatever the rows are now, they are not all as they were submitted: an end may have been
+    // saved though its answer was lost, and its job's row is not there any more, nor among those
+    // found.
+    for (const auto& it : part.waiting) {
+        submitted_versions.erase(it.first);
+    }
     for (const auto& it : found) {
         const fleet::job_id job(it.address.name.str());
         const auto waiting = part.waiting.find(job);
-        if (it.address.table != job_table || waiting == part.waiting.end()) {
+        if (it.address.table != job_table || waiting == part.waiting.end() ||
+            it.version.value() == 0) {
             continue;
         }
-        submitted_versions.erase(job);  // whatever it is now, it is not as it was submitted
         const auto row = fleet::decode_job(job, it.value);
         if (row && row->kind == fleet::job_row_kind::cancelled &&
             is_final(waiting->second.progress.state)) {
             spdlog::info("event=job_cancelled_at_its_end job={} state={}", job.str(),
                          fleet::to_string(waiting->second.progress.state));
             waiting->second.progress.state = fleet::job_state::cancelled;
+        } else if (row && row->kind == fleet::job_row_kind::submitted) {
+            submitted_versions[job] = it.version;
         }
     }
 }
--- a/test/standins/shared_site.cpp
+++ b/test/standins/shared_site.cpp
@@ -320,7 +320,9 @@
         for (const auto& it : body.at("precondition")) {
             const json row = rows.show(id_of(it));
             holds = holds && row.at("ver") == it.at("ver");
-            now_there.push_back(row);
+            if (row.at("ver") != 0) {
+                now_there.push_back(row);  // only rows that are there
+            }
         }
         if (!holds) {
             respond(net::json_response(status_conflict, json{{"rows", now_there}}.dump()));
