--- a/test/failure/a_fleet_outlives_its_owner.cpp
+++ b/test/failure/a_fleet_outlives_its_owner.cpp
@@ -148,9 +148,11 @@
 // and nothing behind them is held up. Found by chbench-grid trouble-2, score 4607c32b.
 TEST_F(fleet_failure, lost_answers_to_saved_ends) {
     submit_all(0, 0, 10);
+    // Tasks take 300 ms; by now it is saved that they have started.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
     constexpr int all = 1'000;
     crew.site().lose_answers(all);
-    std::this_thread::sleep_for(std::chrono::milliseconds(1'200));  // tasks take 300 ms
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
     crew.site().lose_answers(0);
     submit_all(1, 10, 10);
     expect_all_complete(2, 0, 20);
