fleet: an end that is heard before its job is held until the job is known

A VM may list the end of a task whose job the owner has not read yet: an earlier owner was told of the job by its entry and started it. The end was acknowledged and forgotten, so the task started again (TWICE). It is held now, unacknowledged, and counted once its job is known. When the jobs have been read as of later than the report, its job has ended before, and the VM may forget it.

Ruled out: holding back the whole report, which would stop the VM's other work; acknowledging and remembering the end, which the next owner would not know of.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -101,6 +101,9 @@
     // Each VM that may run an inherited task has reported, or its leases have lapsed.
     void inherited_runs_known(const moment& now);
 
+    // All jobs are known that were accepted before that moment. Ends that VMs told of earlier and
+    // that are of none of these are of jobs that have ended: the VMs may forget them.
+    void jobs_known_as_of(base::time_point moment_read);
     // Answers to decisions. What has to be ordered again is among the next decisions.
     void start_answered(const vm_id& vm, const task_ref& task, run_number run,
                         const tl::expected<vm_time, order_failure>& answer, const moment& now);
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -169,6 +169,7 @@
         state_->open_steps(job, it.first);
     }
     state_->claim_unknown_runs(spec.id);
+    state_->count_held_ends(spec.id, now);
 }
 
 step_state* scheduler::state::find_step(const task_ref& task, job_record** job) {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -51,6 +51,14 @@
     end_number number;
     job_id job;
     std::uint64_t change = 0;  // of the job; the end may be forgotten once this is saved
+    bool of_unknown_job = false;  // it must not be forgotten yet
+};
+
+// An end whose job is not known: it may still be read from the store.
+struct held_end {
+    vm_id vm;
+    task_end end;
+    time_point heard;
 };
 
 struct vm_record {
@@ -211,6 +219,7 @@
     std::set<job_id> timed;                         // jobs with occurrences that are not due yet
     std::set<std::pair<vm_id, task_ref>> stopping;  // runs whose end is wanted
     std::set<std::pair<task_ref, vm_id>> unknown_runs;  // of jobs that are not known
+    std::map<job_id, std::vector<detail::held_end>> held_ends;  // of jobs that are not known
     std::set<std::pair<vm_id, task_ref>> start_again;   // whose order to start was not answered
     std::set<job_id> dirty;
     // Jobs that have ended under this owner. Their rows may still be read, from a reading of the
@@ -259,6 +268,15 @@
     void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
     void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
                       const moment& now);
+    // A VM with failures of several jobs gets no work for a while.
+    void note_failure(detail::vm_record& vm, const job_id& job, const moment& now);
+    // What an end means for its job.
+    void count_end(detail::job_record& job, detail::step_state& step, const task_end& end,
+                   const moment& now);
+    // The job of such ends has become known.
+    void count_held_ends(const job_id& job, const moment& now);
+    // Those entries of the VM's that wait for the job: its `change` has to be saved first.
+    void release_held(const vm_id& vm, const job_id& job, std::uint64_t change);
     void adopt(detail::vm_record& vm, const running_task& task, const moment& now);
     // The job of such runs has become known.
     void claim_unknown_runs(const job_id& job);
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -50,6 +50,9 @@
     begun = clock.now();
     tick = loop.every(tick_period, [this] {
         check_inherited();
+        if (jobs_known) {
+            scheduler.jobs_known_as_of(jobs.as_of());
+        }
         decide();
         remove_old();
         answer_overdue();
--- a/test/standins/fleet_world.cpp
+++ b/test/standins/fleet_world.cpp
@@ -105,6 +105,8 @@
     for (const auto& it : vms_) {
         watch(*it);
     }
+    // Its jobs are known at once.
+    scheduler_->jobs_known_as_of(time_ + step_time);
     carry_out(scheduler_->decide(now(), {1, 1}));
     judge();
     // What has changed is saved now and then, so that owners die with unsaved progress.
