daemon: signals that come during the start are held until they are caught

Ruled out: handlers that only set a flag, for SIGHUP would be lost. Not covered: a signal before main is reached, while the program is loaded; a process can't do anything about that, and has served nobody.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -87,6 +87,7 @@
 
 // Reads the file that the platform has written and runs a member of the fleet.
 int run_on_shared_platform() {
+    net::hold_signals({SIGHUP});
     const char* const path = std::getenv(shared_platform::settings_variable);
     if (path == nullptr) {
         std::fprintf(stderr, "cranberrydock: expected the settings file's path in %s\n",
@@ -113,6 +114,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    net::hold_signals({SIGTERM, SIGINT});
     gflags::SetUsageMessage(
         "runs one daemon of a cranberrydock cluster\n  cranberrydock --settings=FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/packages/net/include/cranberrydock/net/event_loop.hpp
+++ b/packages/net/include/cranberrydock/net/event_loop.hpp
@@ -7,12 +7,17 @@
 
 #include <cstddef>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 
 struct event_base;
 
 namespace cranberrydock::net {
 
+// Holds these signals back on the calling thread, and on those that it starts from now on, until a
+// loop catches them: they must not end the process before it can stop gracefully.
+void hold_signals(std::initializer_list<int> signal_numbers);
+
 // A pending timer; destroying it cancels it.
 class timer {
 public:
@@ -43,7 +48,8 @@
     // Calls `action` every `period` until the timer is destroyed. Same rule.
     std::unique_ptr<timer> every(base::duration period, std::function<void()> action);
 
-    // Calls `action` on the loop's thread when the process receives `signal_number`.
+    // Calls `action` on the loop's thread when the process receives `signal_number`. Lets through
+    // what hold_signals() holds back of it. Only from the thread that runs the loop.
     std::unique_ptr<timer> on_signal(int signal_number, std::function<void()> action);
 
     event_base* raw() const;
--- a/packages/net/src/event_loop.cpp
+++ b/packages/net/src/event_loop.cpp
@@ -51,8 +51,22 @@
     event* event_;
 };
 
+sigset_t set_of(std::initializer_list<int> signal_numbers) {
+    sigset_t out;
+    sigemptyset(&out);
+    for (const int it : signal_numbers) {
+        sigaddset(&out, it);
+    }
+    return out;
+}
+
 }  // namespace
 
+void hold_signals(std::initializer_list<int> signal_numbers) {
+    const sigset_t held = set_of(signal_numbers);
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 struct event_loop::state {
     event_base* base = nullptr;
     event* wake = nullptr;
@@ -130,6 +144,8 @@
 }
 
 event_base* event_loop::raw() const {
+    const sigset_t caught = set_of({signal_number});
+    pthread_sigmask(SIG_UNBLOCK, &caught, nullptr);
     return state_->base;
 }
 
--- a/test/standins/fleet_crew.cpp
+++ b/test/standins/fleet_crew.cpp
@@ -143,6 +143,10 @@
     return members_[static_cast<std::size_t>(daemon)]->callers;
 }
 
+const std::string& fleet_crew::settings_file_of(int daemon) const {
+    return members_[static_cast<std::size_t>(daemon)]->settings_file;
+}
+
 std::optional<int> fleet_crew::wait_until_ended(int daemon) {
     return members_[static_cast<std::size_t>(daemon)]->running->wait_until_ended(end_timeout);
 }
--- a/test/standins/fleet_crew.hpp
+++ b/test/standins/fleet_crew.hpp
@@ -45,6 +45,7 @@
     // Its exit status if it has ended by now.
     std::optional<int> ended(int daemon);
     const net::endpoint& callers_of(int daemon) const;
+    const std::string& settings_file_of(int daemon) const;
     // Its exit status when it ends in time.
     std::optional<int> wait_until_ended(int daemon);
     // The daemon that owns the fleet; -1 when none does.
