steward: a VM whose process has ended is known to have ended at once, and lapses once

Now the moment is set once, by the first such answer after the VM was last heard. A VM that refuses connections twice running, or whose address another one has, has ended: what it was known to run is lost, while unanswered orders, which its next incarnation may still carry out, stay on the books until it reports or the lease lapses. Refusals are told from other failures to connect by a probe of our own, for the HTTP client does not say why there is no connection: without descriptors every VM would look ended.

Ruled out: shorter leases alone (they lapse in takeovers). No VM was seen to be back in the same life after refusals (event=vm_back_in_the_same_life would say so).

Tests: session_of_a_vm.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -4,6 +4,7 @@
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http_client.hpp>
 #include <cranberrydock/net/http_server.hpp>
+#include <cranberrydock/net/listener_probe.hpp>
 #include <cranberrydock/shared_platform/ports.hpp>
 #include <cranberrydock/shared_platform/rows.hpp>
 #include <cranberrydock/shared_platform/store_calls.hpp>
@@ -86,8 +87,10 @@
     net::event_loop loop;
     base::metrics metrics;
     const auto http = net::make_http_client(loop, connection_limits);
-    const auto store = shared_platform::make_store(*http, settings.store);
-    const auto vms = shared_platform::make_vm_control(*http);
+    const auto store_http = net::make_http_client(loop, store_connection_limits);
+    const auto store = shared_platform::make_store(*store_http, settings.store);
+    const auto probe = net::make_listener_probe(loop);
+    const auto vms = shared_platform::make_vm_control(*http, *probe);
     const auto adviser = shared_platform::make_adviser(*http, settings.adviser);
     const auto rows = shared_platform::make_platform_rows();
     std::function<void()> stop_when_answered;
--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -58,6 +58,7 @@
 
 enum class order_failure {
     not_delivered,      // the VM has not seen it
+    nothing_listens,    // not delivered, for the process that ran the VM's tasks has ended
     answer_lost,        // may be carried out now, later or never
     other_incarnation,  // the VM that was meant is gone
     lower_fence,        // another owner has spoken to the VM
--- a/packages/fleet/src/names.cpp
+++ b/packages/fleet/src/names.cpp
@@ -47,6 +47,8 @@
     switch (failure) {
         case order_failure::not_delivered:
             return "not_delivered";
+        case order_failure::nothing_listens:
+            return "nothing_listens";
         case order_failure::answer_lost:
             return "answer_lost";
         case order_failure::other_incarnation:
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -263,6 +263,8 @@
     // Takes the run off the VM's books; its task may be started again.
     void release(detail::vm_record& vm, const task_ref& task);
     void want_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
+    void lose_runs(detail::vm_record& vm, const std::vector<task_ref>& tasks,
+                   const std::string& reason);
     void give_up_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void handle_end(detail::vm_record& vm, const task_end& end, const moment& now);
     void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -65,26 +65,51 @@
         return;
     }
     spdlog::info("event=vm_lost vm={} reason={} runs={}", id.str(), reason, vm->runs.size());
+    std::vector<task_ref> lost;
+    for (const auto& it : vm->runs) {
+        lost.push_back(it.first);
+    }
+    state_->lose_runs(*vm, lost, reason);
+    state_->vm_numbers[vm->number] = nullptr;
+    state_->vms.erase(id);
+}
+
+void scheduler::vm_ended(const vm_id& id) {
+    vm_record* const vm = state_->find_vm(id);
+    if (vm == nullptr) {
+        return;
+    }
+    vm->reported = false;
+    std::vector<task_ref> lost;
+    for (const auto& it : vm->runs) {
+        const placed_run& run = it.second;
+        if (run.confirmed && !run.start_open && run.start_orders == 1) {
+            lost.push_back(it.first);
+        }
+    }
+    spdlog::info("event=vm_ended vm={} runs={} lost={}", id.str(), vm->runs.size(), lost.size());
+    state_->lose_runs(*vm, lost, "vm_ended");
+}
+
+void scheduler::state::lose_runs(vm_record& vm, const std::vector<task_ref>& tasks,
+                                 const std::string& reason) {
     // The other members of a gang that has lost one can't go on.
     std::vector<step_ref> broken;
-    while (!vm->runs.empty()) {
-        const task_ref task = vm->runs.begin()->first;
-        state_->metrics->count("cranberrydock_runs_lost_total", "reason=\"" + reason + "\"");
-        state_->release(*vm, task);
+    for (const auto& task : tasks) {
+        metrics->count("cranberrydock_runs_lost_total", "reason=\"" + reason + "\"");
+        release(vm, task);
         job_record* job = nullptr;
-        step_state* const step = state_->find_step(task, &job);
+        step_state* const step = find_step(task, &job);
         if (step != nullptr && step->spec->gang && !step->finished()) {
             broken.push_back({task.job, task.occurrence, task.step});
         }
     }
     for (const auto& it : broken) {
         job_record* job = nullptr;
-        if (step_state* const step = state_->find_step({it.job, it.occurrence, it.step, 0}, &job)) {
-            state_->stop_step(it, *step, "gang_lost_a_vm");
+        if (step_state* const step = find_step({it.job, it.occurrence, it.step, 0}, &job)) {
+            stop_step(it, *step, "gang_lost_a_vm");
         }
     }
-    state_->vm_numbers[vm->number] = nullptr;
-    state_->vms.erase(id);
 }
 
 void scheduler::state::place(vm_record& vm, job_record& job, step_state& step, const task_ref& task,
--- a/packages/steward/include/cranberrydock/steward/vm_session.hpp
+++ b/packages/steward/include/cranberrydock/steward/vm_session.hpp
@@ -34,6 +34,8 @@
     virtual void on_reachable(const fleet::vm_id& vm, bool reachable) = 0;
     // Nothing of before runs on that VM any more. `gone`: it will not be back either.
     virtual void on_lost(const fleet::vm_id& vm, const std::string& reason, bool gone) = 0;
+    // The process that ran the VM's tasks has ended.
+    virtual void on_ended(const fleet::vm_id& vm) = 0;
     // Another incarnation answers for the VM. Nothing of before runs there, but for what was
     // ordered since: a report will tell.
     virtual void on_reborn(const fleet::vm_id& vm) = 0;
@@ -59,8 +61,10 @@
 
     // The lease that an order given now carries.
     fleet::vm_time lease_from_now();
-    // An order named this incarnation and the VM says that it is another one.
+    // Another incarnation of the VM has taken its place.
     void other_incarnation();
+    // An order named this VM, and another one answers at its address: this one has ended.
+    void address_taken();
     // Whether every lease that was given must have run out.
     bool lapsed(base::time_point now) const;
 
@@ -91,6 +95,7 @@
     base::time_point lapses_not_before_{};
     fleet::end_number last_listed_;  // of the ends in the last report
     int failures_ = 0;               // in a row
+    int refusals_ = 0;               // in a row: nothing listens there
     bool listed_ = true;
     bool lapse_reported_ = false;
     std::unique_ptr<net::timer> next_;
--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -44,6 +44,7 @@
                    base::time_point asked) override;
     void on_reachable(const fleet::vm_id& vm, bool reachable) override;
     void on_lost(const fleet::vm_id& vm, const std::string& reason, bool gone) override;
+    void on_ended(const fleet::vm_id& vm) override;
     void on_reborn(const fleet::vm_id& vm) override;
     void on_higher_fence(const fleet::vm_id& vm) override;
     fleet::end_number acknowledgeable(const fleet::vm_id& vm) override;
--- a/packages/steward/src/owner_vms.cpp
+++ b/packages/steward/src/owner_vms.cpp
@@ -70,6 +70,13 @@
     wake();
 }
 
+void owner_task::state::on_ended(const fleet::vm_id& vm) {
+    scheduler.vm_ended(vm);
+    judged.erase(vm);
+    early_reports.erase(vm);
+    wake();
+}
+
 void owner_task::state::on_reborn(const fleet::vm_id& vm) {
     scheduler.vm_reborn(vm);
     judged.erase(vm);
@@ -123,7 +130,7 @@
                 const auto it = sessions.find(what.vm);
                 if (answer.error() == fleet::order_failure::other_incarnation &&
                     it != sessions.end()) {
-                    it->second->other_incarnation();
+                    it->second->address_taken();
                 }
             }
             scheduler.start_answered(what.vm, what.task, what.run, answer, now());
--- a/packages/steward/src/vm_session.cpp
+++ b/packages/steward/src/vm_session.cpp
@@ -12,6 +12,8 @@
 constexpr double slowest_clock = 0.96;
 constexpr base::milliseconds lapse_margin{150};
 constexpr int failures_until_unreachable = 1;
+// One refusal may be a listener that is just being set up.
+constexpr int refusals_until_ended = 2;
 
 // By now so much time has passed on the VM's clock, however slow.
 base::milliseconds stretched(base::milliseconds on_vm) {
@@ -54,14 +56,24 @@
 }
 
 void vm_session::other_incarnation() {
+    if (heard_) {
+        // Later orders give it no lease before it is heard.
+        lapses_not_before_ = clock_.now() + stretched(settings_.longest_lease);
+    }
     heard_.reset();
     lease_until_ = {};
     last_listed_ = {};
     boot_ = {};
-    lapses_not_before_ = clock_.now() + stretched(settings_.longest_lease);
     listener_.on_reborn(facts_.id);
 }
 
+void vm_session::address_taken() {
+    if (heard_) {
+        listener_.on_ended(facts_.id);
+    }
+    other_incarnation();
+}
+
 fleet::vm_time vm_session::lease_from_now() {
     if (!heard_) {
         return {};
@@ -116,7 +128,12 @@
     if (failures_ >= failures_until_unreachable) {
         listener_.on_reachable(facts_.id, true);
     }
+    if (refusals_ >= refusals_until_ended && heard_) {
+        spdlog::warn("event=vm_back_in_the_same_life vm={} refusals={}", facts_.id.str(),
+                     refusals_);
+    }
     failures_ = 0;
+    refusals_ = 0;
     lapse_reported_ = false;
     boot_ = report.boot;
     heard_ = clock_reading{report.now, clock_.now()};
@@ -149,13 +166,17 @@
         return;
     }
     if (failure == fleet::order_failure::other_incarnation) {
-        other_incarnation();
+        address_taken();
     }
     if (++failures_ == failures_until_unreachable) {
         spdlog::info("event=vm_unreachable vm={} reason={}", facts_.id.str(),
                      fleet::to_string(failure));
         listener_.on_reachable(facts_.id, false);
     }
+    refusals_ = failure == fleet::order_failure::nothing_listens ? refusals_ + 1 : 0;
+    if (refusals_ == refusals_until_ended && heard_) {
+        listener_.on_ended(facts_.id);
+    }
     check_lapse();
 }
 
--- a/test/correctness/a_vm_is_asked_again_once_its_ends_are_saved.cpp
+++ b/test/correctness/a_vm_is_asked_again_once_its_ends_are_saved.cpp
@@ -32,12 +32,14 @@
     void on_reachable(const fleet::vm_id& /*vm*/, bool /*reachable*/) override {}
     void on_lost(const fleet::vm_id& /*vm*/, const std::string& /*reason*/,
                  bool /*gone*/) override {}
+    void on_ended(const fleet::vm_id& /*vm*/) override { ++ended; }
     void on_reborn(const fleet::vm_id& /*vm*/) override { ++reborn; }
     void on_higher_fence(const fleet::vm_id& /*vm*/) override {}
     fleet::end_number acknowledgeable(const fleet::vm_id& /*vm*/) override { return saved; }
     bool may_order() override { return true; }
 
     fleet::end_number saved;
+    int ended = 0;
     int reborn = 0;
 };
 
@@ -99,6 +101,45 @@
     EXPECT_EQ(vm.orders.back().acknowledged, fleet::end_number(0));
 }
 
+// One refusal may be a listener that is just being set up, and silence tells nothing.
+TEST_F(session_of_a_vm, a_vm_where_nothing_listens_has_ended) {
+    list_one_end();
+    const auto fail = [&](fleet::order_failure failure) {
+        const auto asked = vm.orders.size();
+        vm.answer(tl::make_unexpected(failure));
+        run_for(settings.retry_pause * 2);
+        ASSERT_EQ(vm.orders.size(), asked + 1);
+    };
+    run_for(settings.unsaved_pause * 2);
+    fail(fleet::order_failure::answer_lost);
+    fail(fleet::order_failure::answer_lost);
+    fail(fleet::order_failure::nothing_listens);
+    fail(fleet::order_failure::not_delivered);
+    fail(fleet::order_failure::nothing_listens);
+    EXPECT_EQ(listener.ended, 0);
+    fail(fleet::order_failure::nothing_listens);
+    EXPECT_EQ(listener.ended, 1);
+    fail(fleet::order_failure::nothing_listens);
+    EXPECT_EQ(listener.ended, 1);
+}
+
+// The address of a VM that has ended was given to another one, which says so each time: what ran on
+// the first must not count as running for as long as that goes on.
+TEST_F(session_of_a_vm, whose_address_another_one_has_ends_and_lapses_once) {
+    list_one_end();
+    run_for(settings.unsaved_pause * 2);
+    const base::suspend_aware_clock clock;
+    const auto first_told = clock.now();
+    for (int i = 0; i < 4; ++i) {
+        vm.answer(tl::make_unexpected(fleet::order_failure::other_incarnation));
+        run_for(settings.retry_pause * 2);
+    }
+    EXPECT_EQ(listener.ended, 1);
+    const base::milliseconds slow_clock_and_margin{500};
+    EXPECT_TRUE(
+        session.lapsed(first_told + settings.longest_lease + slow_clock_and_margin));
+}
+
 TEST_F(session_of_a_vm, a_new_incarnation_may_hold_the_longest_lease) {
     list_one_end();
     session.other_incarnation();
