fleet: lasting work is spread, started again first, and moved off VMs that leave

Lasting work was placed like short work: on the fullest VM, so that three of five tasks shared one; a task that had lost its VM waited behind the work of more urgent queues; and on a VM that was being emptied it ran until the VM went, which had to be noticed first.

Its tasks go now where the fewest others of the step would be lost with them (zone, rack, VM). A job of lasting work that has begun goes before each queue's work when a task of it runs nowhere. Its tasks are stopped on a VM that leaves once there is room elsewhere, with placement questions asked for that ahead. Leases are 5.5 s at most: work on a VM that falls silent starts again within the users' bound.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -31,6 +31,8 @@
 constexpr double lease_share = 0.75;
 // Of the time that VMs wait for a gang to be complete; the rest is for stopping it.
 constexpr double gang_share = 0.6;
+// Lasting work on a VM that has fallen silent is started again when its lease has lapsed.
+constexpr base::milliseconds most_lease{5'500};
 constexpr base::milliseconds longest_drain{3'000};
 // Of the time between SIGTERM and SIGKILL: serving on, and waiting for the last answers.
 constexpr double drain_share = 0.6;
@@ -61,7 +63,7 @@
         most_job_parts);
     out.drain = std::min(longest_drain, share_of(site.stop_grace, drain_share));
     out.owner.session.longest_lease = site.longest_lease;
-    out.owner.session.lease = share_of(site.longest_lease, lease_share);
+    out.owner.session.lease = std::min(most_lease, share_of(site.longest_lease, lease_share));
     out.owner.scheduler.gang_patience = share_of(site.gang_wait, gang_share);
     out.owner.keep_ended = site.keep_ended + ended_margin;
     return out;
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -4,11 +4,14 @@
 #include "scheduler_state.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cranberrydock::fleet {
 
+using detail::job_record;
 using detail::open_step;
 using detail::placing_round;
+using detail::run_phase;
 using detail::step_state;
 using detail::vm_record;
 
@@ -129,6 +132,39 @@
     return out;
 }
 
+// How many tasks of a step run on each rack and in each zone.
+struct step_spread {
+    explicit step_spread(const step_state& step) {
+        for (const auto& it : step.tasks) {
+            if (it.vm != nullptr) {
+                add(*it.vm);
+            }
+        }
+    }
+
+    void add(const vm_record& vm) {
+        ++on_vm[vm.number];
+        ++on_rack[vm.facts.rack];
+        ++in_zone[vm.facts.zone];
+    }
+
+    // Tasks that would be lost together with one more there: with its zone, its rack, its VM.
+    std::tuple<int, int, int> shared_fate(const vm_record& vm) const {
+        return {count_in(in_zone, vm.facts.zone), count_in(on_rack, vm.facts.rack),
+                count_in(on_vm, vm.number)};
+    }
+
+    template <typename Map>
+    static int count_in(const Map& counts, const typename Map::key_type& key) {
+        const auto it = counts.find(key);
+        return it == counts.end() ? 0 : it->second;
+    }
+
+    std::map<std::size_t, int> on_vm;
+    std::map<rack_name, int> on_rack;
+    std::map<zone_name, int> in_zone;
+};
+
 }  // namespace
 
 // Starts what fits of a step whose tasks are independent. False when some had to wait.
@@ -138,6 +174,7 @@
     const auto allowed = allowed_vms(work, round, now);
     resources room = customer_room(work.job->spec.customer);
     bool all = true;
+    step_spread spread(*work.step);
     for (std::size_t i = 0; i < work.step->tasks.size(); ++i) {
         auto& task = work.step->tasks[i];
         if (task.done || task.vm != nullptr) {
@@ -145,6 +182,10 @@
         }
         vm_record* best = nullptr;
         const auto better = [&](const vm_record& a, const vm_record& b) {
+            // Lasting work is spread, so that most of it outlives a VM, a rack or a zone.
+            if (spec.long_running && spread.shared_fate(a) != spread.shared_fate(b)) {
+                return spread.shared_fate(a) < spread.shared_fate(b);
+            }
             const bool near_a = a.facts.rack == spec.data_rack;
             const bool near_b = b.facts.rack == spec.data_rack;
             return near_a != near_b ? near_a : a.free().cores < b.free().cores;
@@ -164,6 +205,7 @@
             break;  // the other tasks need the same
         }
         room -= spec.need;
+        spread.add(*best);
         start(work, static_cast<int>(i), *best, task.last_run.next(), now, out);
     }
     return all;
@@ -326,6 +368,59 @@
             ++reserving;
         }
     }
+    move_off_leaving(round, now, out);
+}
+
+// Lasting work is stopped on VMs that leave once there is room for it elsewhere, before the VM ends
+// it and that has to be noticed first.
+void scheduler::state::move_off_leaving(placing_round& round, const moment& now, decisions& out) {
+    std::set<step_ref> steps;
+    for (const vm_record* const vm : vm_numbers) {
+        if (vm == nullptr || !vm->facts.leaving || !vm->reachable) {
+            continue;
+        }
+        for (const auto& it : vm->runs) {
+            job_record* job = nullptr;
+            const step_state* const step = find_step(it.first, &job);
+            if (step != nullptr && step->spec->long_running && !is_final(job->state) &&
+                it.second.phase != run_phase::stopping) {
+                steps.insert({it.first.job, it.first.occurrence, it.first.step});
+            }
+        }
+    }
+    for (const auto& it : steps) {
+        job_record* job = nullptr;
+        step_state* const step = find_step({it.job, it.occurrence, it.step, 0}, &job);
+        open_step work = judge({it, job, step}, now);
+        work.where = &it;
+        move_tasks(work, round, now, out);
+    }
+}
+
+void scheduler::state::move_tasks(open_step& work, placing_round& round, const moment& now,
+                                  decisions& out) {
+    std::int64_t places = 0;
+    for (const vm_record* const vm : allowed_vms(work, round, now)) {
+        places += fits(work.step->spec->need, vm->free()) ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < work.step->tasks.size(); ++i) {
+        vm_record* const vm = work.step->tasks[i].vm;
+        if (vm == nullptr || !vm->facts.leaving) {
+            continue;
+        }
+        if (places <= 0) {
+            if (work.advice != nullptr) {
+                ask_for(work, round, now, out);
+            }
+            return;
+        }
+        const auto run = vm->runs.find(
+            {work.where->job, work.where->occurrence, work.where->step, static_cast<int>(i)});
+        if (run != vm->runs.end() && run->second.phase != run_phase::stopping) {
+            want_stop(*vm, run->second, "vm_leaving");
+            --places;
+        }
+    }
 }
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -298,6 +298,9 @@
     bool place_gang(detail::open_step& work, const detail::placing_round& round, const moment& now,
                     decisions& out);
     bool has_ticket(const detail::open_step& work, const moment& now) const;
+    void move_off_leaving(detail::placing_round& round, const moment& now, decisions& out);
+    void move_tasks(detail::open_step& work, detail::placing_round& round, const moment& now,
+                    decisions& out);
     bool waits_for_limit(const detail::open_step& work, detail::placing_round& round) const;
     void ask_for(detail::open_step& work, detail::placing_round& round, const moment& now,
                  decisions& out);
--- a/packages/fleet/src/work_order.cpp
+++ b/packages/fleet/src/work_order.cpp
@@ -33,6 +33,7 @@
 constexpr std::size_t most_urgent_looked_at = 300;
 constexpr std::size_t most_sampled = 100;
 
+constexpr int urgency_of_interrupted = -1;  // before each queue's
 constexpr int tier_in_time = 0;
 constexpr int tier_late = 1;
 constexpr int tier_worthless = 2;
@@ -80,12 +81,14 @@
     const milliseconds objective =
         terms.target_latency + milliseconds(static_cast<milliseconds::rep>(
                                    terms.slack_factor * static_cast<double>(whole.count())));
-    out.urgency = terms.urgency;
+    // Lasting work that has begun serves somebody, who is without it now.
+    const bool interrupted = place.step->spec->long_running && job.started;
+    out.urgency = interrupted ? urgency_of_interrupted : terms.urgency;
     out.start_by = now.steady + (objective - age - rest);
     const auto late_end = milliseconds(static_cast<milliseconds::rep>(
         settings.late_factor * static_cast<double>(objective.count())));
     if (place.step->spec->long_running || age + rest <= objective) {
-        out.tier = job.over_share ? tier_late : tier_in_time;
+        out.tier = job.over_share && !interrupted ? tier_late : tier_in_time;
     } else {
         out.tier = age + rest <= late_end && !job.over_share ? tier_late : tier_worthless;
     }
