net: what the store answers is read before the loop's other work

The store's connections have the first of two priorities now: while something is there to read from the store, nothing else runs.

Ruled out earlier: to read on in the same turn on all connections, for then an owner reads reports and hardly decides. What the store sends is bounded by what was asked of it.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -25,7 +25,9 @@
 namespace {
 
 // A VM takes 64 connections; several orders to one VM are under way at once in a burst.
-constexpr net::http_client_limits connection_limits{8, base::milliseconds{20'000}};
+constexpr net::http_client_limits connection_limits{8, base::milliseconds{20'000}, false};
+// Late news of the store means decisions on old knowledge.
+constexpr net::http_client_limits store_connection_limits{8, base::milliseconds{20'000}, true};
 // Of the longest lease, what a renewal gives: shorter leases let lost work start again sooner, and
 // longer ones outlive a change of owners.
 constexpr double lease_share = 0.75;
--- a/packages/net/include/cranberrydock/net/http_client.hpp
+++ b/packages/net/include/cranberrydock/net/http_client.hpp
@@ -42,6 +42,9 @@
 struct http_client_limits {
     std::size_t max_idle_per_endpoint = 4;
     base::milliseconds max_idle_time{2'000};
+    // What comes on its connections is read before anything else that the loop has to do. libevent
+    // reads 4 KiB a turn, so a large answer takes hundreds of turns.
+    bool read_first = false;
 };
 
 // Use and destroy on `loop`'s thread.
--- a/packages/net/src/event_loop.cpp
+++ b/packages/net/src/event_loop.cpp
@@ -91,6 +91,10 @@
     prepare_libevent();
     state_->base = event_base_new();
     CRANBERRYDOCK_CHECK(state_->base != nullptr, "libevent gave no event base");
+    // Of two priorities libevent gives events the second, unless they ask for the first.
+    constexpr int priorities = 2;
+    CRANBERRYDOCK_CHECK(event_base_priority_init(state_->base, priorities) == 0,
+                        "libevent could not set up priorities");
     state_->mailbox_bound = mailbox_bound;
     state_->wake = event_new(state_->base, -1, EV_PERSIST, &state::drain, state_.get());
 }
@@ -140,12 +144,12 @@
     auto out = std::make_unique<event_timer>(state_->base, signal_number, EV_SIGNAL | EV_PERSIST,
                                              std::move(action));
     out->arm(nullptr);
+    const sigset_t caught = set_of({signal_number});
+    pthread_sigmask(SIG_UNBLOCK, &caught, nullptr);
     return out;
 }
 
 event_base* event_loop::raw() const {
-    const sigset_t caught = set_of({signal_number});
-    pthread_sigmask(SIG_UNBLOCK, &caught, nullptr);
     return state_->base;
 }
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -51,6 +51,7 @@
 }
 
 constexpr int first_final_status = 200;
+constexpr int first_priority = 0;
 
 // Whether the connection stands and nothing has come on it since the last answer. What has come
 // would be taken for the answer to the next request.
@@ -146,6 +147,10 @@
                 finish(one, tl::unexpected(http_error{http_failure::not_sent, "cannot connect"}),
                        false);
             });
+        } else if (limits_.read_first) {
+            // Connecting has reset it.
+            bufferevent_priority_set(evhttp_connection_get_bufferevent(one->connection),
+                                     first_priority);
         }
     }
 
