steward: an owner that hears no changes of the jobs starts nothing

While what it heard of the jobs last is older than 2 s and the store answers its other calls, it starts nothing, and says so (event=starts_held, with the age). While the store is away as a whole nothing can be cancelled, and work goes on as before.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -115,6 +115,9 @@
     void advice_given(const advice_question& question,
                       const tl::expected<advice_answer, order_failure>& answer, const moment& now);
 
+    // Whether nothing is started for now: its owner may not have heard of cancellations.
+    void hold_starts(bool held);
+
     // What is to be done now.
     decisions decide(const moment& now, const adviser_room& advisers);
 
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -48,13 +48,19 @@
     }
 }
 
+void scheduler::hold_starts(bool held) {
+    state_->starts_held = held;
+}
+
 decisions scheduler::decide(const moment& now, const adviser_room& advisers) {
     decisions out;
     state_->drop_closed_steps();  // before their jobs are forgotten
     state_->forget_ended();
     state_->open_due(now);
-    state_->place_work(now, advisers, out);
-    state_->order_starts_again(out);
+    if (!state_->starts_held) {
+        state_->place_work(now, advisers, out);
+        state_->order_starts_again(out);
+    }
     state_->check_forming(now);
     state_->order_stops(now, out);
     return out;
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -232,6 +232,7 @@
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
     bool inherited_known = false;
+    bool starts_held = false;
 
     // scheduler_jobs.cpp
     void note_change(detail::job_record& job);
--- a/packages/steward/include/cranberrydock/steward/owner_task.hpp
+++ b/packages/steward/include/cranberrydock/steward/owner_task.hpp
@@ -42,6 +42,8 @@
 public:
     virtual ~owner_rights() = default;
     virtual bool may_order() = 0;
+    // Whether the store answers this daemon, as far as it has asked for anything lately.
+    virtual bool store_answers() = 0;
     // Another owner has been met.
     virtual void superseded(const std::string& where) = 0;
 };
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -30,6 +30,8 @@
 // Entries of VMs lapse after three missed heartbeats, each a second or more.
 constexpr base::milliseconds entries_lapse_after{3'000};
 constexpr base::milliseconds announce_retry{500};
+// The store is asked for changes of the daemons all the time, each question for half a second.
+constexpr base::milliseconds store_answers_for{1'000};
 // Takers wait for so many times of what a write takes them.
 constexpr int stagger_per_write = 3;
 constexpr base::milliseconds longest_stagger{250};  // a write may have met a busy store
@@ -176,6 +178,7 @@
         end_owning_soon();
     }
 
+    bool store_answers() override { return clock.now() - store_heard < store_answers_for; }
     void store_answered() {
         const auto now = clock.now();
         const bool was_away = store_away && now - store_heard >= entries_lapse_after;
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -81,6 +81,7 @@
     if (decide_timer || !rights.may_order() || !may_start()) {
         return;  // it is decided soon, or not at all
     }
+    hold_starts_on_old_news();
     const auto before = clock.now();
     const auto decided = scheduler.decide(now(), advisers.room());
     last_decision = clock.now();
@@ -104,6 +105,21 @@
     save();
 }
 
+// An owner that does not keep up with the changes of the jobs may not know of cancellations, and
+// starts nothing. While the store is away nothing is cancelled, and it goes on.
+void owner_task::state::hold_starts_on_old_news() {
+    const bool hold = !jobs_current() && rights.store_answers();
+    if (hold != starts_held) {
+        starts_held = hold;
+        metrics.count("cranberrydock_starts_held_total", "");
+        const auto age =
+            std::chrono::duration_cast<base::milliseconds>(clock.now() - jobs.as_of());
+        spdlog::warn("event=starts_held held={} jobs_read_before_ms={} fence={}", hold, age.count(),
+                     owner.value());
+    }
+    scheduler.hold_starts(hold);
+}
+
 void owner_task::state::log_load() {
     const auto room = scheduler.capacity();
     std::int64_t waiting = 0;
--- a/test/correctness/a_conflict_loosens_no_other_jobs_end.cpp
+++ b/test/correctness/a_conflict_loosens_no_other_jobs_end.cpp
@@ -109,6 +109,7 @@
 class all_rights final : public steward::owner_rights {
 public:
     bool may_order() override { return true; }
+    bool store_answers() override { return true; }
     void superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
 
