steward: orders to the VMs of a large fleet go through relays, in batches

Weighed: (a) cheaper calls: at best half, and no growth; (b) relays: other daemons hold the connections to the VMs of their zone, the owner decides and exchanges orders and outcomes with a dozen of them, in one call for many; (c) several cells: what grows without end, but limits of customers and gangs over cells are a rebuilding of their own. (b) was taken; it is an implementation of fleet::vm_control, so neither the scheduler nor the sessions with VMs know of it, and a cell's owner would use it as well.

A relay decides nothing. Orders carry their owner's fence, which VMs check, and a time on the relay's own clock, reckoned from what it told last, after which it passes nothing on: a relay that was paused does nothing on an old permission, nor does an owner that was paused send what it had on hand. What a relay was handed and has not told of, when it ends, restarts, falls silent or is slow, counts as unanswered, which the scheduler knows how to deal with; what it surely has not seen goes another way. A daemon that stops leaves the list of daemons and still tells what it has. An earlier version answers 404 and is left out, so that mixed versions work. Used from 400 VMs on.

Takers reach VMs over the relays' standing connections, so a takeover opens no 1,100 of its own.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -31,10 +31,10 @@
 // Of the longest lease, what a renewal gives: shorter leases let lost work start again sooner, and
 // longer ones outlive a change of owners.
 constexpr double lease_share = 0.75;
-// Of the time that VMs wait for a gang to be complete; the rest is for stopping it.
-constexpr double gang_share = 0.6;
 // Lasting work on a VM that has fallen silent is started again when its lease has lapsed.
 constexpr base::milliseconds most_lease{5'500};
+// Of the time that VMs wait for a gang to be complete; the rest is for stopping it.
+constexpr double gang_share = 0.6;
 constexpr base::milliseconds longest_drain{3'000};
 // Of the time between SIGTERM and SIGKILL: serving on, and waiting for the last answers.
 constexpr double drain_share = 0.6;
@@ -58,6 +58,7 @@
     out.vm_name = site.vm_name;
     out.run = name_of_this_run();
     out.peers = site.peers;
+    out.zone = fleet::zone_name(site.zone);
     out.strength = site.cores;
     // As many as the store can write to at its full rate: while it is slow, that is what counts.
     out.job_parts = std::clamp<std::size_t>(
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -101,12 +101,12 @@
     void job_submitted(const job_spec& job, const job_progress* progress, bool inherited,
                        const moment& now);
     void job_cancelled(const job_id& job, const moment& now);
-    // Each VM that may run an inherited task has reported, or its leases have lapsed.
-    void inherited_runs_known(const moment& now);
-
     // All jobs are known that were accepted before that moment. Ends that VMs told of earlier and
     // that are of none of these are of jobs that have ended: the VMs may forget them.
     void jobs_known_as_of(base::time_point moment_read);
+    // Each VM that may run an inherited task has reported, or its leases have lapsed.
+    void inherited_runs_known(const moment& now);
+
     // Answers to decisions. What has to be ordered again is among the next decisions.
     void start_answered(const vm_id& vm, const task_ref& task, run_number run,
                         const tl::expected<vm_time, order_failure>& answer, const moment& now);
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -263,14 +263,11 @@
                const task_ref& task, run_number run, const moment& now);
     // Takes the run off the VM's books; its task may be started again.
     void release(detail::vm_record& vm, const task_ref& task);
-    void want_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void lose_runs(detail::vm_record& vm, const std::vector<task_ref>& tasks,
                    const std::string& reason);
+    void want_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void give_up_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void handle_end(detail::vm_record& vm, const task_end& end, const moment& now);
-    void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
-    void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
-                      const moment& now);
     // A VM with failures of several jobs gets no work for a while.
     void note_failure(detail::vm_record& vm, const job_id& job, const moment& now);
     // What an end means for its job.
@@ -280,6 +277,9 @@
     void count_held_ends(const job_id& job, const moment& now);
     // Those entries of the VM's that wait for the job: its `change` has to be saved first.
     void release_held(const vm_id& vm, const job_id& job, std::uint64_t change);
+    void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
+    void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
+                      const moment& now);
     void adopt(detail::vm_record& vm, const running_task& task, const moment& now);
     // The job of such runs has become known.
     void claim_unknown_runs(const job_id& job);
@@ -298,10 +298,10 @@
                      decisions& out);
     bool place_gang(detail::open_step& work, const detail::placing_round& round, const moment& now,
                     decisions& out);
-    bool has_ticket(const detail::open_step& work, const moment& now) const;
     void move_off_leaving(detail::placing_round& round, const moment& now, decisions& out);
     void move_tasks(detail::open_step& work, detail::placing_round& round, const moment& now,
                     decisions& out);
+    bool has_ticket(const detail::open_step& work, const moment& now) const;
     bool waits_for_limit(const detail::open_step& work, detail::placing_round& round) const;
     void ask_for(detail::open_step& work, detail::placing_round& round, const moment& now,
                  decisions& out);
--- a/packages/steward/include/cranberrydock/steward/daemon.hpp
+++ b/packages/steward/include/cranberrydock/steward/daemon.hpp
@@ -11,6 +11,7 @@
 #include <cranberrydock/steward/entry.hpp>
 #include <cranberrydock/steward/owner_task.hpp>
 #include <cranberrydock/steward/peer_calls.hpp>
+#include <cranberrydock/steward/relayed_vms.hpp>
 
 #include <functional>
 #include <memory>
@@ -22,11 +23,13 @@
     std::string vm_name;
     std::string run;      // of this process: its start, so that a later run's is larger
     net::endpoint peers;  // where the other daemons reach this one
+    fleet::zone_name zone;
     // Of the VM: cores that this daemon may use. The fleet is owned by one of the strongest.
     double strength = 1.0;
     std::size_t job_parts = 1;  // the same for all daemons
     fleet::ownership_settings ownership;
     owner_settings owner;
+    relay_settings relays;
     // A daemon that is told to stop serves on for so long, while callers move to others.
     base::milliseconds drain{3'000};
     // Counted as cut off from the store when it has not answered for so long.
--- a/packages/steward/include/cranberrydock/steward/peer_calls.hpp
+++ b/packages/steward/include/cranberrydock/steward/peer_calls.hpp
@@ -8,6 +8,7 @@
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/net/http_client.hpp>
 #include <cranberrydock/net/http_server.hpp>
+#include <cranberrydock/steward/relayed_orders.hpp>
 #include <cranberrydock/steward/submission_writer.hpp>
 
 #include <functional>
@@ -37,6 +38,8 @@
     silent,
 };
 using life_done = std::function<void(peer_life)>;
+// Failure: `process_gone` when the peer has surely not seen the orders, else `silent`.
+using exchange_result = tl::expected<outcome_batch, peer_life>;
 
 // Another daemon. A peer is an adviser that asks from its own VM, and a way to the store for a
 // daemon that the store turns away.
@@ -51,6 +54,9 @@
                              std::function<void()> done) = 0;
     // Has the peer make the job durable, together with what others hand it.
     virtual void write_job(const handed_job& what, base::milliseconds timeout, write_done done) = 0;
+    // Hands orders to VMs over to the peer, and hears of outcomes.
+    virtual void exchange_orders(const order_batch& batch, base::milliseconds timeout,
+                                 std::function<void(exchange_result)> done) = 0;
 };
 
 std::shared_ptr<peer> make_peer(net::http_client& http, const net::endpoint& address);
@@ -66,6 +72,7 @@
     virtual void job_written(const written_job& job) = 0;
     virtual void write_job(const handed_job& what, base::milliseconds timeout,
                            const write_done& done) = 0;
+    virtual void exchange_orders(const order_batch& batch, exchange_done done) = 0;
 };
 
 // Answers peers' calls, and whoever collects this daemon's metrics.
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -1,6 +1,7 @@
 // One daemon of the fleet: its parts and how they are tied together.
 #include <cranberrydock/steward/daemon.hpp>
 #include <cranberrydock/steward/job_parts.hpp>
+#include <cranberrydock/steward/order_relay.hpp>
 #include <cranberrydock/steward/relayed_store.hpp>
 
 #include "daemon_record.hpp"
@@ -29,9 +30,9 @@
 constexpr int silent_probes_until_gone = 2;
 // Entries of VMs lapse after three missed heartbeats, each a second or more.
 constexpr base::milliseconds entries_lapse_after{3'000};
-constexpr base::milliseconds announce_retry{500};
 // The store is asked for changes of the daemons all the time, each question for half a second.
 constexpr base::milliseconds store_answers_for{1'000};
+constexpr base::milliseconds announce_retry{500};
 // Takers wait for so many times of what a write takes them.
 constexpr int stagger_per_write = 3;
 constexpr base::milliseconds longest_stagger{250};  // a write may have met a busy store
@@ -58,7 +59,8 @@
           direct(row_store),
           own_adviser(placement),
           store(row_store, counters),
-          vms(vm_control),
+          vms(event_loop, vm_control, limits.vm_name + "/" + limits.run, limits.relays, counters),
+          relay(event_loop, vm_control, limits.run),
           rows(platform),
           settings(limits),
           metrics(counters),
@@ -161,6 +163,9 @@
             owning->job_written(job.job, job.row, job.version);
         }
     }
+    void exchange_orders(const order_batch& batch, exchange_done done) override {
+        relay.exchange(batch, std::move(done));
+    }
     fleet::placement_adviser& adviser() override { return own_adviser; }
     fleet::row_store& direct_store() override { return direct; }
     void job_status(const fleet::job_id& job, status_done done) override {
@@ -173,12 +178,12 @@
 
     // owner_rights
     bool may_order() override { return owning && ownership.valid(clock.now()); }
+    bool store_answers() override { return clock.now() - store_heard < store_answers_for; }
     void superseded(const std::string& where) override {
         spdlog::warn("event=owner_superseded by={}", where);
         end_owning_soon();
     }
 
-    bool store_answers() override { return clock.now() - store_heard < store_answers_for; }
     void store_answered() {
         const auto now = clock.now();
         const bool was_away = store_away && now - store_heard >= entries_lapse_after;
@@ -258,10 +263,19 @@
             set_stagger();
             advisers.set_peers(peers);
             store.set_peers(peers);
+            set_relays();
             look_for_restarted_owner();
         }
     }
 
+    void set_relays() {
+        std::map<std::string, relay_candidate> candidates;
+        for (const auto& it : peer_records) {
+            candidates[it.first] = {peers.at(it.first), it.second.zone, it.second.strength};
+        }
+        vms.set_candidates(candidates);
+    }
+
     // A VM has one daemon: when another run of the owner's has announced itself, the owner's
     // process has ended.
     void look_for_restarted_owner() {
@@ -375,7 +389,7 @@
         consider_handing_over();
         if (owning && !ownership.owns()) {
             spdlog::warn("event=ownership_lost holder={}", ownership.record().holder);
-            owning.reset();
+            stop_owning();
         }
         if (!owning && ownership.owns() && configured && ownership.valid(clock.now())) {
             begin_owning();
@@ -398,6 +412,7 @@
         }
         if (owning) {
             owning->describe(record, ++last_count);
+            vms.set_vm_count(record.vm_count);
         }
         write_owner(record);
     }
@@ -432,6 +447,7 @@
         owner_settings limits = settings.owner;
         limits.earlier_owner_valid_for = settings.ownership.valid_for;
         limits.expected_vms = former_vms;
+        vms.set_vm_count(former_vms);
         limits.members_complete_from = members_complete_from;
         owning = std::make_unique<owner_task>(loop, store, vms, rows, layout, advisers, *this,
                                               ownership.record().owner, limits, metrics);
@@ -441,9 +457,15 @@
         }
     }
 
+    // Orders that no relay has been handed yet are not given any more.
+    void stop_owning() {
+        owning.reset();
+        vms.drop_waiting();
+    }
+
     void end_owning_soon() {
         ownership.store_unreadable();
-        end_owning = loop.after(base::duration{0}, [this] { owning.reset(); });
+        end_owning = loop.after(base::duration{0}, [this] { stop_owning(); });
     }
 
     // Tells the other daemons where this one is.
@@ -451,7 +473,8 @@
         fleet::row_transaction what;
         what.puts.push_back(
             {daemon_row(settings.vm_name),
-             detail::encode_daemon({settings.peers, settings.run, settings.strength})});
+             detail::encode_daemon(
+                 {settings.peers, settings.run, settings.strength, settings.zone})});
         const auto sent = clock.now();
         store.commit(what, owner_write_timeout, alive.guard([this, sent](const auto& answer) {
             if (!answer) {
@@ -477,7 +500,7 @@
             what.puts.push_back({owner_row(), encode_owner(free)});
             ownership.give_up();
         }
-        owning.reset();
+        stop_owning();
         store.commit(what, hand_over_timeout, [](const auto& answer) {
             spdlog::info("event=handed_over ok={}", answer.has_value());
         });
@@ -503,7 +526,8 @@
     fleet::row_store& direct;
     fleet::placement_adviser& own_adviser;
     relayed_store store;
-    fleet::vm_control& vms;
+    relayed_vms vms;
+    order_relay relay;  // for owners among the peers
     const fleet::platform_rows& rows;
     daemon_settings settings;
     base::metrics& metrics;
--- a/packages/steward/src/daemon_record.cpp
+++ b/packages/steward/src/daemon_record.cpp
@@ -6,7 +6,8 @@
 namespace cranberrydock::steward::detail {
 
 std::string encode_daemon(const daemon_record& record) {
-    return record.address.text() + " " + record.run + " " + std::to_string(record.strength);
+    return record.address.text() + " " + record.run + " " + std::to_string(record.strength) +
+           " " + record.zone.str();
 }
 
 daemon_record decode_daemon(const std::string& value) {
@@ -14,6 +15,9 @@
     std::string address;
     daemon_record out;
     in >> address >> out.run >> out.strength;
+    std::string zone;
+    in >> zone;
+    out.zone = fleet::zone_name(zone);
     out.address = net::parse_endpoint(address);
     return out;
 }
--- a/packages/steward/src/daemon_record.hpp
+++ b/packages/steward/src/daemon_record.hpp
@@ -2,6 +2,7 @@
 // its VM is.
 #pragma once
 
+#include <cranberrydock/fleet/work.hpp>
 #include <cranberrydock/net/http.hpp>
 
 #include <string>
@@ -12,6 +13,7 @@
     net::endpoint address;
     std::string run;
     double strength = 0;  // cores that it may use
+    fleet::zone_name zone;  // empty: an earlier version has not told it
 };
 
 std::string encode_daemon(const daemon_record& record);
--- a/packages/steward/src/peer_calls.cpp
+++ b/packages/steward/src/peer_calls.cpp
@@ -16,6 +16,7 @@
 const char* const alive_path = "/peer/alive";
 const char* const written_path = "/peer/written";
 const char* const write_path = "/peer/write";
+const char* const orders_path = "/peer/orders";
 const char* const metrics_path = "/metrics";
 // The peer answers before its caller gives up.
 constexpr base::milliseconds answer_margin{100};
@@ -105,6 +106,19 @@
              });
     }
 
+    void exchange_orders(const order_batch& batch, base::milliseconds timeout,
+                         std::function<void(exchange_result)> done) override {
+        call(orders_path, detail::encode(batch), timeout,
+             [done = std::move(done)](const net::http_result& result) {
+                 const bool not_sent =
+                     !result && result.error().failure == net::http_failure::not_sent;
+                 done(decoded<exchange_result>(
+                     result,
+                     tl::unexpected(not_sent ? peer_life::process_gone : peer_life::silent),
+                     detail::decode_outcomes));
+             });
+    }
+
 private:
     void call(const char* path, std::string body, base::milliseconds timeout,
               net::http_callback done) {
@@ -191,6 +205,11 @@
             services_.write_job(call.what, call.timeout, [respond](const write_result& result) {
                 respond(ok(detail::encode(result)));
             });
+        } else if (request.path == orders_path) {
+            services_.exchange_orders(detail::decode_orders(request.body),
+                                      [respond](const outcome_batch& outcomes) {
+                                          respond(ok(detail::encode(outcomes)));
+                                      });
         } else if (request.path == alive_path) {
             respond(ok(""));
         } else if (request.path == metrics_path) {
--- a/packages/steward/src/peer_codec.cpp
+++ b/packages/steward/src/peer_codec.cpp
@@ -258,4 +258,190 @@
                         static_cast<fleet::job_state>(state)};
 }
 
+namespace {
+
+// Orders and outcomes are many: arrays, with what tells the kinds apart in front.
+enum class order_kind { start, stop, watch };
+enum class outcome_kind { time, report, failure, expired };
+
+json encode_task(const fleet::task_ref& task) {
+    return json::array({task.job.str(), task.occurrence, task.step, task.index});
+}
+
+fleet::task_ref decode_task(const json& from) {
+    return {fleet::job_id(from.at(0).get<std::string>()), from.at(1).get<int>(),
+            from.at(2).get<int>(), from.at(3).get<int>()};
+}
+
+json encode_what(const relayed_order& order) {
+    if (const auto* const start = std::get_if<fleet::start_order>(&order.what)) {
+        return json::array({static_cast<int>(order_kind::start), encode_task(start->task),
+                            start->run.value(), bytes_of(start->payload),
+                            start->lease_until.value(), start->from.str(), start->ticket.str()});
+    }
+    if (const auto* const stop = std::get_if<stop_order>(&order.what)) {
+        return json::array({static_cast<int>(order_kind::stop), encode_task(stop->task),
+                            stop->run.value()});
+    }
+    const auto& watch = std::get<fleet::watch_order>(order.what);
+    return json::array({static_cast<int>(order_kind::watch), watch.lease_until.value(),
+                        watch.acknowledged.value(), watch.wait.count()});
+}
+
+std::variant<fleet::start_order, stop_order, fleet::watch_order> decode_what(const json& from) {
+    const auto kind = static_cast<order_kind>(from.at(0).get<int>());
+    if (kind == order_kind::start) {
+        fleet::start_order out;
+        out.task = decode_task(from.at(1));
+        out.run = fleet::run_number(from.at(2).get<std::int32_t>());
+        out.payload = text_of(from.at(3));
+        out.lease_until = fleet::vm_time(from.at(4).get<std::int64_t>());
+        out.from = fleet::checkpoint(from.at(5).get<std::string>());
+        out.ticket = fleet::placement_ticket(from.at(6).get<std::string>());
+        return out;
+    }
+    if (kind == order_kind::stop) {
+        return stop_order{decode_task(from.at(1)),
+                          fleet::run_number(from.at(2).get<std::int32_t>())};
+    }
+    if (kind != order_kind::watch) {
+        throw std::invalid_argument("expected an order to a VM, found kind " + from.at(0).dump());
+    }
+    fleet::watch_order out;
+    out.lease_until = fleet::vm_time(from.at(1).get<std::int64_t>());
+    out.acknowledged = fleet::end_number(from.at(2).get<std::int64_t>());
+    out.wait = base::milliseconds(from.at(3).get<std::int64_t>());
+    return out;
+}
+
+json encode_report(const fleet::vm_report& report) {
+    json running = json::array();
+    for (const auto& it : report.running) {
+        running.push_back(
+            json::array({encode_task(it.task), it.run.value(), it.saved.str(), it.percent}));
+    }
+    json ends = json::array();
+    for (const auto& it : report.ends) {
+        ends.push_back(json::array({it.number.value(), encode_task(it.task), it.run.value(),
+                                    static_cast<int>(it.kind), it.saved.str()}));
+    }
+    return json::array({static_cast<int>(outcome_kind::report), report.now.value(),
+                        report.boot.value(), std::move(running), std::move(ends)});
+}
+
+fleet::vm_report decode_report(const json& from) {
+    fleet::vm_report out;
+    out.now = fleet::vm_time(from.at(1).get<std::int64_t>());
+    out.boot = fleet::boot_time(from.at(2).get<std::int64_t>());
+    for (const auto& it : from.at(3)) {
+        out.running.push_back({decode_task(it.at(0)),
+                               fleet::run_number(it.at(1).get<std::int32_t>()),
+                               fleet::checkpoint(it.at(2).get<std::string>()),
+                               it.at(3).get<int>()});
+    }
+    for (const auto& it : from.at(4)) {
+        const int kind = it.at(3).get<int>();
+        if (kind < 0 || kind > static_cast<int>(fleet::end_kind::gang_incomplete)) {
+            throw std::invalid_argument("expected how a task ended, found " + std::to_string(kind));
+        }
+        out.ends.push_back({fleet::end_number(it.at(0).get<std::int64_t>()), decode_task(it.at(1)),
+                            fleet::run_number(it.at(2).get<std::int32_t>()),
+                            static_cast<fleet::end_kind>(kind),
+                            fleet::checkpoint(it.at(4).get<std::string>())});
+    }
+    return out;
+}
+
+json encode_what(const relayed_outcome& outcome) {
+    if (const auto* const time = std::get_if<fleet::vm_time>(&outcome.what)) {
+        return json::array({static_cast<int>(outcome_kind::time), time->value()});
+    }
+    if (const auto* const report = std::get_if<fleet::vm_report>(&outcome.what)) {
+        return encode_report(*report);
+    }
+    if (const auto* const failure = std::get_if<fleet::order_failure>(&outcome.what)) {
+        return json::array({static_cast<int>(outcome_kind::failure), static_cast<int>(*failure)});
+    }
+    return json::array({static_cast<int>(outcome_kind::expired)});
+}
+
+relayed_outcome decode_outcome(const json& from) {
+    relayed_outcome out;
+    out.number = order_number(from.at(0).get<std::int64_t>());
+    const json& what = from.at(1);
+    switch (static_cast<outcome_kind>(what.at(0).get<int>())) {
+        case outcome_kind::time:
+            out.what = fleet::vm_time(what.at(1).get<std::int64_t>());
+            return out;
+        case outcome_kind::report:
+            out.what = decode_report(what);
+            return out;
+        case outcome_kind::failure: {
+            const int failure = what.at(1).get<int>();
+            if (failure < 0 || failure > static_cast<int>(fleet::order_failure::malformed)) {
+                throw std::invalid_argument("expected the failure of an order, found " +
+                                            std::to_string(failure));
+            }
+            out.what = static_cast<fleet::order_failure>(failure);
+            return out;
+        }
+        case outcome_kind::expired:
+            out.what = order_expired{};
+            return out;
+    }
+    throw std::invalid_argument("expected the outcome of an order, found " + what.dump());
+}
+
+}  // namespace
+
+std::string encode(const order_batch& batch) {
+    json orders = json::array();
+    for (const auto& it : batch.orders) {
+        orders.push_back(json::array({it.number.value(), it.vm.str(), it.address,
+                                      it.owner.value(), encode_what(it)}));
+    }
+    return to_bytes({{"sender", batch.sender},
+                     {"relay_run", batch.relay_run},
+                     {"not_after", batch.not_after.value()},
+                     {"orders", std::move(orders)}});
+}
+
+order_batch decode_orders(const std::string& body) {
+    const json from = json::from_cbor(body);
+    order_batch out;
+    out.sender = from.at("sender").get<std::string>();
+    out.relay_run = from.at("relay_run").get<std::string>();
+    out.not_after = relay_time(from.at("not_after").get<std::int64_t>());
+    for (const auto& it : from.at("orders")) {
+        relayed_order one;
+        one.number = order_number(it.at(0).get<std::int64_t>());
+        one.vm = fleet::vm_id(it.at(1).get<std::string>());
+        one.address = it.at(2).get<std::string>();
+        one.owner = fleet::fence(it.at(3).get<std::int64_t>());
+        one.what = decode_what(it.at(4));
+        out.orders.push_back(std::move(one));
+    }
+    return out;
+}
+
+std::string encode(const outcome_batch& batch) {
+    json outcomes = json::array();
+    for (const auto& it : batch.outcomes) {
+        outcomes.push_back(json::array({it.number.value(), encode_what(it)}));
+    }
+    return to_bytes(
+        {{"run", batch.run}, {"now", batch.now.value()}, {"outcomes", std::move(outcomes)}});
+}
+
+outcome_batch decode_outcomes(const std::string& body) {
+    const json from = json::from_cbor(body);
+    outcome_batch out;
+    out.run = from.at("run").get<std::string>();
+    out.now = relay_time(from.at("now").get<std::int64_t>());
+    for (const auto& it : from.at("outcomes")) {
+        out.outcomes.push_back(decode_outcome(it));
+    }
+    return out;
+}
+
 }  // namespace cranberrydock::steward::detail
--- a/packages/steward/src/peer_codec.hpp
+++ b/packages/steward/src/peer_codec.hpp
@@ -53,4 +53,9 @@
 std::string encode(const std::optional<known_status>& status);
 std::optional<known_status> decode_status(const std::string& body);
 
+std::string encode(const order_batch& batch);
+order_batch decode_orders(const std::string& body);
+std::string encode(const outcome_batch& batch);
+outcome_batch decode_outcomes(const std::string& body);
+
 }  // namespace cranberrydock::steward::detail
--- a/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
+++ b/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
@@ -3,6 +3,8 @@
 // while, a peer is asked.
 #include <cranberrydock/steward/relayed_store.hpp>
 
+#include "standins/silent_peer.hpp"
+
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -13,7 +15,7 @@
 using namespace cranberrydock;
 
 // Answers inside the call, which the store of a daemon never does; relayed_store doesn't mind.
-class scripted_peer final : public steward::peer {
+class scripted_peer final : public standins::silent_peer {
 public:
     void commit(const fleet::row_transaction& /*what*/, base::milliseconds /*timeout*/,
                 fleet::commit_done done) override {
@@ -30,18 +32,6 @@
         ++calls;
         done(fleet::rows_read{});
     }
-    void follow(const fleet::table_name& /*table*/, fleet::store_version /*after*/,
-                base::milliseconds /*wait*/, fleet::read_done /*done*/) override {}
-    void ask(const fleet::advice_question& /*question*/, base::milliseconds /*timeout*/,
-             fleet::advice_done /*done*/) override {}
-    void job_status(const fleet::job_id& /*job*/, base::milliseconds /*timeout*/,
-                    steward::status_done /*done*/) override {}
-    void probe(base::milliseconds /*timeout*/, steward::life_done /*done*/) override {}
-    void job_written(const steward::written_job& /*job*/, base::milliseconds /*timeout*/,
-                     std::function<void()> /*done*/) override {}
-    void write_job(const steward::handed_job& /*what*/, base::milliseconds /*timeout*/,
-                   steward::write_done /*done*/) override {}
-
     bool refuses_writes = false;
     int calls = 0;
 };
--- /dev/null
+++ b/test/standins/relayed_fleet.hpp
@@ -0,0 +1,181 @@
+// An owner's way to VMs through relays, in one process: VMs that answer after a while, and relays
+// that can be paused, ended, restarted, or lose what they answer.
+#pragma once
+
+#include <cranberrydock/steward/order_relay.hpp>
+#include <cranberrydock/steward/relayed_vms.hpp>
+
+#include "silent_peer.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+// Answers each order after 5 ms, and remembers what it was told.
+class answering_vms final : public fleet::vm_control {
+public:
+    explicit answering_vms(net::event_loop& loop) : loop_(loop) {}
+
+    void start(const fleet::vm_facts& vm, fleet::fence owner, const fleet::start_order& order,
+               fleet::start_done done) override {
+        started.push_back({vm.id, owner, order});
+        later([done = std::move(done)] { done(fleet::vm_time(1)); });
+    }
+    void stop(const fleet::vm_facts& vm, fleet::fence /*owner*/, const fleet::task_ref& /*task*/,
+              fleet::run_number /*run*/, fleet::stop_done done) override {
+        stopped.push_back(vm.id);
+        later([done = std::move(done)] { done(tl::unexpected(fleet::order_failure::superseded)); });
+    }
+    void watch(const fleet::vm_facts& vm, fleet::fence /*owner*/, const fleet::watch_order& order,
+               fleet::watch_done done) override {
+        watched.push_back({vm.id, order});
+        later([this, done = std::move(done)] { done(report); });
+    }
+
+    struct start_seen {
+        fleet::vm_id vm;
+        fleet::fence owner;
+        fleet::start_order order;
+    };
+    struct watch_seen {
+        fleet::vm_id vm;
+        fleet::watch_order order;
+    };
+    std::vector<start_seen> started;
+    std::vector<fleet::vm_id> stopped;
+    std::vector<watch_seen> watched;
+    fleet::vm_report report;
+
+private:
+    void later(std::function<void()> action) {
+        constexpr base::milliseconds answer_time{5};
+        timers_.push_back(loop_.after(answer_time, std::move(action)));
+    }
+
+    net::event_loop& loop_;
+    std::vector<std::unique_ptr<net::timer>> timers_;
+};
+
+class local_relay final : public silent_peer {
+public:
+    local_relay(net::event_loop& loop, fleet::vm_control& vms) : loop_(loop), vms_(vms) {
+        restart();
+    }
+
+    void exchange_orders(const steward::order_batch& batch, base::milliseconds timeout,
+                         std::function<void(steward::exchange_result)> done) override {
+        ++exchanges;
+        if (ended) {
+            after(base::milliseconds{1},
+                  [done] { done(tl::unexpected(steward::peer_life::process_gone)); });
+            return;
+        }
+        const auto answered = std::make_shared<bool>(false);
+        after(timeout, [done, answered] {
+            if (!std::exchange(*answered, true)) {
+                done(tl::unexpected(steward::peer_life::silent));
+            }
+        });
+        after(paused_for, [this, batch, done, answered] {
+            relay_->exchange(batch, [this, done, answered](const auto& outcomes) {
+                if (!loses_answers && !std::exchange(*answered, true)) {
+                    done(outcomes);
+                }
+            });
+        });
+    }
+
+    void restart() {
+        relay_ = std::make_unique<steward::order_relay>(loop_, vms_, std::to_string(++runs_));
+    }
+
+    int exchanges = 0;
+    bool ended = false;
+    bool loses_answers = false;
+    base::milliseconds paused_for{0};  // before it reads what it was sent
+
+private:
+    void after(base::milliseconds delay, std::function<void()> action) {
+        timers_.push_back(loop_.after(delay, std::move(action)));
+    }
+
+    net::event_loop& loop_;
+    fleet::vm_control& vms_;
+    int runs_ = 0;
+    std::unique_ptr<steward::order_relay> relay_;
+    std::vector<std::unique_ptr<net::timer>> timers_;
+};
+
+// Two zones; the first has two relays, the second none.
+class relayed_fleet {
+public:
+    explicit relayed_fleet(std::size_t vm_count) : vm_count_(vm_count) {
+        connect();
+        owner.set_vm_count(vm_count);
+    }
+
+    void connect() {
+        owner.set_candidates({{"a", {first, fleet::zone_name("near"), 1.0}},
+                              {"b", {second, fleet::zone_name("near"), 0.5}}});
+    }
+
+    fleet::vm_facts vm(std::size_t i, const std::string& zone = "near") const {
+        fleet::vm_facts out;
+        out.id = fleet::vm_id("vm-" + std::to_string(i));
+        out.address = "127.0.0.1:1";
+        out.zone = fleet::zone_name(zone);
+        return out;
+    }
+
+    // Starts a task on each VM of the zone.
+    void start_on_all(const std::string& zone = "near") {
+        for (std::size_t i = 0; i < vm_count_; ++i) {
+            fleet::start_order order;
+            order.task = {fleet::job_id("job"), 0, 0, static_cast<int>(i)};
+            order.run = fleet::run_number(1);
+            order.payload = "payload";
+            owner.start(vm(i, zone), fleet::fence(7), order,
+                        [this](const auto& answer) { answers.push_back(answer); });
+        }
+    }
+
+    void run_for(base::duration time) {
+        const auto end = loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    std::size_t answered_with(fleet::order_failure failure) const {
+        std::size_t out = 0;
+        for (const auto& it : answers) {
+            out += !it && it.error() == failure ? 1 : 0;
+        }
+        return out;
+    }
+
+    std::size_t carried_out() const {
+        std::size_t out = 0;
+        for (const auto& it : answers) {
+            out += it ? 1 : 0;
+        }
+        return out;
+    }
+
+    net::event_loop loop;
+    base::metrics metrics;
+    answering_vms through_relays{loop};
+    answering_vms direct{loop};
+    std::shared_ptr<local_relay> first = std::make_shared<local_relay>(loop, through_relays);
+    std::shared_ptr<local_relay> second = std::make_shared<local_relay>(loop, through_relays);
+    steward::relay_settings settings;
+    steward::relayed_vms owner{loop, direct, "owner/1", settings, metrics};
+    std::vector<tl::expected<fleet::vm_time, fleet::order_failure>> answers;
+
+private:
+    std::size_t vm_count_;
+};
+
+}  // namespace cranberrydock::standins
--- /dev/null
+++ b/test/standins/silent_peer.hpp
@@ -0,0 +1,30 @@
+// A peer that takes each call and answers none, for tests that answer some of them.
+#pragma once
+
+#include <cranberrydock/steward/peer_calls.hpp>
+
+namespace cranberrydock::standins {
+
+class silent_peer : public steward::peer {
+public:
+    void commit(const fleet::row_transaction& /*what*/, base::milliseconds /*timeout*/,
+                fleet::commit_done /*done*/) override {}
+    void read(const fleet::table_name& /*table*/, const fleet::part_name& /*part*/,
+              const fleet::row_name& /*from*/, std::size_t /*limit*/,
+              base::milliseconds /*timeout*/, fleet::read_done /*done*/) override {}
+    void follow(const fleet::table_name& /*table*/, fleet::store_version /*after*/,
+                base::milliseconds /*wait*/, fleet::read_done /*done*/) override {}
+    void ask(const fleet::advice_question& /*question*/, base::milliseconds /*timeout*/,
+             fleet::advice_done /*done*/) override {}
+    void job_status(const fleet::job_id& /*job*/, base::milliseconds /*timeout*/,
+                    steward::status_done /*done*/) override {}
+    void probe(base::milliseconds /*timeout*/, steward::life_done /*done*/) override {}
+    void job_written(const steward::written_job& /*job*/, base::milliseconds /*timeout*/,
+                     std::function<void()> /*done*/) override {}
+    void write_job(const steward::handed_job& /*what*/, base::milliseconds /*timeout*/,
+                   steward::write_done /*done*/) override {}
+    void exchange_orders(const steward::order_batch& /*batch*/, base::milliseconds /*timeout*/,
+                         std::function<void(steward::exchange_result)> /*done*/) override {}
+};
+
+}  // namespace cranberrydock::standins
