net: an answer that is coming in when its deadline passes is waited for

A configuration of 1,640 routes (some 500 kB as the store sends it) went to 147 daemons at once, over a link of 150 Mbit/s between regions that others use as well.

The deadline stands while nothing comes. While more of the answer comes in each quarter of a second it is waited for, up to three times the timeout. Calls that are done by their deadline are as before.

Tests: crossed_calls.wait_for_an_answer_that_is_coming_in and .give_up_an_answer_that_has_stopped_ coming_in; without the change the first has no answer at all.

--- a/packages/net/include/cranberrydock/net/http_client.hpp
+++ b/packages/net/include/cranberrydock/net/http_client.hpp
@@ -31,7 +31,8 @@
 public:
     virtual ~http_client() = default;
 
-    // Sends `request` to `to` and calls `done` once, on the client's loop, within `timeout`.
+    // Sends `request` to `to` and calls `done` once, on the client's loop, within `timeout`; while
+    // an answer is coming in, within three times that.
     virtual void send(const endpoint& to, http_request request, base::milliseconds timeout,
                       http_callback done) = 0;
 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -52,14 +52,22 @@
 
 constexpr int first_final_status = 200;
 constexpr int first_priority = 0;
+// An answer that is coming in when the deadline passes is waited for as long as more of it comes
+// within each such period, up to so many times the timeout.
+constexpr base::milliseconds progress_period{250};
+constexpr int longest_answer_in_timeouts = 3;
+
+evbuffer* input_of(evhttp_connection* connection) {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+}
 
 // Whether the connection stands and nothing has come on it since the last answer. What has come
 // would be taken for the answer to the next request.
 bool is_quiet(evhttp_connection* connection) {
-    bufferevent* const stream = evhttp_connection_get_bufferevent(connection);
-    if (evbuffer_get_length(bufferevent_get_input(stream)) > 0) {
+    if (evbuffer_get_length(input_of(connection)) > 0) {
         return false;
     }
+    bufferevent* const stream = evhttp_connection_get_bufferevent(connection);
     char next = 0;
     const auto n = recv(bufferevent_getfd(stream), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
@@ -75,8 +83,15 @@
     bool reused = false;
     http_callback done;
     std::unique_ptr<timer> deadline;
+    base::time_point last_moment{};   // also for an answer that is coming in
+    std::size_t received = 0;         // bytes on the connection
+    std::size_t received_before = 0;  // when the deadline was looked at last
 };
 
+void count_received(evbuffer* /*input*/, const evbuffer_cb_info* info, void* self) {
+    static_cast<call*>(self)->received += info->n_added;
+}
+
 struct idle_connection {
     evhttp_connection* connection = nullptr;
     base::time_point since;
@@ -114,14 +129,24 @@
         calls_.insert(one);
         // evhttp's own timeout, 50 s when nothing is said, must not come before the deadline.
         evhttp_connection_set_timeout(one->connection, whole_seconds_beyond(timeout));
-        one->deadline = loop_.after(timeout, [this, one] {
-            finish(one, tl::unexpected(http_error{http_failure::answer_lost, "deadline passed"}),
-                   false);
-        });
+        evbuffer_add_cb(input_of(one->connection), &count_received, one);
+        one->last_moment = clock_.now() + timeout * longest_answer_in_timeouts;
+        one->deadline = loop_.after(timeout, [this, one] { deadline_passed(one); });
         write(one, request);
     }
 
 private:
+    // Asking anew for an answer that is coming in would only load the network more.
+    void deadline_passed(call* one) {
+        if (one->received > one->received_before && clock_.now() < one->last_moment) {
+            one->received_before = one->received;
+            one->deadline = loop_.after(progress_period, [this, one] { deadline_passed(one); });
+            return;
+        }
+        finish(one, tl::unexpected(http_error{http_failure::answer_lost, "deadline passed"}),
+               false);
+    }
+
     void write(call* one, const http_request& request) {
         evhttp_request* const raw = evhttp_request_new(&pooled_client::on_answer, one);
         evkeyvalq* const headers = evhttp_request_get_output_headers(raw);
@@ -192,6 +217,7 @@
     void finish(call* one, http_result result, bool reusable) {
         calls_.erase(one);
         const std::unique_ptr<call> owned(one);
+        evbuffer_remove_cb(input_of(one->connection), &count_received, one);
         if (reusable && idle_.count(one->to) < limits_.max_idle_per_endpoint) {
             idle_.emplace(one->to, idle_connection{one->connection, clock_.now()});
         } else {
--- a/packages/net/src/listener_probe.cpp
+++ b/packages/net/src/listener_probe.cpp
@@ -47,7 +47,8 @@
             finish_later(one, state_of(error));
             return;
         }
-        one->writable = event_new(loop_.raw(), one->fd, EV_WRITE, &connecting_probe::connected, one);
+        one->writable =
+            event_new(loop_.raw(), one->fd, EV_WRITE, &connecting_probe::connected, one);
         event_add(one->writable, nullptr);
         one->deadline = loop_.after(timeout, [this, one] { finish(one, listener_state::unknown); });
     }
--- a/test/failure/answers_reach_no_other_request.cpp
+++ b/test/failure/answers_reach_no_other_request.cpp
@@ -439,4 +439,36 @@
               6);
 }
 
+// A large answer over a slow link comes in long after the deadline; to ask anew would only load the
+// link more.
+TEST_F(crossed_calls, wait_for_an_answer_that_is_coming_in) {
+    EXPECT_EQ(calls_answered(
+                  [](raw_connection& caller, const std::string& path) {
+                      for (const char it : answer_text(path)) {
+                          caller.put(std::string(1, it));
+                          std::this_thread::sleep_for(2 * poll_pause);
+                          if (it == '\n') {
+                              std::this_thread::sleep_for(short_wait / 4);
+                          }
+                      }
+                      return true;
+                  },
+                  short_wait),
+              8);
+}
+
+TEST_F(crossed_calls, give_up_an_answer_that_has_stopped_coming_in) {
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(calls_answered(
+                  [](raw_connection& caller, const std::string& path) {
+                      caller.put(answer_text(path).substr(0, answer_text(path).size() - 1));
+                      std::this_thread::sleep_for(8 * short_wait);
+                      return false;
+                  },
+                  short_wait),
+              0);
+    const auto each = (std::chrono::steady_clock::now() - begin) / 8;
+    EXPECT_LT(each, 4 * short_wait);
+}
+
 }  // namespace
