steward: a zone reads changes of the configuration a few times, not once a daemon

In zones of four daemons and more the strongest, one of eight, read the configuration's changes from the store; the others hear of them from one of these, and ask the store when it does not answer within 0.8 s, refuses, or its own news is older than 1.5 s. A reader hands on what it has read itself, never what it was told. Small zones read for themselves, as before.

Daemons that the store does not answer go through different peers now, chosen by rendezvous: all 73 of the far region had gone through the first one by name, over a link of 20 Mbit/s.

Ruled out: smaller rows (the operator writes them), longer deadlines alone (the link stays full).

Test: failure/changes_are_read_once_for_a_zone: three of 24 daemons read a change, all know it within 0.2 s, and within 1.5 s when the three are silent.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -88,8 +88,8 @@
     // Another incarnation answers under that name. What of the runs there it has not taken on, its
     // next report tells; until then the VM is not used.
     void vm_reborn(const vm_id& vm);
-    // The process that ran the VM's tasks has ended. What it was known to run does not run any more;
-    // another incarnation may still carry out orders that nobody has answered.
+    // The process that ran the VM's tasks has ended. What it was known to run does not run any
+    // more; another incarnation may still carry out orders that nobody has answered.
     void vm_ended(const vm_id& vm);
     // Nothing of what was started there runs any more.
     void vm_lost(const vm_id& vm, const std::string& reason);
--- a/packages/fleet/src/advice.cpp
+++ b/packages/fleet/src/advice.cpp
@@ -52,10 +52,9 @@
         return std::nullopt;
     }
     const step_spec& spec = *step.spec;
-    const auto waiting =
-        std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto& it) {
-            return !it.done && (it.vm == nullptr || it.vm->facts.leaving);
-        });
+    const auto waiting = std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto& it) {
+        return !it.done && (it.vm == nullptr || it.vm->facts.leaving);
+    });
     const bool is_long = asks_long(*work.advice);
     std::vector<candidate> candidates;
     for (vm_record* const vm : round.usable) {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -50,7 +50,7 @@
 struct unsaved_end {
     end_number number;
     job_id job;
-    std::uint64_t change = 0;  // of the job; the end may be forgotten once this is saved
+    std::uint64_t change = 0;     // of the job; the end may be forgotten once this is saved
     bool of_unknown_job = false;  // it must not be forgotten yet
 };
 
@@ -218,9 +218,9 @@
     std::set<step_ref> forming;                     // gangs whose members are being started
     std::set<job_id> timed;                         // jobs with occurrences that are not due yet
     std::set<std::pair<vm_id, task_ref>> stopping;  // runs whose end is wanted
-    std::set<std::pair<task_ref, vm_id>> unknown_runs;  // of jobs that are not known
+    std::set<std::pair<task_ref, vm_id>> unknown_runs;          // of jobs that are not known
     std::map<job_id, std::vector<detail::held_end>> held_ends;  // of jobs that are not known
-    std::set<std::pair<vm_id, task_ref>> start_again;   // whose order to start was not answered
+    std::set<std::pair<vm_id, task_ref>> start_again;  // whose order to start was not answered
     std::set<job_id> dirty;
     // Jobs that have ended under this owner. Their rows may still be read, from a reading of the
     // store that is older than their end.
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -443,9 +443,8 @@
 void scheduler::jobs_known_as_of(base::time_point moment_read) {
     for (auto it = state_->held_ends.begin(); it != state_->held_ends.end();) {
         auto& ends = it->second;
-        const bool known_to_be_gone =
-            std::all_of(ends.begin(), ends.end(),
-                        [&](const auto& end) { return end.heard < moment_read; });
+        const bool known_to_be_gone = std::all_of(
+            ends.begin(), ends.end(), [&](const auto& end) { return end.heard < moment_read; });
         if (!known_to_be_gone) {
             ++it;
             continue;
--- a/packages/steward/include/cranberrydock/steward/peer_calls.hpp
+++ b/packages/steward/include/cranberrydock/steward/peer_calls.hpp
@@ -57,6 +57,10 @@
     // Hands orders to VMs over to the peer, and hears of outcomes.
     virtual void exchange_orders(const order_batch& batch, base::milliseconds timeout,
                                  std::function<void(exchange_result)> done) = 0;
+    // Changes of the configuration after that version, as the peer has heard of them from the
+    // store; none after `wait`. Refused when it does not read them for others, or its news is old.
+    virtual void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                                      fleet::read_done done) = 0;
 };
 
 std::shared_ptr<peer> make_peer(net::http_client& http, const net::endpoint& address);
@@ -73,6 +77,8 @@
     virtual void write_job(const handed_job& what, base::milliseconds timeout,
                            const write_done& done) = 0;
     virtual void exchange_orders(const order_batch& batch, exchange_done done) = 0;
+    virtual void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                                      const fleet::read_done& done) = 0;
 };
 
 // Answers peers' calls, and whoever collects this daemon's metrics.
--- a/packages/steward/include/cranberrydock/steward/relayed_store.hpp
+++ b/packages/steward/include/cranberrydock/steward/relayed_store.hpp
@@ -14,7 +14,9 @@
 
 class relayed_store final : public fleet::row_store {
 public:
-    relayed_store(fleet::row_store& direct, base::metrics& metrics);
+    // `name`: of this daemon's VM. Daemons that are turned away together go through different
+    // peers.
+    relayed_store(fleet::row_store& direct, std::string name, base::metrics& metrics);
 
     void set_peers(const std::map<std::string, std::shared_ptr<peer>>& peers);
 
@@ -42,6 +44,7 @@
     };
 
     fleet::row_store& direct_;
+    std::string name_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
     std::map<std::string, std::shared_ptr<peer>> peers_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -3,6 +3,7 @@
 #include <cranberrydock/steward/job_parts.hpp>
 #include <cranberrydock/steward/order_relay.hpp>
 #include <cranberrydock/steward/relayed_store.hpp>
+#include <cranberrydock/steward/zone_reader.hpp>
 
 #include "daemon_record.hpp"
 #include "lag_meter.hpp"
@@ -20,6 +21,8 @@
 constexpr base::milliseconds owner_write_timeout{1'200};
 constexpr base::milliseconds hand_over_timeout{2'000};
 constexpr base::milliseconds configuration_wait{1'000};  // a lost answer costs no more than this
+// News of the configuration that is older than this is not handed on to others.
+constexpr base::milliseconds oldest_shared_news{1'500};
 constexpr base::milliseconds no_pause{0};
 constexpr base::milliseconds ask_owner_timeout{350};
 constexpr base::milliseconds tell_owner_timeout{350};
@@ -58,7 +61,9 @@
           http(http_client),
           direct(row_store),
           own_adviser(placement),
-          store(row_store, counters),
+          store(row_store, limits.vm_name, counters),
+          zone(store, limits.vm_name, limits.zone, limits.strength, counters),
+          configuration_feed(event_loop),
           vms(event_loop, vm_control, limits.vm_name + "/" + limits.run, limits.relays, counters),
           relay(event_loop, vm_control, limits.run),
           rows(platform),
@@ -70,8 +75,7 @@
           advisers(placement, metrics),
           callers(loop, store, layout, *this, metrics),
           configuration_rows([this](const auto& all) { on_configuration(all); },
-                             [this](const auto& changed) { on_configuration(changed); },
-                             [this] { store_answered(); }, [] {}),
+                             [this](const auto& changed) { on_configuration(changed); }),
           fleet_rows([this](const auto& all) { on_fleet_table(all); },
                      [this](const auto& changed) { on_fleet_rows(changed); },
                      [this] {
@@ -79,7 +83,7 @@
                          ownership.row_unchanged(clock.now());
                      },
                      [this] { store_unanswered(); }),
-          configurations(loop, store, rows.configuration_table(), {fleet::part_name("")},
+          configurations(loop, zone, rows.configuration_table(), {fleet::part_name("")},
                          configuration_wait, no_pause, configuration_rows),
           fleet_follower(loop, store, fleet_table, {fleet::part_name("")}, follow_wait, no_pause,
                          fleet_rows) {
@@ -166,6 +170,15 @@
     void exchange_orders(const order_batch& batch, exchange_done done) override {
         relay.exchange(batch, std::move(done));
     }
+    void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                              const fleet::read_done& done) override {
+        const auto age = clock.now() - configurations.as_of();
+        if (!zone.reads_for_others() || age > oldest_shared_news) {
+            done(tl::unexpected(fleet::store_error{fleet::store_failure::refused, {}}));
+            return;
+        }
+        configuration_feed.follow(after, wait, done);
+    }
     fleet::placement_adviser& adviser() override { return own_adviser; }
     fleet::row_store& direct_store() override { return direct; }
     void job_status(const fleet::job_id& job, status_done done) override {
@@ -201,6 +214,7 @@
     }
 
     void on_configuration(const std::vector<fleet::stored_row>& found) {
+        configuration_feed.heard(found, configurations.handed_on());
         for (const auto& it : found) {
             if (it.removed || it.address.name != rows.configuration_row()) {
                 continue;
@@ -274,6 +288,7 @@
             candidates[it.first] = {peers.at(it.first), it.second.zone, it.second.strength};
         }
         vms.set_candidates(candidates);
+        zone.set_daemons(candidates);
     }
 
     // A VM has one daemon: when another run of the owner's has announced itself, the owner's
@@ -471,10 +486,9 @@
     // Tells the other daemons where this one is.
     void announce() {
         fleet::row_transaction what;
-        what.puts.push_back(
-            {daemon_row(settings.vm_name),
-             detail::encode_daemon(
-                 {settings.peers, settings.run, settings.strength, settings.zone})});
+        what.puts.push_back({daemon_row(settings.vm_name),
+                             detail::encode_daemon({settings.peers, settings.run, settings.strength,
+                                                    settings.zone})});
         const auto sent = clock.now();
         store.commit(what, owner_write_timeout, alive.guard([this, sent](const auto& answer) {
             if (!answer) {
@@ -526,6 +540,8 @@
     fleet::row_store& direct;
     fleet::placement_adviser& own_adviser;
     relayed_store store;
+    zone_reader zone;  // the same, but for changes of the configuration
+    shared_feed configuration_feed;
     relayed_vms vms;
     order_relay relay;  // for owners among the peers
     const fleet::platform_rows& rows;
--- a/packages/steward/src/daemon_record.cpp
+++ b/packages/steward/src/daemon_record.cpp
@@ -6,8 +6,8 @@
 namespace cranberrydock::steward::detail {
 
 std::string encode_daemon(const daemon_record& record) {
-    return record.address.text() + " " + record.run + " " + std::to_string(record.strength) +
-           " " + record.zone.str();
+    return record.address.text() + " " + record.run + " " + std::to_string(record.strength) + " " +
+           record.zone.str();
 }
 
 daemon_record decode_daemon(const std::string& value) {
--- a/packages/steward/src/daemon_record.hpp
+++ b/packages/steward/src/daemon_record.hpp
@@ -12,7 +12,7 @@
 struct daemon_record {
     net::endpoint address;
     std::string run;
-    double strength = 0;  // cores that it may use
+    double strength = 0;    // cores that it may use
     fleet::zone_name zone;  // empty: an earlier version has not told it
 };
 
--- a/packages/steward/src/order_relay.cpp
+++ b/packages/steward/src/order_relay.cpp
@@ -52,13 +52,11 @@
         answer(from);
     }
     from.open = std::move(done);
-    from.timeout = loop_.after(longest_exchange, [this, name = batch.sender] {
-        answer(senders_.at(name));
-    });
+    from.timeout =
+        loop_.after(longest_exchange, [this, name = batch.sender] { answer(senders_.at(name)); });
     if (!from.ready.empty() && !from.flush) {
-        from.flush = loop_.after(gather_outcomes, [this, name = batch.sender] {
-            answer(senders_.at(name));
-        });
+        from.flush = loop_.after(gather_outcomes,
+                                 [this, name = batch.sender] { answer(senders_.at(name)); });
     }
     const bool expired = now() > batch.not_after;
     if (expired && !batch.orders.empty()) {
--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -127,7 +127,7 @@
     std::optional<std::vector<fleet::stored_row>> read_jobs;  // before their progress was read
     bool inherited_known = false;
     bool may_start_known = false;
-    bool starts_held = false;  // until the changes of the jobs are heard again
+    bool starts_held = false;   // until the changes of the jobs are heard again
     bool earlier_gone = false;  // the process of the owner before has ended
     base::time_point begun;     // when this daemon became the owner
 
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -112,8 +112,7 @@
     if (hold != starts_held) {
         starts_held = hold;
         metrics.count("cranberrydock_starts_held_total", "");
-        const auto age =
-            std::chrono::duration_cast<base::milliseconds>(clock.now() - jobs.as_of());
+        const auto age = std::chrono::duration_cast<base::milliseconds>(clock.now() - jobs.as_of());
         spdlog::warn("event=starts_held held={} jobs_read_before_ms={} fence={}", hold, age.count(),
                      owner.value());
     }
--- a/packages/steward/src/peer_calls.cpp
+++ b/packages/steward/src/peer_calls.cpp
@@ -17,6 +17,7 @@
 const char* const written_path = "/peer/written";
 const char* const write_path = "/peer/write";
 const char* const orders_path = "/peer/orders";
+const char* const configuration_path = "/peer/configuration";
 const char* const metrics_path = "/metrics";
 // The peer answers before its caller gives up.
 constexpr base::milliseconds answer_margin{100};
@@ -54,14 +55,15 @@
     void read(const fleet::table_name& table, const fleet::part_name& part,
               const fleet::row_name& from, std::size_t limit, base::milliseconds timeout,
               fleet::read_done done) override {
-        send_read({{table, part, from}, limit, timeout - answer_margin, false, {}}, timeout,
-                  std::move(done));
+        send_read(read_path, {{table, part, from}, limit, timeout - answer_margin, false, {}},
+                  timeout, std::move(done));
     }
 
     void follow(const fleet::table_name& table, fleet::store_version after, base::milliseconds wait,
                 fleet::read_done done) override {
         constexpr base::milliseconds follow_slack{1'500};
-        send_read({{table, {}, {}}, 0, wait, true, after}, wait + follow_slack, std::move(done));
+        send_read(read_path, {{table, {}, {}}, 0, wait, true, after}, wait + follow_slack,
+                  std::move(done));
     }
 
     void job_status(const fleet::job_id& job, base::milliseconds timeout,
@@ -113,12 +115,17 @@
                  const bool not_sent =
                      !result && result.error().failure == net::http_failure::not_sent;
                  done(decoded<exchange_result>(
-                     result,
-                     tl::unexpected(not_sent ? peer_life::process_gone : peer_life::silent),
+                     result, tl::unexpected(not_sent ? peer_life::process_gone : peer_life::silent),
                      detail::decode_outcomes));
              });
     }
 
+    void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                              fleet::read_done done) override {
+        constexpr base::milliseconds slack{300};
+        send_read(configuration_path, {{}, 0, wait, true, after}, wait + slack, std::move(done));
+    }
+
 private:
     void call(const char* path, std::string body, base::milliseconds timeout,
               net::http_callback done) {
@@ -129,13 +136,12 @@
         http_.send(address_, std::move(request), timeout, std::move(done));
     }
 
-    void send_read(const detail::read_call& what, base::milliseconds timeout,
+    void send_read(const char* path, const detail::read_call& what, base::milliseconds timeout,
                    fleet::read_done done) {
-        call(read_path, encode(what), timeout,
-             [done = std::move(done)](const net::http_result& result) {
-                 done(decoded<tl::expected<fleet::rows_read, fleet::store_error>>(
-                     result, tl::unexpected(unreached(result)), detail::decode_read));
-             });
+        call(path, encode(what), timeout, [done = std::move(done)](const net::http_result& result) {
+            done(decoded<tl::expected<fleet::rows_read, fleet::store_error>>(
+                result, tl::unexpected(unreached(result)), detail::decode_read));
+        });
     }
 
     template <typename Answer, typename Decode>
@@ -210,6 +216,11 @@
                                       [respond](const outcome_batch& outcomes) {
                                           respond(ok(detail::encode(outcomes)));
                                       });
+        } else if (request.path == configuration_path) {
+            const auto call = detail::decode_read_call(request.body);
+            services_.follow_configuration(call.after, call.timeout, [respond](const auto& answer) {
+                respond(ok(detail::encode(answer)));
+            });
         } else if (request.path == alive_path) {
             respond(ok(""));
         } else if (request.path == metrics_path) {
--- a/packages/steward/src/peer_codec.cpp
+++ b/packages/steward/src/peer_codec.cpp
@@ -280,8 +280,8 @@
                             start->lease_until.value(), start->from.str(), start->ticket.str()});
     }
     if (const auto* const stop = std::get_if<stop_order>(&order.what)) {
-        return json::array({static_cast<int>(order_kind::stop), encode_task(stop->task),
-                            stop->run.value()});
+        return json::array(
+            {static_cast<int>(order_kind::stop), encode_task(stop->task), stop->run.value()});
     }
     const auto& watch = std::get<fleet::watch_order>(order.what);
     return json::array({static_cast<int>(order_kind::watch), watch.lease_until.value(),
@@ -334,10 +334,9 @@
     out.now = fleet::vm_time(from.at(1).get<std::int64_t>());
     out.boot = fleet::boot_time(from.at(2).get<std::int64_t>());
     for (const auto& it : from.at(3)) {
-        out.running.push_back({decode_task(it.at(0)),
-                               fleet::run_number(it.at(1).get<std::int32_t>()),
-                               fleet::checkpoint(it.at(2).get<std::string>()),
-                               it.at(3).get<int>()});
+        out.running.push_back(
+            {decode_task(it.at(0)), fleet::run_number(it.at(1).get<std::int32_t>()),
+             fleet::checkpoint(it.at(2).get<std::string>()), it.at(3).get<int>()});
     }
     for (const auto& it : from.at(4)) {
         const int kind = it.at(3).get<int>();
@@ -397,8 +396,8 @@
 std::string encode(const order_batch& batch) {
     json orders = json::array();
     for (const auto& it : batch.orders) {
-        orders.push_back(json::array({it.number.value(), it.vm.str(), it.address,
-                                      it.owner.value(), encode_what(it)}));
+        orders.push_back(json::array(
+            {it.number.value(), it.vm.str(), it.address, it.owner.value(), encode_what(it)}));
     }
     return to_bytes({{"sender", batch.sender},
                      {"relay_run", batch.relay_run},
--- a/packages/steward/src/relayed_store.cpp
+++ b/packages/steward/src/relayed_store.cpp
@@ -1,9 +1,11 @@
 // The store, reached directly or through a peer.
+#include <cranberrydock/base/rendezvous.hpp>
 #include <cranberrydock/steward/relayed_store.hpp>
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberrydock::steward {
 namespace {
@@ -24,8 +26,8 @@
 
 }  // namespace
 
-relayed_store::relayed_store(fleet::row_store& direct, base::metrics& metrics)
-    : direct_(direct), metrics_(metrics) {}
+relayed_store::relayed_store(fleet::row_store& direct, std::string name, base::metrics& metrics)
+    : direct_(direct), name_(std::move(name)), metrics_(metrics) {}
 
 void relayed_store::set_peers(const std::map<std::string, std::shared_ptr<peer>>& peers) {
     peers_ = peers;
@@ -39,9 +41,14 @@
     const auto usable = [&](const auto& it) { return now >= records_[it.first].avoid_until; };
     auto it = peers_.find(relay_);
     if (it == peers_.end() || !usable(*it)) {
-        it = peers_.begin();
-        while (it != peers_.end() && !usable(*it)) {
-            ++it;
+        it = peers_.end();
+        std::uint64_t best = 0;
+        for (auto one = peers_.begin(); one != peers_.end(); ++one) {
+            const auto weight = base::rendezvous_weight(name_, one->first);
+            if (usable(*one) && (it == peers_.end() || weight > best)) {
+                it = one;
+                best = weight;
+            }
         }
     }
     if (it == peers_.end()) {
--- a/packages/steward/src/relayed_vms.cpp
+++ b/packages/steward/src/relayed_vms.cpp
@@ -22,7 +22,8 @@
 // Beyond the life of an order and its VM's wait: the relay's own call, and the way back.
 constexpr base::milliseconds outcome_slack{900};
 
-using any_done = std::variant<fleet::start_done, fleet::watch_done>;  // stops are answered as starts
+using any_done =
+    std::variant<fleet::start_done, fleet::watch_done>;  // stops are answered as starts
 
 fleet::vm_facts facts_of(const relayed_order& order) {
     fleet::vm_facts out;
@@ -105,8 +106,8 @@
         one->way = it.second.way;
         zones_[it.second.zone].relays.push_back(one.get());
     }
-    const std::size_t wanted =
-        (vm_count_ + settings_.vms_per_relay - 1) / std::max<std::size_t>(1, settings_.vms_per_relay);
+    const std::size_t wanted = (vm_count_ + settings_.vms_per_relay - 1) /
+                               std::max<std::size_t>(1, settings_.vms_per_relay);
     const std::size_t a_zone = zones_.empty() ? 0 : (wanted + zones_.size() - 1) / zones_.size();
     used_relays_ = 0;
     for (auto& it : zones_) {
@@ -232,8 +233,7 @@
     if (!with.run.empty()) {
         batch.relay_run = with.run;
         // The relay's clock shows this much at least.
-        const auto since =
-            std::chrono::duration_cast<base::milliseconds>(now - with.clock_heard);
+        const auto since = std::chrono::duration_cast<base::milliseconds>(now - with.clock_heard);
         batch.not_after =
             relay_time(with.clock.value() + since.count() + settings_.order_life.count());
         for (auto& it : std::exchange(with.waiting, {})) {
@@ -387,9 +387,9 @@
                 return now - order.second.made >
                        settings_.order_life + order.second.wait() + outcome_slack;
             });
-        const bool stuck = std::any_of(one.waiting.begin(), one.waiting.end(), [&](const auto& order) {
-            return now - order.made > settings_.order_life;
-        });
+        const bool stuck =
+            std::any_of(one.waiting.begin(), one.waiting.end(),
+                        [&](const auto& order) { return now - order.made > settings_.order_life; });
         if (overdue || stuck) {
             slow.push_back(&one);
         }
--- a/test/correctness/a_large_answer_is_read_before_other_work.cpp
+++ b/test/correctness/a_large_answer_is_read_before_other_work.cpp
@@ -40,8 +40,8 @@
                      read = result ? result->body.size() : 0;
                      loop.stop();
                  });
-    const auto busy = loop.every(base::milliseconds{1},
-                                 [] { std::this_thread::sleep_for(busy_a_turn); });
+    const auto busy =
+        loop.every(base::milliseconds{1}, [] { std::this_thread::sleep_for(busy_a_turn); });
     loop.run();
     server_loop.stop();
     serving.join();
--- a/test/correctness/a_vm_is_asked_again_once_its_ends_are_saved.cpp
+++ b/test/correctness/a_vm_is_asked_again_once_its_ends_are_saved.cpp
@@ -136,8 +136,7 @@
     }
     EXPECT_EQ(listener.ended, 1);
     const base::milliseconds slow_clock_and_margin{500};
-    EXPECT_TRUE(
-        session.lapsed(first_told + settings.longest_lease + slow_clock_and_margin));
+    EXPECT_TRUE(session.lapsed(first_told + settings.longest_lease + slow_clock_and_margin));
 }
 
 TEST_F(session_of_a_vm, a_new_incarnation_may_hold_the_longest_lease) {
--- a/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
+++ b/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
@@ -64,7 +64,7 @@
     base::metrics metrics;
     scripted_peer direct;
     std::shared_ptr<scripted_peer> other = std::make_shared<scripted_peer>();
-    steward::relayed_store store{direct, metrics};
+    steward::relayed_store store{direct, "daemon", metrics};
 };
 
 TEST_F(two_ways, a_crowded_part_is_no_reason) {
--- a/test/correctness/lasting_work_is_kept_running.cpp
+++ b/test/correctness/lasting_work_is_kept_running.cpp
@@ -1,6 +1,6 @@
-// Lasting work among short work that fills the fleet: it is spread over VMs, racks and zones, started
-// again before anything else when its VM has ended, moved off a VM that leaves, and never given up.
-// Load: more short work than fits, all the time.
+// Lasting work among short work that fills the fleet: it is spread over VMs, racks and zones,
+// started again before anything else when its VM has ended, moved off a VM that leaves, and never
+// given up. Load: more short work than fits, all the time.
 #include <cranberrydock/fleet/scheduler.hpp>
 
 #include "standins/fleet_work.hpp"
@@ -135,9 +135,9 @@
     const auto other = std::find_if(runs.begin(), runs.end(), [&](const auto& it) {
         return it.first != gone && !it.second.empty();
     });
-    const auto ended = std::find_if(
-        other->second.begin(), other->second.end(),
-        [](const auto& it) { return it.first.job != fleet::job_id("tracking"); });
+    const auto ended = std::find_if(other->second.begin(), other->second.end(), [](const auto& it) {
+        return it.first.job != fleet::job_id("tracking");
+    });
     end(other->first, fleet::task_ref(ended->first), fleet::end_kind::done);
     decide();
     ASSERT_EQ(places().count(0), 1U);
--- a/test/correctness/orders_to_many_vms_go_through_relays.cpp
+++ b/test/correctness/orders_to_many_vms_go_through_relays.cpp
@@ -1,5 +1,5 @@
-// An owner of many VMs hands its orders to relays in few calls, and hears of each outcome. Orders to
-// the VMs of a small fleet, or of a zone without a relay, go there directly.
+// An owner of many VMs hands its orders to relays in few calls, and hears of each outcome. Orders
+// to the VMs of a small fleet, or of a zone without a relay, go there directly.
 #include "standins/relayed_fleet.hpp"
 
 #include <gtest/gtest.h>
--- a/test/failure/an_owner_that_hears_no_cancellations_starts_nothing.cpp
+++ b/test/failure/an_owner_that_hears_no_cancellations_starts_nothing.cpp
@@ -1,6 +1,6 @@
 // An owner whose feed of the jobs is lost while the store answers everything else: of what it would
-// start, some may have been cancelled. It starts nothing until it hears the changes again. While the
-// store is away as a whole nothing can be cancelled, and work goes on.
+// start, some may have been cancelled. It starts nothing until it hears the changes again. While
+// the store is away as a whole nothing can be cancelled, and work goes on.
 #include "standins/cluster.hpp"
 #include "standins/fleet_crew.hpp"
 
--- /dev/null
+++ b/test/failure/changes_are_read_once_for_a_zone.cpp
@@ -0,0 +1,203 @@
+// A change that each of two dozen daemons of a zone has to hear of: a few read it from the store,
+// the others from these. Readers that fall silent or refuse cost the others a moment, not the news.
+#include <cranberrydock/steward/table_follower.hpp>
+#include <cranberrydock/steward/zone_reader.hpp>
+
+#include "standins/silent_peer.hpp"
+
+#include <gtest/gtest.h>
+
+#include <list>
+
+namespace {
+
+using namespace cranberrydock;
+
+constexpr std::size_t daemon_count = 24;
+const fleet::table_name table("configuration");
+const fleet::row_name row("newest");
+
+// Tells each who follows of a change, once.
+class counting_store final : public standins::silent_peer {
+public:
+    explicit counting_store(net::event_loop& loop) : loop_(loop) {}
+
+    void read(const fleet::table_name& /*table*/, const fleet::part_name& /*part*/,
+              const fleet::row_name& /*from*/, std::size_t /*limit*/,
+              base::milliseconds /*timeout*/, fleet::read_done done) override {
+        later(base::milliseconds{1}, [this, done] { done(now()); });
+    }
+    void follow(const fleet::table_name& /*table*/, fleet::store_version after,
+                base::milliseconds wait, fleet::read_done done) override {
+        if (after < version) {
+            ++rows_told;
+            later(base::milliseconds{1}, [this, done] { done(now()); });
+            return;
+        }
+        open_.push_back({after, done});
+        const auto one = std::prev(open_.end());
+        later(wait, [this, one] {
+            const auto done_now = one->done;
+            open_.erase(one);
+            fleet::rows_read none;
+            none.version = version;
+            done_now(none);
+        });
+    }
+    void change() {
+        version = version.next();
+        for (auto& it : open_) {
+            ++rows_told;
+            const auto done = it.done;
+            it.done = [](const auto& /*answer*/) {};
+            later(base::milliseconds{1}, [this, done] { done(now()); });
+        }
+    }
+
+    fleet::store_version version{1};
+    int rows_told = 0;
+
+private:
+    struct question {
+        fleet::store_version after;
+        fleet::read_done done;
+    };
+    fleet::rows_read now() const {
+        fleet::rows_read out;
+        out.rows.push_back({{table, {}, row}, "value", version, false});
+        out.version = version;
+        return out;
+    }
+    void later(base::milliseconds delay, std::function<void()> action) {
+        timers_.push_back(loop_.after(delay, std::move(action)));
+    }
+
+    net::event_loop& loop_;
+    std::list<question> open_;
+    std::vector<std::unique_ptr<net::timer>> timers_;
+};
+
+class daemon_of_zone final : public standins::silent_peer, public steward::table_listener {
+public:
+    daemon_of_zone(net::event_loop& loop, fleet::row_store& store, const std::string& name,
+                   double strength)
+        : loop_(loop),
+          zone(store, name, fleet::zone_name("z"), strength, metrics_),
+          feed_(loop),
+          follower_(loop, zone, table, {fleet::part_name("")}, base::milliseconds{1'000},
+                    base::milliseconds{0}, *this) {}
+
+    void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                              fleet::read_done done) override {
+        if (silent) {
+            constexpr base::milliseconds slack{300};
+            timers_.push_back(loop_.after(wait + slack, [done] {
+                done(tl::unexpected(fleet::store_error{fleet::store_failure::answer_lost, {}}));
+            }));
+        } else if (zone.reads_for_others()) {
+            feed_.follow(after, wait, done);
+        } else {
+            done(tl::unexpected(fleet::store_error{fleet::store_failure::refused, {}}));
+        }
+    }
+
+    void start() { follower_.start(); }
+    void on_table(const std::vector<fleet::stored_row>& rows) override { on_changes(rows); }
+    void on_changes(const std::vector<fleet::stored_row>& rows) override {
+        feed_.heard(rows, follower_.handed_on());
+        for (const auto& it : rows) {
+            known = std::max(known, it.version);
+        }
+    }
+    void on_current() override {}
+    void on_unreadable() override {}
+
+    bool silent = false;
+    fleet::store_version known;
+
+private:
+    net::event_loop& loop_;
+    base::metrics metrics_;
+    std::vector<std::unique_ptr<net::timer>> timers_;
+
+public:
+    steward::zone_reader zone;
+
+private:
+    steward::shared_feed feed_;
+    steward::table_follower follower_;
+};
+
+class zone_of_daemons : public testing::Test {
+public:
+    zone_of_daemons() {
+        std::map<std::string, steward::relay_candidate> all;
+        for (std::size_t i = 0; i < daemon_count; ++i) {
+            const std::string name = "d" + std::to_string(100 + i);
+            const double strength = i < strong ? 0.5 : 0.12;
+            daemons.push_back(std::make_shared<daemon_of_zone>(loop, store, name, strength));
+            all[name] = {daemons.back(), fleet::zone_name("z"), strength};
+        }
+        for (const auto& it : all) {
+            auto others = all;
+            others.erase(it.first);
+            std::static_pointer_cast<daemon_of_zone>(it.second.way)->zone.set_daemons(others);
+        }
+        for (const auto& it : daemons) {
+            it->start();
+        }
+        run_for(base::milliseconds{200});
+    }
+
+    void run_for(base::duration time) {
+        const auto end = loop.after(time, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    std::size_t informed() const {
+        std::size_t out = 0;
+        for (const auto& it : daemons) {
+            out += it->known == store.version ? 1 : 0;
+        }
+        return out;
+    }
+
+    static constexpr std::size_t strong = 3;
+
+    net::event_loop loop;
+    counting_store store{loop};
+    std::vector<std::shared_ptr<daemon_of_zone>> daemons;
+};
+
+TEST_F(zone_of_daemons, hears_of_a_change_at_once_and_reads_it_thrice) {
+    store.change();
+    run_for(base::milliseconds{200});
+    EXPECT_EQ(informed(), daemon_count);
+    EXPECT_EQ(store.rows_told, static_cast<int>(strong));
+}
+
+TEST_F(zone_of_daemons, hears_of_it_soon_while_its_readers_are_silent) {
+    for (std::size_t i = 0; i < strong; ++i) {
+        daemons[i]->silent = true;
+    }
+    store.change();
+    // Well within the 3 s in which a configuration has to be in force.
+    run_for(base::milliseconds{1'500});
+    EXPECT_EQ(informed(), daemon_count);
+}
+
+TEST_F(zone_of_daemons, hears_of_changes_while_they_come_fast) {
+    for (int i = 0; i < 20; ++i) {
+        store.change();
+        run_for(base::milliseconds{30});
+    }
+    run_for(base::milliseconds{200});
+    EXPECT_EQ(informed(), daemon_count);
+}
+
+TEST_F(zone_of_daemons, of_few_reads_for_itself) {
+    daemons.front()->zone.set_daemons({});
+    EXPECT_FALSE(daemons.front()->zone.reads_for_others());
+}
+
+}  // namespace
--- a/test/standins/silent_peer.hpp
+++ b/test/standins/silent_peer.hpp
@@ -25,6 +25,8 @@
                    steward::write_done /*done*/) override {}
     void exchange_orders(const steward::order_batch& /*batch*/, base::milliseconds /*timeout*/,
                          std::function<void(steward::exchange_result)> /*done*/) override {}
+    void follow_configuration(fleet::store_version /*after*/, base::milliseconds /*wait*/,
+                              fleet::read_done /*done*/) override {}
 };
 
 }  // namespace cranberrydock::standins
