steward: a taker does not wait for VMs whose processes have ended

A VM that refuses connections twice runs nothing, so it has nothing to tell.

What it takes to start anything at all is as before: each VM has heard of the new owner, or the earlier owner's process is known to have ended, or its permission has run out.

Ruled out: to let single jobs go earlier, by what was saved of them: starts are not saved.

--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -123,6 +123,7 @@
     std::map<fleet::vm_id, early_report> early_reports;
     // VMs that have not answered since the jobs were loaded.
     std::set<fleet::vm_id> unanswering;
+    std::set<fleet::vm_id> ended_vms;  // whose processes have ended, and that have not been back
     bool progress_read = false;
     std::optional<std::vector<fleet::stored_row>> read_jobs;  // before their progress was read
     bool inherited_known = false;
--- a/packages/steward/src/owner_vms.cpp
+++ b/packages/steward/src/owner_vms.cpp
@@ -34,6 +34,7 @@
     ++report_count;
     judged.insert(vm);
     unanswering.erase(vm);
+    ended_vms.erase(vm);
     const fleet::end_number listed = scheduler.last_end(vm);
     scheduler.vm_reported(vm, report, asked, now());
     for (const auto& it : report.ends) {
@@ -59,6 +60,7 @@
     const auto session = sessions.find(vm);
     if (session != sessions.end()) {
         if (gone) {
+            ended_vms.erase(vm);
             ended_sessions.push_back(std::move(session->second));
             sessions.erase(session);
         } else {
@@ -72,6 +74,7 @@
 
 void owner_task::state::on_ended(const fleet::vm_id& vm) {
     scheduler.vm_ended(vm);
+    ended_vms.insert(vm);
     judged.erase(vm);
     early_reports.erase(vm);
     wake();
@@ -191,7 +194,7 @@
         return;
     }
     const bool all_judged = std::all_of(sessions.begin(), sessions.end(), [this](const auto& it) {
-        return judged.count(it.first) > 0;
+        return judged.count(it.first) > 0 || ended_vms.count(it.first) > 0;
     });
     const auto last_orders =
         earlier_gone ? base::milliseconds{0} : settings.earlier_owner_valid_for;
--- a/packages/steward/src/vm_session.cpp
+++ b/packages/steward/src/vm_session.cpp
@@ -174,7 +174,7 @@
         listener_.on_reachable(facts_.id, false);
     }
     refusals_ = failure == fleet::order_failure::nothing_listens ? refusals_ + 1 : 0;
-    if (refusals_ == refusals_until_ended && heard_) {
+    if (refusals_ == refusals_until_ended) {
         listener_.on_ended(facts_.id);
     }
     check_lapse();
--- a/test/failure/a_fleet_outlives_its_owner.cpp
+++ b/test/failure/a_fleet_outlives_its_owner.cpp
@@ -54,6 +54,22 @@
     fleet_crew crew;
 };
 
+// The taker does not wait for the lease on a VM that refuses its calls.
+TEST_F(fleet_failure, a_killed_owner_and_a_vm_that_has_ended) {
+    const int killed = crew.owner();
+    const int other = other_than_owner();
+    submit_all(other, 0, 20);
+    crew.site().end_vm(0);
+    crew.kill(killed);
+    crew.start(killed);  // so that its last run is known to have ended
+    const base::monotonic_clock clock;
+    const auto begun = clock.now();
+    expect_all_complete(other, 0, 20);
+    // Half of the lease; the work itself takes a second and a half.
+    constexpr base::milliseconds soon{3'500};
+    EXPECT_LT(clock.now() - begun, soon);
+}
+
 TEST_F(fleet_failure, a_killed_owner) {
     const int killed = crew.owner();
     const int other = other_than_owner();
--- a/test/standins/shared_site.cpp
+++ b/test/standins/shared_site.cpp
@@ -528,6 +528,16 @@
     on_loop([&] { state_->answers_to_lose = count; });
 }
 
+void shared_site::end_vm(int index) {
+    on_loop([&] {
+        auto& port = *state_->vms[static_cast<std::size_t>(index)];
+        state_->forget_unacknowledged(port);
+        port.vm->crash();
+        port.waiting.clear();
+        port.server.reset();
+    });
+}
+
 void shared_site::crash_vm(int index) {
     on_loop([&] {
         auto& port = *state_->vms[static_cast<std::size_t>(index)];
--- a/test/standins/shared_site.hpp
+++ b/test/standins/shared_site.hpp
@@ -50,6 +50,8 @@
     // The next transactions are done and their answers are lost.
     void lose_answers(int count);
     void crash_vm(int index);
+    // The VM's process ends and does not come back; its entry stays.
+    void end_vm(int index);
     void forget_history();
     // Takes the VMs' entries, but the first one's, out of the list of members, or puts them back.
     void list_vms(bool listed);
