steward: a taker starts what the earlier owner can't start; a paused owner asks first

- VMs whose processes have ended, by two refusals, are not waited for, once an earlier owner that reaches any other VM must have heard of the new one (1 s: it asks each VM anew within 0.7 s).
It would have to be cut off from the store and from every other VM and be the first to reach the VM's next life.
- Jobs that no earlier owner can have heard of start 0.7 s after the takeover, whatever VMs are silent: those whose rows are newer than a renewal of the new owner's row that was sent when every entry knew of it.
All others count as inherited.
- An owner that was paused for over 0.7 s (a taker waits 0.9 s at least) gives no orders before a renewal that it has sent since is confirmed (event=paused).
Until now its permission held for 6.5 s from the last renewal, which was enough to start tasks, after a thaw with the store away, that another owner may have started.

Ruled out: believing that a silent process is dead; shorter permissions (the store is away for 6 s).

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -102,6 +102,8 @@
     // Whether orders may be given.
     bool valid(base::time_point now) const;
     bool owns() const { return owns_; }
+    // When the last renewal that was confirmed was sent.
+    base::time_point renewed() const { return renewed_; }
     // Gives the fleet up; what is written in the row decides who owns it next.
     void give_up() { owns_ = false; }
     // Takes nothing over before that.
--- a/packages/steward/include/cranberrydock/steward/owner_task.hpp
+++ b/packages/steward/include/cranberrydock/steward/owner_task.hpp
@@ -44,6 +44,13 @@
     virtual bool may_order() = 0;
     // Whether the store answers this daemon, as far as it has asked for anything lately.
     virtual bool store_answers() = 0;
+    // The last renewal of the ownership that the store has confirmed: what has a later version was
+    // written after that moment.
+    struct renewal {
+        base::time_point sent{};
+        fleet::store_version version;
+    };
+    virtual renewal last_renewal() = 0;
     // Another owner has been met.
     virtual void superseded(const std::string& where) = 0;
 };
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -18,6 +18,8 @@
 
 constexpr base::milliseconds follow_wait{500};  // also how soon a lost store is noticed
 constexpr base::milliseconds ownership_tick{50};
+// Others take the fleet over from an owner that has been silent for 0.9 s at the earliest.
+constexpr base::milliseconds longest_pause{700};
 constexpr base::milliseconds owner_write_timeout{1'200};
 constexpr base::milliseconds hand_over_timeout{2'000};
 constexpr base::milliseconds configuration_wait{1'000};  // a lost answer costs no more than this
@@ -190,7 +192,13 @@
     }
 
     // owner_rights
-    bool may_order() override { return owning && ownership.valid(clock.now()); }
+    bool may_order() override {
+        return owning && ownership.valid(clock.now()) && !was_paused() &&
+               ownership.renewed() >= paused_until;
+    }
+    // Whether this process has just been paused for so long that another may own the fleet.
+    bool was_paused() const { return clock.now() - last_tick > longest_pause; }
+    renewal last_renewal() override { return {ownership.renewed(), ownership.condition()}; }
     bool store_answers() override { return clock.now() - store_heard < store_answers_for; }
     void superseded(const std::string& where) override {
         spdlog::warn("event=owner_superseded by={}", where);
@@ -400,6 +408,14 @@
     }
 
     void on_tick() {
+        if (was_paused()) {
+            paused_until = clock.now();
+            spdlog::warn(
+                "event=paused for_ms={} owner={}",
+                std::chrono::duration_cast<base::milliseconds>(paused_until - last_tick).count(),
+                owning != nullptr);
+        }
+        last_tick = clock.now();
         lag.tick(clock.now());
         consider_handing_over();
         if (owning && !ownership.owns()) {
@@ -565,6 +581,9 @@
     base::milliseconds write_time{0};  // of a write to the store
     detail::lag_meter lag{ownership_tick};
     base::time_point owning_since{};
+    base::time_point last_tick = clock.now();
+    // An owner gives no orders before it has renewed its row after this.
+    base::time_point paused_until{};
     bool probing_successor = false;
     std::string last_successor;
     std::string former_holder;  // of the row that this daemon took over
--- a/packages/steward/src/owner_loading.cpp
+++ b/packages/steward/src/owner_loading.cpp
@@ -101,8 +101,11 @@
     }
 }
 
-void owner_task::state::take_job(const fleet::stored_row& row, bool inherited) {
+void owner_task::state::take_job(const fleet::stored_row& row, bool loaded) {
     const fleet::job_id id(row.address.name.str());
+    const bool known_to_earlier =
+        !may_start_known && !(new_jobs_after && row.version > *new_jobs_after);
+    const bool inherited = loaded || known_to_earlier;
     const auto found = fleet::decode_job(id, row.value);
     if (!found) {
         spdlog::error("event=row_unreadable table=jobs row={} error=\"{}\"", id.str(),
--- a/packages/steward/src/owner_state.hpp
+++ b/packages/steward/src/owner_state.hpp
@@ -10,6 +10,7 @@
 #include "rows_listener.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -32,7 +33,8 @@
     void progress_known();
     void on_job_table(const std::vector<fleet::stored_row>& rows);
     void on_job_changes(const std::vector<fleet::stored_row>& rows);
-    void take_job(const fleet::stored_row& row, bool inherited);
+    // `loaded`: it was there when this owner began.
+    void take_job(const fleet::stored_row& row, bool loaded);
     // Whether all jobs are known that were accepted until a moment ago.
     bool jobs_current() const;
     void on_member_table(const std::vector<fleet::stored_row>& rows);
@@ -53,6 +55,9 @@
     void order_stop(const fleet::stop_decision& what);
     // Whether no earlier owner can start anything any more.
     bool may_start();
+    // The same for jobs that no earlier owner can have heard of.
+    bool may_start_new_jobs();
+    bool all_told(const std::function<bool(const fleet::vm_id&)>& told) const;
     // Whether every VM that may still run something is listed.
     bool all_listed() const;
     void check_inherited();
@@ -128,6 +133,7 @@
     std::optional<std::vector<fleet::stored_row>> read_jobs;  // before their progress was read
     bool inherited_known = false;
     bool may_start_known = false;
+    std::optional<fleet::store_version> new_jobs_after;  // jobs with later rows are new ones
     bool starts_held = false;   // until the changes of the jobs are heard again
     bool earlier_gone = false;  // the process of the owner before has ended
     base::time_point begun;     // when this daemon became the owner
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -78,7 +78,7 @@
 
 void owner_task::state::decide() {
     ended_sessions.clear();
-    if (decide_timer || !rights.may_order() || !may_start()) {
+    if (decide_timer || !rights.may_order() || !(may_start() || may_start_new_jobs())) {
         return;  // it is decided soon, or not at all
     }
     hold_starts_on_old_news();
--- a/packages/steward/src/owner_vms.cpp
+++ b/packages/steward/src/owner_vms.cpp
@@ -8,6 +8,11 @@
 namespace cranberrydock::steward {
 namespace {
 
+// An owner asks each VM anew within 0.7 s, and is told of a higher fence in the answer.
+constexpr base::milliseconds earlier_owner_notices_within{1'000};
+// Every daemon follows the owner's row, with questions of half a second.
+constexpr base::milliseconds entries_know_owner_within{700};
+
 // By now every lease that an earlier owner gave has lapsed, slow clocks included.
 base::milliseconds inherited_lease(const session_settings& settings) {
     constexpr double slowest_clock = 0.96;
@@ -161,25 +166,49 @@
              }));
 }
 
-// Nothing is started before every VM has been told of this owner, so that it obeys no earlier one,
-// unless the earlier owner can't give orders any more.
+// What an earlier owner may still do decides what this one may start. Until every VM has been told
+// of this owner, or the earlier one is known to have ended, or its permission has run out, it may
+// start inherited tasks on the VMs that have not been told.
 bool owner_task::state::may_start() {
     if (may_start_known || !members_known || !jobs_known) {
         return may_start_known;
     }
-    const bool all_judged = std::all_of(sessions.begin(), sessions.end(), [this](const auto& it) {
-        return judged.count(it.first) > 0;
-    });
-    may_start_known =
-        all_judged || earlier_gone || clock.now() - begun > settings.earlier_owner_valid_for;
+    const auto passed = clock.now() - begun;
+    const bool all_judged = all_told([this](const auto& vm) { return judged.count(vm) > 0; });
+    // An earlier owner that reaches any of the others has heard of this one by now. Else it would
+    // have to be the first to reach the next life of a VM whose process has ended.
+    const bool others_have_ended =
+        passed > earlier_owner_notices_within && all_told([this](const auto& vm) {
+            return judged.count(vm) > 0 || ended_vms.count(vm) > 0;
+        });
+    may_start_known = all_judged || others_have_ended || earlier_gone ||
+                      passed > settings.earlier_owner_valid_for;
     if (may_start_known) {
-        spdlog::info("event=owner_starts_work all_judged={} earlier_gone={} took_ms={}", all_judged,
-                     earlier_gone,
-                     std::chrono::duration_cast<base::milliseconds>(clock.now() - begun).count());
+        spdlog::info(
+            "event=owner_starts_work all_judged={} others_have_ended={} earlier_gone={} took_ms={}",
+            all_judged, others_have_ended, earlier_gone,
+            std::chrono::duration_cast<base::milliseconds>(passed).count());
     }
     return may_start_known;
 }
 
+// Jobs that an earlier owner can't know may be started before that: those accepted once every entry
+// has heard of this owner.
+bool owner_task::state::may_start_new_jobs() {
+    const auto renewal = rights.last_renewal();
+    if (!new_jobs_after && jobs_known && renewal.sent > begun + entries_know_owner_within) {
+        new_jobs_after = renewal.version;
+        spdlog::info("event=owner_starts_new_jobs fence={} after_version={}", owner.value(),
+                     renewal.version.value());
+    }
+    return new_jobs_after.has_value() && members_known;
+}
+
+bool owner_task::state::all_told(const std::function<bool(const fleet::vm_id&)>& told) const {
+    return std::all_of(sessions.begin(), sessions.end(),
+                       [&](const auto& it) { return told(it.first); });
+}
+
 bool owner_task::state::all_listed() const {
     const auto now_steady = clock.now();
     const bool as_many = sessions.size() >= settings.expected_vms ||
@@ -193,16 +222,14 @@
     if (inherited_known || !may_start() || !all_listed()) {
         return;
     }
-    const bool all_judged = std::all_of(sessions.begin(), sessions.end(), [this](const auto& it) {
-        return judged.count(it.first) > 0 || ended_vms.count(it.first) > 0;
-    });
+    const bool all_judged = all_told(
+        [this](const auto& vm) { return judged.count(vm) > 0 || ended_vms.count(vm) > 0; });
     const auto last_orders =
         earlier_gone ? base::milliseconds{0} : settings.earlier_owner_valid_for;
     const bool lapsed = clock.now() - begun > last_orders + inherited_lease(settings.session);
     // What a VM has to tell is waited for, unless it does not answer.
-    const bool all_heard = std::all_of(sessions.begin(), sessions.end(), [this](const auto& it) {
-        return judged.count(it.first) > 0 || unanswering.count(it.first) > 0;
-    });
+    const bool all_heard = all_told(
+        [this](const auto& vm) { return judged.count(vm) > 0 || unanswering.count(vm) > 0; });
     if (all_judged || (lapsed && all_heard)) {
         inherited_known = true;
         spdlog::info("event=inherited_runs_known all_judged={} vms={} took_ms={}", all_judged,
--- a/packages/steward/src/zone_reader.cpp
+++ b/packages/steward/src/zone_reader.cpp
@@ -31,7 +31,7 @@
 void zone_reader::set_daemons(const std::map<std::string, relay_candidate>& others) {
     struct daemon {
         std::string name;
-        double strength;
+        double strength = 0;
     };
     std::vector<daemon> daemons{{name_, strength_}};
     for (const auto& it : others) {
--- a/test/correctness/an_owner_tells_only_figures_that_it_knows.cpp
+++ b/test/correctness/an_owner_tells_only_figures_that_it_knows.cpp
@@ -84,6 +84,7 @@
 public:
     bool may_order() override { return true; }
     bool store_answers() override { return true; }
+    renewal last_renewal() override { return {}; }
     void superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
 
--- a/test/failure/a_fleet_outlives_its_owner.cpp
+++ b/test/failure/a_fleet_outlives_its_owner.cpp
@@ -6,6 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <thread>
+
 namespace {
 
 using namespace cranberrydock;
@@ -61,7 +64,6 @@
     submit_all(other, 0, 20);
     crew.site().end_vm(0);
     crew.kill(killed);
-    crew.start(killed);  // so that its last run is known to have ended
     const base::monotonic_clock clock;
     const auto begun = clock.now();
     expect_all_complete(other, 0, 20);
@@ -70,6 +72,44 @@
     EXPECT_LT(clock.now() - begun, soon);
 }
 
+// Nor does work that the earlier owner can't know wait for a VM that is silent.
+TEST_F(fleet_failure, a_killed_owner_and_a_vm_that_is_silent) {
+    const int killed = crew.owner();
+    const int other = other_than_owner();
+    crew.site().silence_vm(0);
+    crew.kill(killed);
+    ASSERT_TRUE(wait_until([&] { return crew.owner() >= 0 && crew.owner() != killed; }));
+    // Each entry has heard of the new owner, and the owner has renewed its row since.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+    const base::monotonic_clock clock;
+    const auto begun = clock.now();
+    submit_all(other, 0, 5);
+    expect_all_complete(other, 0, 5);
+    constexpr base::milliseconds soon{2'500};
+    EXPECT_LT(clock.now() - begun, soon);
+}
+
+// A process that was paused for long enough to be replaced gives no orders on what it was allowed
+// before, here while it can't ask the store.
+TEST_F(fleet_failure, a_paused_owner_that_cannot_ask_the_store) {
+    const int owner = crew.owner();
+    for (int i = 0; i < daemon_count; ++i) {
+        if (i != owner) {
+            crew.kill(i);
+        }
+    }
+    submit_all(owner, 0, 60);  // far more than there is room for
+    crew.signal(owner, SIGSTOP);
+    crew.site().set_store(store_mode::silent);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+    const int before = crew.site().starts();
+    crew.signal(owner, SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    EXPECT_EQ(crew.site().starts(), before);
+    crew.site().set_store(store_mode::serves);
+    expect_all_complete(owner, 0, 60);
+}
+
 TEST_F(fleet_failure, a_killed_owner) {
     const int killed = crew.owner();
     const int other = other_than_owner();
--- a/test/standins/shared_site.cpp
+++ b/test/standins/shared_site.cpp
@@ -174,6 +174,10 @@
         }
 
         void handle(net::http_request request, net::http_responder respond) override {
+            if (silent) {
+                unanswered.push_back(std::move(respond));
+                return;
+            }
             const json body = json::parse(request.body);
             const fleet::fence owner(body.at("fencingToken").get<std::int64_t>());
             if (request.path == "/cranberrydock/hold") {
@@ -267,6 +271,8 @@
         std::unique_ptr<net::http_server> server;
         std::unique_ptr<fleet_vm> vm;
         std::deque<watching> waiting;
+        bool silent = false;
+        std::vector<net::http_responder> unanswered;
     };
 
     struct store_handler final : net::http_handler {
@@ -538,6 +544,10 @@
     });
 }
 
+void shared_site::silence_vm(int index) {
+    on_loop([&] { state_->vms[static_cast<std::size_t>(index)]->silent = true; });
+}
+
 void shared_site::crash_vm(int index) {
     on_loop([&] {
         auto& port = *state_->vms[static_cast<std::size_t>(index)];
--- a/test/standins/shared_site.hpp
+++ b/test/standins/shared_site.hpp
@@ -52,6 +52,8 @@
     void crash_vm(int index);
     // The VM's process ends and does not come back; its entry stays.
     void end_vm(int index);
+    // The VM takes calls and answers none.
+    void silence_vm(int index);
     void forget_history();
     // Takes the VMs' entries, but the first one's, out of the list of members, or puts them back.
     void list_vms(bool listed);
