--- /dev/null
+++ b/test/error/peers_withstand_bad_messages.cpp
@@ -0,0 +1,48 @@
+// What another writer or version sends to a daemon's peer port: each message that can't be read is
+// answered with 400, and the daemon goes on.
+#include "standins/cluster.hpp"
+#include "standins/fleet_crew.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+using nlohmann::json;
+
+std::string bytes_of(const json& value) {
+    const auto buf = json::to_cbor(value);
+    return {buf.begin(), buf.end()};
+}
+
+json batch_of(const json& order) {
+    return {{"sender", "s"}, {"relay_run", "r"}, {"not_after", 1}, {"orders", {order}}};
+}
+
+TEST(bad_messages_between_daemons, are_refused_and_end_no_daemon) {
+    fleet_crew crew(1, {});
+    ASSERT_TRUE(wait_until([&] { return crew.ready(0); }));
+    constexpr int unknown_kind = 99;
+    const std::vector<std::string> bodies{
+        "x",
+        "\xff\xff\xff",
+        bytes_of(json::array()),
+        bytes_of({{"sender", 1}}),
+        bytes_of(batch_of("order")),
+        bytes_of(batch_of({1, "i-0", "127.0.0.1:1", 1, {unknown_kind}})),
+        bytes_of(batch_of({1, "i-0", "127.0.0.1:1", 1, {0, "task"}})),
+        bytes_of(batch_of({"one", "i-0", "127.0.0.1:1", 1, json::array()})),
+    };
+    constexpr int bad_request = 400;
+    for (const char* const path : {"/peer/orders", "/peer/configuration", "/peer/read"}) {
+        for (const auto& it : bodies) {
+            EXPECT_EQ(crew.peer_call(0, path, it).status, bad_request) << path;
+        }
+    }
+    EXPECT_FALSE(crew.ended(0).has_value());
+    constexpr int ok = 200;
+    EXPECT_EQ(crew.submit(0, job_id_text(1), 1).status, ok);
+}
+
+}  // namespace
