net: connections that fell silent together cost one call, not one each

Where a reused connection lets a call's deadline pass, the other idle connections to that endpoint on which nothing has come since the call was sent are dropped. After a cut each of them had to time out by itself: a taker's loading of the jobs, one read after another, went from one dead connection to the next.

Test: crossed_calls.leave_connections_that_fell_silent_together.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -83,6 +83,7 @@
     bool reused = false;
     http_callback done;
     std::unique_ptr<timer> deadline;
+    base::time_point sent{};
     base::time_point last_moment{};   // also for an answer that is coming in
     std::size_t received = 0;         // bytes on the connection
     std::size_t received_before = 0;  // when the deadline was looked at last
@@ -130,6 +131,7 @@
         // evhttp's own timeout, 50 s when nothing is said, must not come before the deadline.
         evhttp_connection_set_timeout(one->connection, whole_seconds_beyond(timeout));
         evbuffer_add_cb(input_of(one->connection), &count_received, one);
+        one->sent = clock_.now();
         one->last_moment = clock_.now() + timeout * longest_answer_in_timeouts;
         one->deadline = loop_.after(timeout, [this, one] { deadline_passed(one); });
         write(one, request);
@@ -143,6 +145,9 @@
             one->deadline = loop_.after(progress_period, [this, one] { deadline_passed(one); });
             return;
         }
+        if (one->reused) {
+            drop_idle(one->to, one->sent);
+        }
         finish(one, tl::unexpected(http_error{http_failure::answer_lost, "deadline passed"}),
                false);
     }
@@ -240,6 +245,19 @@
         return nullptr;
     }
 
+    // Where one connection has fallen silent, others that nothing has come on since may have, too.
+    void drop_idle(const endpoint& to, base::time_point unused_since) {
+        auto range = idle_.equal_range(to);
+        for (auto it = range.first; it != range.second;) {
+            if (it->second.since < unused_since) {
+                evhttp_connection_free(it->second.connection);
+                it = idle_.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+
     event_loop& loop_;
     http_client_limits limits_;
     base::monotonic_clock clock_;
--- a/test/failure/answers_reach_no_other_request.cpp
+++ b/test/failure/answers_reach_no_other_request.cpp
@@ -17,6 +17,7 @@
 #include <future>
 #include <list>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -471,4 +472,35 @@
     EXPECT_LT(each, 4 * short_wait);
 }
 
+// All connections of a caller fall silent at once while new ones work: one call pays for that.
+TEST_F(crossed_calls, leave_connections_that_fell_silent_together) {
+    std::mutex mutex;
+    std::map<const raw_connection*, int> answered;
+    const scripted_callee callee([&](raw_connection& caller, const std::string& path) {
+        bool silent = false;
+        {
+            const std::lock_guard lock(mutex);
+            silent = answered[&caller]++ > 0;
+        }
+        std::this_thread::sleep_for(silent ? 8 * short_wait : short_wait / 4);
+        caller.put(answer_text(path));
+        return !silent;
+    });
+    client_ = make_http_client(loop_, {});
+    int open = 3;
+    for (int i = 0; i < 3; ++i) {
+        client_->send(callee.address(), {http_method::get, "/first", "", {}, ""}, generous,
+                      [&](const http_result& result) {
+                          EXPECT_TRUE(result.has_value());
+                          if (--open == 0) {
+                              loop_.stop();
+                          }
+                      });
+    }
+    loop_.run();
+    EXPECT_FALSE(call(callee.address(), "/silent", short_wait).has_value());
+    EXPECT_TRUE(call(callee.address(), "/next", short_wait).has_value());
+    client_.reset();
+}
+
 }  // namespace
