--- a/packages/steward/include/cranberrydock/steward/relayed_store.hpp
+++ b/packages/steward/include/cranberrydock/steward/relayed_store.hpp
@@ -20,6 +20,9 @@
 
     void set_peers(const std::map<std::string, std::shared_ptr<peer>>& peers);
 
+    // Whether the store has answered this daemon itself since it last left a call unanswered.
+    bool direct_works() const;
+
     void commit(const fleet::row_transaction& what, base::milliseconds timeout,
                 fleet::commit_done done) override;
     void read(const fleet::table_name& table, const fleet::part_name& part,
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -44,6 +44,8 @@
 
 // A daemon that is weaker than the strongest leaves a takeover to the others for up to so long.
 constexpr base::milliseconds weakest_wait{3'500};
+// The same for a daemon that reaches the store only through others: it would load the jobs slowly.
+constexpr base::milliseconds cut_off_wait{1'500};
 // An owner whose events wait for so long on average can't keep up: another daemon does better.
 constexpr base::milliseconds longest_lag{300};
 // After giving the fleet up for that, a daemon leaves it to others for so long.
@@ -323,7 +325,7 @@
         const double weakness = 1.0 - settings.strength / strongest;
         const base::milliseconds wait(
             static_cast<std::int64_t>(weakness * static_cast<double>(weakest_wait.count())));
-        ownership.set_stagger(std::min(write_time * stagger_per_write, longest_stagger) + wait);
+        stagger = std::min(write_time * stagger_per_write, longest_stagger) + wait;
     }
 
     // Gives the fleet to a daemon that serves it better: one that is much stronger, or, when this
@@ -425,6 +427,7 @@
         if (!owning && ownership.owns() && configured && ownership.valid(clock.now())) {
             begin_owning();
         }
+        ownership.set_stagger(stagger + (store.direct_works() ? no_pause : cut_off_wait));
         const auto step = ownership.next(clock.now());
         if (step == fleet::ownership::step::nothing) {
             return;
@@ -579,6 +582,7 @@
     std::map<std::string, std::shared_ptr<peer>> peers;
     std::map<std::string, detail::daemon_record> peer_records;
     base::milliseconds write_time{0};  // of a write to the store
+    base::milliseconds stagger{0};     // for which this daemon leaves a takeover to others
     detail::lag_meter lag{ownership_tick};
     base::time_point owning_since{};
     base::time_point last_tick = clock.now();
--- a/packages/steward/src/relayed_store.cpp
+++ b/packages/steward/src/relayed_store.cpp
@@ -62,6 +62,11 @@
     return {it->first, it->second.get(), it->second};
 }
 
+bool relayed_store::direct_works() const {
+    const auto direct = records_.find(direct_way);
+    return direct == records_.end() || direct->second.failures == 0;
+}
+
 void relayed_store::note(const std::string& name, bool worked) {
     record& one = records_[name];
     if (worked) {
--- a/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
+++ b/test/correctness/a_way_to_the_store_is_left_when_nothing_gets_through.cpp
@@ -74,11 +74,13 @@
         read();
     });
     EXPECT_EQ(other->calls, 0);
+    EXPECT_TRUE(store.direct_works());
 }
 
 TEST_F(two_ways, a_peer_is_asked_when_nothing_gets_through) {
     keep_on([this] { write(); });
     EXPECT_GT(other->calls, 0);
+    EXPECT_FALSE(store.direct_works());
 }
 
 }  // namespace
