steward: news of the jobs counts for as long as the site's bound on cancellations allows

An owner held starts back for 1.2 s after a slow loading, since its reading of the jobs was 2.1 s old. What is cancelled may be started for 3 to 5 s, as the settings say (5 s at 1,100 VMs): news counts for a second less than that, the time that a start takes at most to arrive. The count of waiting jobs keeps its 2 s. Reads of tables and of progress are given up after 1 s without a byte, instead of 2 and 1.5 s: answers that are coming in are waited for.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -35,6 +35,8 @@
 constexpr base::milliseconds most_lease{5'500};
 // Of the time that VMs wait for a gang to be complete; the rest is for stopping it.
 constexpr double gang_share = 0.6;
+// From a decision to a start at the VM, relayed and repeated.
+constexpr base::milliseconds start_takes{1'000};
 constexpr base::milliseconds longest_drain{3'000};
 // Of the time between SIGTERM and SIGKILL: serving on, and waiting for the last answers.
 constexpr double drain_share = 0.6;
@@ -68,6 +70,8 @@
     out.owner.session.longest_lease = site.longest_lease;
     out.owner.session.lease = std::min(most_lease, share_of(site.longest_lease, lease_share));
     out.owner.scheduler.gang_patience = share_of(site.gang_wait, gang_share);
+    out.owner.start_on_news_for =
+        std::max(base::milliseconds{0}, site.cancelled_within - start_takes);
     out.owner.keep_ended = site.keep_ended + ended_margin;
     return out;
 }
--- a/packages/steward/include/cranberrydock/steward/owner_task.hpp
+++ b/packages/steward/include/cranberrydock/steward/owner_task.hpp
@@ -33,6 +33,9 @@
     std::size_t expected_vms = 0;
     // The store was away until lately: entries of VMs may be missing before this.
     base::time_point members_complete_from{};
+    // Nothing is started on news of the jobs that is older: of what was cancelled since, some may
+    // have to be left alone by now.
+    base::milliseconds start_on_news_for{2'000};
     // Ended jobs are remembered for callers for so long.
     base::milliseconds keep_ended{150'000};
 };
--- a/packages/steward/src/owner_loading.cpp
+++ b/packages/steward/src/owner_loading.cpp
@@ -8,7 +8,7 @@
 namespace cranberrydock::steward {
 namespace {
 
-constexpr base::milliseconds store_timeout{1'500};
+constexpr base::milliseconds store_timeout{1'000};
 constexpr base::milliseconds retry_pause{100};
 // The store is asked for changes of the jobs each 0.7 s; an answer counts from when it was asked.
 constexpr base::milliseconds jobs_current_for{2'000};
--- a/packages/steward/src/owner_task.cpp
+++ b/packages/steward/src/owner_task.cpp
@@ -108,7 +108,8 @@
 // An owner that does not keep up with the changes of the jobs may not know of cancellations, and
 // starts nothing. While the store is away nothing is cancelled, and it goes on.
 void owner_task::state::hold_starts_on_old_news() {
-    const bool hold = !jobs_current() && rights.store_answers();
+    const bool is_old = !jobs_known || clock.now() - jobs.as_of() > settings.start_on_news_for;
+    const bool hold = is_old && rights.store_answers();
     if (hold != starts_held) {
         starts_held = hold;
         metrics.count("cranberrydock_starts_held_total", "");
--- a/packages/steward/src/table_follower.cpp
+++ b/packages/steward/src/table_follower.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::size_t rows_per_read = 500;  // the store returns no more
-constexpr base::milliseconds read_timeout{2'000};
+// A large answer that is coming in is waited for; without a byte by now the connection is silent.
+constexpr base::milliseconds read_timeout{1'000};
 constexpr base::milliseconds retry_pause{200};
 
 // The next name in byte order that a row of ours can have: '!' is below all their characters.
