fleet: ends of tasks are a stage of their own

What an end means for its job, held ends and what a VM may forget are moved to scheduler_ends.cpp as they stood.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -1,6 +1,6 @@
 // What the scheduler remembers, shared by its stages: jobs (scheduler_jobs.cpp), VMs
-// (scheduler_vms.cpp), the order of work (work_order.cpp), placing (placing.cpp) and placement
-// questions (advice.cpp).
+// (scheduler_vms.cpp), ends of tasks (scheduler_ends.cpp), the order of work (work_order.cpp),
+// placing (placing.cpp) and placement questions (advice.cpp).
 #pragma once
 
 #include <cranberrydock/fleet/scheduler.hpp>
@@ -267,6 +267,14 @@
                    const std::string& reason);
     void want_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void give_up_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
+    void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
+    void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
+                      const moment& now);
+    void adopt(detail::vm_record& vm, const running_task& task, const moment& now);
+    // The job of such runs has become known.
+    void claim_unknown_runs(const job_id& job);
+
+    // scheduler_ends.cpp
     void handle_end(detail::vm_record& vm, const task_end& end, const moment& now);
     // A VM with failures of several jobs gets no work for a while.
     void note_failure(detail::vm_record& vm, const job_id& job, const moment& now);
@@ -277,12 +285,6 @@
     void count_held_ends(const job_id& job, const moment& now);
     // Those entries of the VM's that wait for the job: its `change` has to be saved first.
     void release_held(const vm_id& vm, const job_id& job, std::uint64_t change);
-    void handle_running(detail::vm_record& vm, const running_task& task, const moment& now);
-    void drop_missing(detail::vm_record& vm, const vm_report& report, base::time_point asked,
-                      const moment& now);
-    void adopt(detail::vm_record& vm, const running_task& task, const moment& now);
-    // The job of such runs has become known.
-    void claim_unknown_runs(const job_id& job);
 
     // work_order.cpp
     std::vector<detail::open_step> work_in_order(const moment& now);
