test: callers and callees of raw HTTP are stand-ins; slow answers have a file of their own

The scripted callee and its calls move to test/standins/raw_http.hpp as they stood, the three tests of slow and silent answers to a file that is named for them.

--- a/test/failure/answers_reach_no_other_request.cpp
+++ b/test/failure/answers_reach_no_other_request.cpp
@@ -4,21 +4,12 @@
 #include <cranberrydock/net/http_client.hpp>
 #include <cranberrydock/net/http_server.hpp>
 
-#include "standins/cluster.hpp"
+#include "standins/raw_http.hpp"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <functional>
 #include <future>
-#include <list>
 #include <map>
-#include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -28,94 +19,10 @@
 
 using namespace cranberrydock;
 using namespace cranberrydock::net;
-using standins::generous;
+using namespace cranberrydock::standins;
 
-constexpr base::milliseconds short_wait{200};
-constexpr base::milliseconds poll_pause{2};
 const char* const loopback = "127.0.0.1";
 
-std::string answer_text(const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-// One end of a TCP connection, with blocking calls.
-class raw_connection {
-public:
-    explicit raw_connection(int fd) : fd_(fd) {}
-    explicit raw_connection(const endpoint& to)
-        : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(to.port);
-        inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
-        EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-    }
-    raw_connection(const raw_connection&) = delete;
-    raw_connection& operator=(const raw_connection&) = delete;
-    ~raw_connection() { close(fd_); }
-
-    void put(const std::string& text) const { send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
-    void ask(const std::string& path) const {
-        put("GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n");
-    }
-    void end_sending() const { shutdown(fd_, SHUT_WR); }
-    void end() const { shutdown(fd_, SHUT_RDWR); }
-    // Closing it resets it.
-    void will_reset() const {
-        const linger at_once{1, 0};
-        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    }
-
-    // The head of the next message, or nothing when the other end closes or is silent.
-    std::string read_head() { return read_until("\r\n\r\n"); }
-
-    // The body of the next answer.
-    std::string read_answer() {
-        const std::string head = read_head();
-        const std::string field = "Content-Length: ";
-        const auto at = head.find(field);
-        if (at == std::string::npos) {
-            return head.empty() ? "nothing" : head;
-        }
-        const auto length = std::stoul(head.substr(at + field.size()));
-        while (buf_.size() < length && read_more()) {
-        }
-        std::string out = buf_.substr(0, length);
-        buf_.erase(0, length);
-        return out;
-    }
-
-private:
-    std::string read_until(const std::string& mark) {
-        auto at = buf_.find(mark);
-        while (at == std::string::npos) {
-            if (!read_more()) {
-                return {};
-            }
-            at = buf_.find(mark);
-        }
-        std::string out = buf_.substr(0, at + mark.size());
-        buf_.erase(0, at + mark.size());
-        return out;
-    }
-
-    bool read_more() {
-        pollfd ready{fd_, POLLIN, 0};
-        if (poll(&ready, 1, static_cast<int>(generous.count())) <= 0) {
-            return false;
-        }
-        char bytes[4096];
-        const ssize_t n = read(fd_, bytes, sizeof bytes);
-        if (n > 0) {
-            buf_.append(bytes, static_cast<std::size_t>(n));
-        }
-        return n > 0;
-    }
-
-    int fd_;
-    std::string buf_;
-};
-
 // Holds every request until it is told to answer, except those whose path begins with /at-once.
 class holding_handler final : public http_handler {
 public:
@@ -235,116 +142,12 @@
     }
 }
 
-// A callee whose every answer is scripted, one thread a connection.
-class scripted_callee {
-public:
-    // Answers a request for `path`; false closes the connection.
-    using script = std::function<bool(raw_connection&, const std::string& path)>;
-
-    explicit scripted_callee(script script) : script_(std::move(script)) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t n = sizeof address;
-        EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), n), 0);
-        listen(listener_, SOMAXCONN);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &n);
-        port_ = ntohs(address.sin_port);
-        accepting_ = std::thread([this] { accept_all(); });
-    }
-    scripted_callee(const scripted_callee&) = delete;
-    scripted_callee& operator=(const scripted_callee&) = delete;
-    ~scripted_callee() {
-        shutdown(listener_, SHUT_RDWR);
-        accepting_.join();
-        for (auto& it : callers_) {
-            it.end();
-        }
-        for (auto& it : serving_) {
-            it.join();
-        }
-        close(listener_);
-    }
-
-    endpoint address() const { return {loopback, port_}; }
-
-private:
-    void accept_all() {
-        for (;;) {
-            const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0) {
-                return;
-            }
-            callers_.emplace_back(fd);
-            serving_.emplace_back([this, &caller = callers_.back()] { serve(caller); });
-        }
-    }
-
-    void serve(raw_connection& caller) const {
-        for (;;) {
-            const std::string head = caller.read_head();
-            const auto begin = head.find(' ') + 1;
-            if (head.empty() ||
-                !script_(caller, head.substr(begin, head.find(' ', begin) - begin))) {
-                caller.end();
-                return;
-            }
-        }
-    }
-
-    script script_;
-    int listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    std::uint16_t port_ = 0;
-    std::thread accepting_;
-    std::list<raw_connection> callers_;  // whose addresses the threads know
-    std::vector<std::thread> serving_;
-};
+using crossed_calls = scripted_calls;
 
 std::string told(const http_result& result) {
     return result ? std::to_string(result->status) + " " + result->body : result.error().detail;
 }
 
-class crossed_calls : public ::testing::Test {
-protected:
-    http_result call(const endpoint& to, const std::string& path, base::milliseconds timeout) {
-        std::optional<http_result> out;
-        client_->send(to, {http_method::get, path, "", {}, ""}, timeout, [&](http_result result) {
-            out = std::move(result);
-            loop_.stop();
-        });
-        loop_.run();
-        return std::move(*out);
-    }
-
-    // Calls again and again: at once, or after the loop has seen what else has come. An answer that
-    // is told is the request's own, and whole; returns how many were told.
-    int calls_answered(const scripted_callee::script& script,
-                       base::milliseconds timeout = generous) {
-        constexpr int calls = 8;
-        int out = 0;
-        const scripted_callee callee(script);
-        client_ = make_http_client(loop_, {});
-        for (int i = 0; i < calls; ++i) {
-            const std::string path = "/" + std::to_string(i);
-            const auto got = call(callee.address(), path, timeout);
-            if (got) {
-                ++out;
-                EXPECT_EQ(got->status, 200) << path;
-                EXPECT_EQ(got->body, path);
-            }
-            if (i % 2 == 1) {
-                const auto pause = loop_.after(poll_pause, [this] { loop_.stop(); });
-                loop_.run();
-            }
-        }
-        client_.reset();
-        return out;
-    }
-
-    event_loop loop_;
-    std::unique_ptr<http_client> client_;
-};
-
 TEST_F(crossed_calls, take_nothing_that_follows_an_answer) {
     const std::vector<std::string> surplus{answer_text("surplus"), "x",
                                            "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"};
@@ -440,67 +243,4 @@
               6);
 }
 
-// A large answer over a slow link comes in long after the deadline; to ask anew would only load the
-// link more.
-TEST_F(crossed_calls, wait_for_an_answer_that_is_coming_in) {
-    EXPECT_EQ(calls_answered(
-                  [](raw_connection& caller, const std::string& path) {
-                      for (const char it : answer_text(path)) {
-                          caller.put(std::string(1, it));
-                          std::this_thread::sleep_for(2 * poll_pause);
-                          if (it == '\n') {
-                              std::this_thread::sleep_for(short_wait / 4);
-                          }
-                      }
-                      return true;
-                  },
-                  short_wait),
-              8);
-}
-
-TEST_F(crossed_calls, give_up_an_answer_that_has_stopped_coming_in) {
-    const auto begin = std::chrono::steady_clock::now();
-    EXPECT_EQ(calls_answered(
-                  [](raw_connection& caller, const std::string& path) {
-                      caller.put(answer_text(path).substr(0, answer_text(path).size() - 1));
-                      std::this_thread::sleep_for(8 * short_wait);
-                      return false;
-                  },
-                  short_wait),
-              0);
-    const auto each = (std::chrono::steady_clock::now() - begin) / 8;
-    EXPECT_LT(each, 4 * short_wait);
-}
-
-// All connections of a caller fall silent at once while new ones work: one call pays for that.
-TEST_F(crossed_calls, leave_connections_that_fell_silent_together) {
-    std::mutex mutex;
-    std::map<const raw_connection*, int> answered;
-    const scripted_callee callee([&](raw_connection& caller, const std::string& path) {
-        bool silent = false;
-        {
-            const std::lock_guard lock(mutex);
-            silent = answered[&caller]++ > 0;
-        }
-        std::this_thread::sleep_for(silent ? 8 * short_wait : short_wait / 4);
-        caller.put(answer_text(path));
-        return !silent;
-    });
-    client_ = make_http_client(loop_, {});
-    int open = 3;
-    for (int i = 0; i < 3; ++i) {
-        client_->send(callee.address(), {http_method::get, "/first", "", {}, ""}, generous,
-                      [&](const http_result& result) {
-                          EXPECT_TRUE(result.has_value());
-                          if (--open == 0) {
-                              loop_.stop();
-                          }
-                      });
-    }
-    loop_.run();
-    EXPECT_FALSE(call(callee.address(), "/silent", short_wait).has_value());
-    EXPECT_TRUE(call(callee.address(), "/next", short_wait).has_value());
-    client_.reset();
-}
-
 }  // namespace
--- /dev/null
+++ b/test/failure/slow_answers_are_waited_for.cpp
@@ -0,0 +1,79 @@
+// Answers that come in slowly, stop coming in, or never begin because all connections of a caller
+// have fallen silent together: what is coming is waited for, and silence is paid for once.
+#include "standins/raw_http.hpp"
+
+#include <map>
+#include <mutex>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::net;
+using namespace cranberrydock::standins;
+
+using slow_answers = scripted_calls;
+
+// A large answer over a slow link comes in long after the deadline; to ask anew would only load the
+// link more.
+TEST_F(slow_answers, are_waited_for_while_they_are_coming_in) {
+    EXPECT_EQ(calls_answered(
+                  [](raw_connection& caller, const std::string& path) {
+                      for (const char it : answer_text(path)) {
+                          caller.put(std::string(1, it));
+                          std::this_thread::sleep_for(2 * poll_pause);
+                          if (it == '\n') {
+                              std::this_thread::sleep_for(short_wait / 4);
+                          }
+                      }
+                      return true;
+                  },
+                  short_wait),
+              8);
+}
+
+TEST_F(slow_answers, are_given_up_when_they_have_stopped_coming_in) {
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(calls_answered(
+                  [](raw_connection& caller, const std::string& path) {
+                      caller.put(answer_text(path).substr(0, answer_text(path).size() - 1));
+                      std::this_thread::sleep_for(8 * short_wait);
+                      return false;
+                  },
+                  short_wait),
+              0);
+    const auto each = (std::chrono::steady_clock::now() - begin) / 8;
+    EXPECT_LT(each, 4 * short_wait);
+}
+
+// All connections of a caller fall silent at once while new ones work: one call pays for that.
+TEST_F(slow_answers, on_connections_that_fell_silent_together_cost_one_call) {
+    std::mutex mutex;
+    std::map<const raw_connection*, int> answered;
+    const scripted_callee callee([&](raw_connection& caller, const std::string& path) {
+        bool silent = false;
+        {
+            const std::lock_guard lock(mutex);
+            silent = answered[&caller]++ > 0;
+        }
+        std::this_thread::sleep_for(silent ? 8 * short_wait : short_wait / 4);
+        caller.put(answer_text(path));
+        return !silent;
+    });
+    client_ = make_http_client(loop_, {});
+    int open = 3;
+    for (int i = 0; i < 3; ++i) {
+        client_->send(callee.address(), {http_method::get, "/first", "", {}, ""}, generous,
+                      [&](const http_result& result) {
+                          EXPECT_TRUE(result.has_value());
+                          if (--open == 0) {
+                              loop_.stop();
+                          }
+                      });
+    }
+    loop_.run();
+    EXPECT_FALSE(call(callee.address(), "/silent", short_wait).has_value());
+    EXPECT_TRUE(call(callee.address(), "/next", short_wait).has_value());
+    client_.reset();
+}
+
+}  // namespace
--- /dev/null
+++ b/test/standins/raw_http.hpp
@@ -0,0 +1,219 @@
+// Callers and callees of HTTP whose every byte a test decides, and calls to such a callee.
+#pragma once
+
+#include <cranberrydock/net/http_client.hpp>
+
+#include "cluster.hpp"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+constexpr base::milliseconds short_wait{200};
+constexpr base::milliseconds poll_pause{2};
+
+inline std::string answer_text(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// One end of a TCP connection, with blocking calls.
+class raw_connection {
+public:
+    explicit raw_connection(int fd) : fd_(fd) {}
+    explicit raw_connection(const net::endpoint& to)
+        : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
+        EXPECT_EQ(connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    }
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+    ~raw_connection() { close(fd_); }
+
+    void put(const std::string& text) const { send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
+    void ask(const std::string& path) const {
+        put("GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n");
+    }
+    void end_sending() const { shutdown(fd_, SHUT_WR); }
+    void end() const { shutdown(fd_, SHUT_RDWR); }
+    // Closing it resets it.
+    void will_reset() const {
+        const linger at_once{1, 0};
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+
+    // The head of the next message, or nothing when the other end closes or is silent.
+    std::string read_head() { return read_until("\r\n\r\n"); }
+
+    // The body of the next answer.
+    std::string read_answer() {
+        const std::string head = read_head();
+        const std::string field = "Content-Length: ";
+        const auto at = head.find(field);
+        if (at == std::string::npos) {
+            return head.empty() ? "nothing" : head;
+        }
+        const auto length = std::stoul(head.substr(at + field.size()));
+        while (buf_.size() < length && read_more()) {
+        }
+        std::string out = buf_.substr(0, length);
+        buf_.erase(0, length);
+        return out;
+    }
+
+private:
+    std::string read_until(const std::string& mark) {
+        auto at = buf_.find(mark);
+        while (at == std::string::npos) {
+            if (!read_more()) {
+                return {};
+            }
+            at = buf_.find(mark);
+        }
+        std::string out = buf_.substr(0, at + mark.size());
+        buf_.erase(0, at + mark.size());
+        return out;
+    }
+
+    bool read_more() {
+        pollfd ready{fd_, POLLIN, 0};
+        if (poll(&ready, 1, static_cast<int>(generous.count())) <= 0) {
+            return false;
+        }
+        char bytes[4096];
+        const ssize_t n = read(fd_, bytes, sizeof bytes);
+        if (n > 0) {
+            buf_.append(bytes, static_cast<std::size_t>(n));
+        }
+        return n > 0;
+    }
+
+    int fd_;
+    std::string buf_;
+};
+
+// A callee whose every answer is scripted, one thread a connection.
+class scripted_callee {
+public:
+    // Answers a request for `path`; false closes the connection.
+    using script = std::function<bool(raw_connection&, const std::string& path)>;
+
+    explicit scripted_callee(script script) : script_(std::move(script)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t n = sizeof address;
+        EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), n), 0);
+        listen(listener_, SOMAXCONN);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &n);
+        port_ = ntohs(address.sin_port);
+        accepting_ = std::thread([this] { accept_all(); });
+    }
+    scripted_callee(const scripted_callee&) = delete;
+    scripted_callee& operator=(const scripted_callee&) = delete;
+    ~scripted_callee() {
+        shutdown(listener_, SHUT_RDWR);
+        accepting_.join();
+        for (auto& it : callers_) {
+            it.end();
+        }
+        for (auto& it : serving_) {
+            it.join();
+        }
+        close(listener_);
+    }
+
+    net::endpoint address() const { return {loopback, port_}; }
+
+private:
+    void accept_all() {
+        for (;;) {
+            const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0) {
+                return;
+            }
+            callers_.emplace_back(fd);
+            serving_.emplace_back([this, &caller = callers_.back()] { serve(caller); });
+        }
+    }
+
+    void serve(raw_connection& caller) const {
+        for (;;) {
+            const std::string head = caller.read_head();
+            const auto begin = head.find(' ') + 1;
+            if (head.empty() ||
+                !script_(caller, head.substr(begin, head.find(' ', begin) - begin))) {
+                caller.end();
+                return;
+            }
+        }
+    }
+
+    script script_;
+    int listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    std::uint16_t port_ = 0;
+    std::thread accepting_;
+    std::list<raw_connection> callers_;  // whose addresses the threads know
+    std::vector<std::thread> serving_;
+};
+
+class scripted_calls : public ::testing::Test {
+protected:
+    net::http_result call(const net::endpoint& to, const std::string& path,
+                          base::milliseconds timeout) {
+        std::optional<http_result> out;
+        client_->send(to, {net::http_method::get, path, "", {}, ""}, timeout,
+                      [&](net::http_result result) {
+                          out = std::move(result);
+                          loop_.stop();
+                      });
+        loop_.run();
+        return std::move(*out);
+    }
+
+    // Calls again and again: at once, or after the loop has seen what else has come. An answer that
+    // is told is the request's own, and whole; returns how many were told.
+    int calls_answered(const scripted_callee::script& script,
+                       base::milliseconds timeout = generous) {
+        constexpr int calls = 8;
+        int out = 0;
+        const scripted_callee callee(script);
+        client_ = net::make_http_client(loop_, {});
+        for (int i = 0; i < calls; ++i) {
+            const std::string path = "/" + std::to_string(i);
+            const auto got = call(callee.address(), path, timeout);
+            if (got) {
+                ++out;
+                EXPECT_EQ(got->status, 200) << path;
+                EXPECT_EQ(got->body, path);
+            }
+            if (i % 2 == 1) {
+                const auto pause = loop_.after(poll_pause, [this] { loop_.stop(); });
+                loop_.run();
+            }
+        }
+        client_.reset();
+        return out;
+    }
+
+    net::event_loop loop_;
+    std::unique_ptr<http_client> client_;
+};
+
+}  // namespace cranberrydock::standins
