--- a/test/failure/answers_reach_no_other_request.cpp
+++ b/test/failure/answers_reach_no_other_request.cpp
@@ -21,8 +21,6 @@
 using namespace cranberrydock::net;
 using namespace cranberrydock::standins;
 
-const char* const loopback = "127.0.0.1";
-
 // Holds every request until it is told to answer, except those whose path begins with /at-once.
 class holding_handler final : public http_handler {
 public:
--- a/test/standins/raw_http.hpp
+++ b/test/standins/raw_http.hpp
@@ -25,6 +25,7 @@
 
 constexpr base::milliseconds short_wait{200};
 constexpr base::milliseconds poll_pause{2};
+inline const char* const loopback = "127.0.0.1";
 
 inline std::string answer_text(const std::string& body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -177,7 +178,7 @@
 protected:
     net::http_result call(const net::endpoint& to, const std::string& path,
                           base::milliseconds timeout) {
-        std::optional<http_result> out;
+        std::optional<net::http_result> out;
         client_->send(to, {net::http_method::get, path, "", {}, ""}, timeout,
                       [&](net::http_result result) {
                           out = std::move(result);
@@ -213,7 +214,7 @@
     }
 
     net::event_loop loop_;
-    std::unique_ptr<http_client> client_;
+    std::unique_ptr<net::http_client> client_;
 };
 
 }  // namespace cranberrydock::standins
