fleet: a customer near its limit starts nothing beside what an unheard VM may run

All daemons had lost power; the taker, whose earlier owner was known to have ended, started new jobs at 37.1 s, while some VMs had not told what they ran until 39.5 s. Their runs counted for nobody. Until the inherited runs are known, the capacity of VMs that have not reported, and whose processes have not ended, counts as any customer's use.

--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -57,7 +57,8 @@
         return out;
     }
     const auto used = in_use.find(customer);
-    const resources taken = unknown_use + (used == in_use.end() ? resources{} : used->second);
+    const resources taken =
+        unknown_use + unreported_use + (used == in_use.end() ? resources{} : used->second);
     const resources& most = limits->second.upper_limit;
     if (most.cores.value() > 0) {
         out.cores = most.cores - taken.cores;
@@ -336,7 +337,11 @@
     round.advisers = advisers;
     resources free;
     resources total;
+    unreported_use = {};
     for (vm_record* const vm : vm_numbers) {
+        if (vm != nullptr && !inherited_known && !vm->reported && !vm->ended) {
+            unreported_use += vm->facts.capacity;
+        }
         if (vm != nullptr && usable(*vm, now)) {
             round.usable.push_back(vm);
             free += vm->free();
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -66,6 +66,7 @@
     // Its place in tables of VMs; no other VM ever has the same.
     std::size_t number = 0;
     bool reported = false;  // under this owner's fence: what it runs is known
+    bool ended = false;     // its process has, and it has not reported since
     bool reachable = true;
     std::map<task_ref, placed_run> runs;
     resources used;  // the sum over `runs`
@@ -229,6 +230,8 @@
     std::unordered_map<customer_name, resources> in_use;
     // At most, by runs of jobs that are not known; they may be any customer's.
     resources unknown_use;
+    // At most, by what an earlier owner started on VMs that have not reported yet.
+    resources unreported_use;
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
     bool inherited_known = false;
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -79,6 +79,7 @@
         return;
     }
     vm->reported = false;
+    vm->ended = true;
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         const placed_run& run = it.second;
@@ -321,6 +322,7 @@
         return;
     }
     vm->reported = true;
+    vm->ended = false;
     vm->reachable = true;
     for (const auto& it : report.ends) {
         if (it.number > vm->last_end) {
--- a/test/correctness/what_an_owner_finds_is_taken_into_account.cpp
+++ b/test/correctness/what_an_owner_finds_is_taken_into_account.cpp
@@ -98,4 +98,28 @@
     EXPECT_EQ(owner.acknowledgeable(vm), fleet::end_number(7));
 }
 
+// An earlier owner may have started any customer's tasks on a VM that has not reported yet. Load: a
+// takeover while work of a customer runs up to its limit and one VM is silent (QUOTA, inc-d1a5).
+TEST(customer_at_its_limit, starts_nothing_beside_what_an_unheard_vm_may_run) {
+    base::metrics metrics;
+    const fleet::moment now{base::time_point(std::chrono::seconds(100)),
+                            fleet::unix_time(1'000'000)};
+    fleet::scheduler owner{fleet::fence(2), {}, metrics};
+    constexpr std::int64_t limit = 5'000;
+    owner.configure(std::make_shared<const fleet::fleet_configuration>(two_queues(limit)));
+    fleet::vm_facts heard;
+    heard.id = fleet::vm_id("heard");
+    heard.service = fleet::service_name("svc");
+    heard.capacity = vm_of(4'000);
+    fleet::vm_facts silent = heard;
+    silent.id = fleet::vm_id("silent");
+    owner.vm_seen(heard);
+    owner.vm_seen(silent);
+    owner.vm_reported(heard.id, {}, now.steady, now);
+    owner.job_submitted(job_of("new", "urgent", {step_of(3, 1'000)}), nullptr, false, now);
+    EXPECT_EQ(owner.decide(now, {}).starts.size(), 1U);
+    owner.vm_ended(silent.id);
+    EXPECT_EQ(owner.decide(now, {}).starts.size(), 2U);
+}
+
 }  // namespace
