--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -23,8 +23,8 @@
 constexpr base::milliseconds owner_write_timeout{1'200};
 constexpr base::milliseconds hand_over_timeout{2'000};
 constexpr base::milliseconds configuration_wait{1'000};  // a lost answer costs no more than this
-// News of the configuration that is older than this is not handed on to others. A question waits for
-// a second, and the next one's answer is a second further on.
+// News of the configuration that is older than this is not handed on to others. A question waits
+// for a second, and the next one's answer is a second further on.
 constexpr base::milliseconds oldest_shared_news{2'500};
 constexpr base::milliseconds no_pause{0};
 constexpr base::milliseconds ask_owner_timeout{350};
