relays, placing: one copy of facts_of, no counting for work that is not spread

Read once more: both ends of the relays had the same function, a declaration had no definition, and the spread of a step was counted for every step that is placed though only lasting work uses it. Behaviour is as it was; run after it: five tests of relays, placing and a served fleet, formatter and linter of the three sources.

--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -4,6 +4,7 @@
 #include "scheduler_state.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace cranberrydock::fleet {
@@ -175,7 +176,10 @@
     const auto allowed = allowed_vms(work, round, now);
     resources room = customer_room(work.job->spec.customer);
     bool all = true;
-    step_spread spread(*work.step);
+    std::optional<step_spread> spread;
+    if (spec.long_running) {
+        spread.emplace(*work.step);
+    }
     for (std::size_t i = 0; i < work.step->tasks.size(); ++i) {
         auto& task = work.step->tasks[i];
         if (task.done || task.vm != nullptr) {
@@ -184,8 +188,8 @@
         vm_record* best = nullptr;
         const auto better = [&](const vm_record& a, const vm_record& b) {
             // Lasting work is spread, so that most of it outlives a VM, a rack or a zone.
-            if (spec.long_running && spread.shared_fate(a) != spread.shared_fate(b)) {
-                return spread.shared_fate(a) < spread.shared_fate(b);
+            if (spread && spread->shared_fate(a) != spread->shared_fate(b)) {
+                return spread->shared_fate(a) < spread->shared_fate(b);
             }
             const bool near_a = a.facts.rack == spec.data_rack;
             const bool near_b = b.facts.rack == spec.data_rack;
@@ -206,7 +210,9 @@
             break;  // the other tasks need the same
         }
         room -= spec.need;
-        spread.add(*best);
+        if (spread) {
+            spread->add(*best);
+        }
         start(work, static_cast<int>(i), *best, task.last_run.next(), now, out);
     }
     return all;
--- a/packages/steward/include/cranberrydock/steward/relayed_orders.hpp
+++ b/packages/steward/include/cranberrydock/steward/relayed_orders.hpp
@@ -30,6 +30,14 @@
     std::variant<fleet::start_order, stop_order, fleet::watch_order> what;
 };
 
+// What of the VM the order needs to be carried out.
+inline fleet::vm_facts facts_of(const relayed_order& order) {
+    fleet::vm_facts out;
+    out.id = order.vm;
+    out.address = order.address;
+    return out;
+}
+
 struct order_batch {
     std::string sender;     // the owner's process
     std::string relay_run;  // of the relay for which the orders are meant; empty: none are sent yet
--- a/packages/steward/include/cranberrydock/steward/relayed_vms.hpp
+++ b/packages/steward/include/cranberrydock/steward/relayed_vms.hpp
@@ -74,7 +74,6 @@
     channel* channel_to(const fleet::vm_facts& vm);
     void choose_relays();
     void drop_idle_channels();
-    void flush(channel& to);
     void flush_later(channel& to);
     void exchange(channel& with);
     void exchanged(channel& with, const std::vector<order_number>& sent, const outcome_batch& what);
--- a/packages/steward/src/order_relay.cpp
+++ b/packages/steward/src/order_relay.cpp
@@ -13,13 +13,6 @@
 // An owner that has not been heard of for so long is forgotten.
 constexpr base::milliseconds silence_until_forgotten{30'000};
 
-fleet::vm_facts facts_of(const relayed_order& order) {
-    fleet::vm_facts out;
-    out.id = order.vm;
-    out.address = order.address;
-    return out;
-}
-
 template <typename Answer>
 relayed_outcome outcome_of(order_number number,
                            const tl::expected<Answer, fleet::order_failure>& answer) {
--- a/packages/steward/src/relayed_vms.cpp
+++ b/packages/steward/src/relayed_vms.cpp
@@ -25,13 +25,6 @@
 using any_done =
     std::variant<fleet::start_done, fleet::watch_done>;  // stops are answered as starts
 
-fleet::vm_facts facts_of(const relayed_order& order) {
-    fleet::vm_facts out;
-    out.id = order.vm;
-    out.address = order.address;
-    return out;
-}
-
 }  // namespace
 
 struct relayed_vms::open_order {
