net: an answer that pauses on a full link is waited for

Daemons gave up a configuration of 1.7 MB that was coming in over the link of 60 Mbit/s, because for a quarter of a second nothing of it came, and asked for all of it anew.

The cap of three timeouts stays.

Ruled out: silent connections (answers had begun), the store (near daemons had the version after 1.2 s).

Test: slow_answers.are_waited_for_through_pauses_shorter_than_half_the_timeout; with the period of 250 ms it has none of eight answers.

--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -53,8 +53,8 @@
 constexpr int first_final_status = 200;
 constexpr int first_priority = 0;
 // An answer that is coming in when the deadline passes is waited for as long as more of it comes
-// within each such period, up to so many times the timeout.
-constexpr base::milliseconds progress_period{250};
+// within each such part of the timeout, up to so many times the timeout.
+constexpr int progress_checks_a_timeout = 2;
 constexpr int longest_answer_in_timeouts = 3;
 
 evbuffer* input_of(evhttp_connection* connection) {
@@ -84,7 +84,8 @@
     http_callback done;
     std::unique_ptr<timer> deadline;
     base::time_point sent{};
-    base::time_point last_moment{};   // also for an answer that is coming in
+    base::time_point last_moment{};  // also for an answer that is coming in
+    base::milliseconds progress_period{0};
     std::size_t received = 0;         // bytes on the connection
     std::size_t received_before = 0;  // when the deadline was looked at last
 };
@@ -133,6 +134,7 @@
         evbuffer_add_cb(input_of(one->connection), &count_received, one);
         one->sent = clock_.now();
         one->last_moment = clock_.now() + timeout * longest_answer_in_timeouts;
+        one->progress_period = timeout / progress_checks_a_timeout;
         one->deadline = loop_.after(timeout, [this, one] { deadline_passed(one); });
         write(one, request);
     }
@@ -142,7 +144,8 @@
     void deadline_passed(call* one) {
         if (one->received > one->received_before && clock_.now() < one->last_moment) {
             one->received_before = one->received;
-            one->deadline = loop_.after(progress_period, [this, one] { deadline_passed(one); });
+            one->deadline =
+                loop_.after(one->progress_period, [this, one] { deadline_passed(one); });
             return;
         }
         if (one->reused) {
--- a/test/failure/slow_answers_are_waited_for.cpp
+++ b/test/failure/slow_answers_are_waited_for.cpp
@@ -31,6 +31,26 @@
               8);
 }
 
+// On a full link an answer pauses for longer than a fast one takes.
+TEST_F(slow_answers, are_waited_for_through_pauses_shorter_than_half_the_timeout) {
+    constexpr base::milliseconds timeout{1'200};
+    constexpr base::milliseconds pause{540};
+    constexpr std::size_t pieces = 4;
+    EXPECT_EQ(calls_answered(
+                  [&](raw_connection& caller, const std::string& path) {
+                      const std::string text = answer_text(path);
+                      for (std::size_t i = 0; i < pieces; ++i) {
+                          const std::size_t begin = i * text.size() / pieces;
+                          const std::size_t end = (i + 1) * text.size() / pieces;
+                          caller.put(text.substr(begin, end - begin));
+                          std::this_thread::sleep_for(pause);
+                      }
+                      return true;
+                  },
+                  timeout),
+              8);
+}
+
 TEST_F(slow_answers, are_given_up_when_they_have_stopped_coming_in) {
     const auto begin = std::chrono::steady_clock::now();
     EXPECT_EQ(calls_answered(
