steward: daemons read the configuration through their region's readers, not past them

Cause: a fallback that costs more of the shared link than the way that failed, in a loop. A daemon whose zone's reader failed, or had no recent news itself, read from the store. Sixteen daemons that read 1.7 MB each fill the link between regions for 3.6 s; the readers' own questions are lost in that, so they have no recent news and refuse their zones, whose daemons read from the store. Logs of: the reader of southvale-c loses its feed at 20.5 s and at 25.5 s until 39.3 s, and refuses all the while; its zone asks the store every 2.4 s. Nothing ends the loop but the end of the changes.

Now a daemon asks the reader of its zone, then those of its region's other zones, and the store only when none of them answers. A reader without recent news says so (`behind`); while all are, the store is left to them for 5 s. The zones of a region come from the settings file.

Tests: region_of_daemons. With only the own zone's readers, two of the four fail (rows read from the store: 9 for 2, 15 for 8); without leaving the store to readers that are behind, leaves_the_store_to_its_readers fails (16 for 2). The stand-in counted a question that it had answered as told again by the next change; it tells each once now.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -61,6 +61,9 @@
     out.run = name_of_this_run();
     out.peers = site.peers;
     out.zone = fleet::zone_name(site.zone);
+    for (const auto& it : site.region_zones) {
+        out.region_zones.insert(fleet::zone_name(it));
+    }
     out.strength = site.cores;
     // As many as the store can write to at its full rate: while it is slow, that is what counts.
     out.job_parts = std::clamp<std::size_t>(
--- a/packages/fleet/include/cranberrydock/fleet/row_store.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/row_store.hpp
@@ -54,6 +54,7 @@
     conflict,      // a condition does not hold; nothing was done
     answer_lost,   // may have been done, or may still be done later if its conditions hold
     history_gone,  // feeds only: read the table anew
+    behind,        // feeds through a peer only: the peer has no recent news itself
 };
 
 const char* to_string(store_failure failure);
--- a/packages/fleet/src/row_store.cpp
+++ b/packages/fleet/src/row_store.cpp
@@ -13,6 +13,8 @@
             return "answer_lost";
         case store_failure::history_gone:
             return "history_gone";
+        case store_failure::behind:
+            return "behind";
     }
     return "unknown";
 }
--- a/packages/steward/include/cranberrydock/steward/daemon.hpp
+++ b/packages/steward/include/cranberrydock/steward/daemon.hpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace cranberrydock::steward {
@@ -24,6 +25,7 @@
     std::string run;      // of this process: its start, so that a later run's is larger
     net::endpoint peers;  // where the other daemons reach this one
     fleet::zone_name zone;
+    std::set<fleet::zone_name> region_zones;  // the zones of its region
     // Of the VM: cores that this daemon may use. The fleet is owned by one of the strongest.
     double strength = 1.0;
     std::size_t job_parts = 1;  // the same for all daemons
--- a/packages/steward/include/cranberrydock/steward/zone_reader.hpp
+++ b/packages/steward/include/cranberrydock/steward/zone_reader.hpp
@@ -5,27 +5,32 @@
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/log_budget.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/fleet/row_store.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/steward/lifetime.hpp>
 #include <cranberrydock/steward/relayed_vms.hpp>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace cranberrydock::steward {
 
-// The store, but for what it is asked of changes: that goes to a reader of this daemon's zone if
-// there is one, and to the store when the reader does not answer or does not know.
+// The store, but for what it is asked of changes: that goes to a reader of this daemon's zone, then
+// to the readers of the region's other zones, and to the store when none of them answers. Readers
+// that answer but are behind themselves are asked again instead: the way to the store is slow then,
+// and every daemon that reads for itself makes it slower.
 class zone_reader final : public fleet::row_store {
 public:
-    // `name` and `strength`: this daemon's.
-    zone_reader(fleet::row_store& store, std::string name, fleet::zone_name zone, double strength,
-                base::metrics& metrics);
+    // `name`, `zone` and `strength`: this daemon's. `region`: the zones of its region.
+    zone_reader(fleet::row_store& store, std::string name, fleet::zone_name zone,
+                std::set<fleet::zone_name> region, double strength, base::metrics& metrics);
 
     // The other daemons, by the names of their VMs.
     void set_daemons(const std::map<std::string, relay_candidate>& others);
@@ -44,28 +49,50 @@
 private:
     struct reader {
         std::shared_ptr<peer> way;
+        bool in_zone = false;
         base::time_point avoid_until{};
     };
+    using readers = std::map<std::string, reader>;
+    struct question {
+        fleet::table_name table;
+        fleet::store_version after;
+        base::milliseconds wait;
+        fleet::read_done done;
+        std::set<std::string> asked;
+        bool some_are_behind = false;
+    };
+
+    readers::const_iterator choose(const std::set<std::string>& asked) const;
+    void ask_next(const std::shared_ptr<question>& one);
+    void ask_store(const question& one);
+    void reader_failed(const std::string& name, question& one, fleet::store_failure failure);
 
     fleet::row_store& store_;
     std::string name_;
     fleet::zone_name zone_;
+    std::set<fleet::zone_name> region_;
     double strength_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
-    std::map<std::string, reader> readers_;  // of the zone; empty while this daemon is one
+    static constexpr std::int64_t failure_lines_per_second = 5;
+    base::log_budget failure_lines_{"zone_reader_failed", failure_lines_per_second};
+    readers readers_;  // of the region; empty while this daemon is one
     bool reads_for_others_ = false;
+    base::time_point heard_{};  // of changes, or that there are none
     lifetime lifetime_;
 };
 
 // What a reader has heard of the table, for the others of its zone.
 class shared_feed {
 public:
-    explicit shared_feed(net::event_loop& loop) : loop_(loop) {}
+    // `is_current`: whether this daemon's own news is recent enough for others.
+    shared_feed(net::event_loop& loop, std::function<bool()> is_current)
+        : loop_(loop), is_current_(std::move(is_current)) {}
 
     // `version`: up to which the table's changes have been heard.
     void heard(const std::vector<fleet::stored_row>& rows, fleet::store_version version);
-    // Answers with the rows that have changed after `after`, or with none after `wait`.
+    // Answers with the rows that have changed after `after`, or with none after `wait`; or that
+    // this daemon is behind.
     void follow(fleet::store_version after, base::milliseconds wait, const fleet::read_done& done);
 
 private:
@@ -75,8 +102,10 @@
         std::unique_ptr<net::timer> timeout;
     };
     fleet::rows_read changes_after(fleet::store_version after) const;
+    void answer(const question& one) const;
 
     net::event_loop& loop_;
+    std::function<bool()> is_current_;
     std::map<std::string, fleet::stored_row> rows_;  // by their names
     fleet::store_version version_;
     std::list<question> open_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -67,8 +67,8 @@
           direct(row_store),
           own_adviser(placement),
           store(row_store, limits.vm_name, counters),
-          zone(store, limits.vm_name, limits.zone, limits.strength, counters),
-          configuration_feed(event_loop),
+          zone(store, limits.vm_name, limits.zone, limits.region_zones, limits.strength, counters),
+          configuration_feed(event_loop, [this] { return configuration_is_recent(); }),
           vms(event_loop, vm_control, limits.vm_name + "/" + limits.run, limits.relays, counters),
           relay(event_loop, vm_control, limits.run),
           rows(platform),
@@ -177,13 +177,15 @@
     }
     void follow_configuration(fleet::store_version after, base::milliseconds wait,
                               const fleet::read_done& done) override {
-        const auto age = clock.now() - configurations.as_of();
-        if (!zone.reads_for_others() || age > oldest_shared_news) {
+        if (!zone.reads_for_others()) {
             done(tl::unexpected(fleet::store_error{fleet::store_failure::refused, {}}));
             return;
         }
         configuration_feed.follow(after, wait, done);
     }
+    bool configuration_is_recent() const {
+        return clock.now() - configurations.as_of() <= oldest_shared_news;
+    }
     fleet::placement_adviser& adviser() override { return own_adviser; }
     fleet::row_store& direct_store() override { return direct; }
     void job_status(const fleet::job_id& job, status_done done) override {
--- a/packages/steward/src/peer_codec.cpp
+++ b/packages/steward/src/peer_codec.cpp
@@ -57,7 +57,7 @@
 
 fleet::store_error decode_error(const json& from) {
     const int failure = from.at("failure").get<int>();
-    if (failure < 0 || failure > static_cast<int>(fleet::store_failure::history_gone)) {
+    if (failure < 0 || failure > static_cast<int>(fleet::store_failure::behind)) {
         throw std::invalid_argument("expected a failure of the store, found " +
                                     std::to_string(failure));
     }
--- a/packages/steward/src/zone_reader.cpp
+++ b/packages/steward/src/zone_reader.cpp
@@ -17,48 +17,60 @@
 // store to be asked instead.
 constexpr base::milliseconds longest_wait{500};
 constexpr base::milliseconds avoid_after_failure{2'000};
+// While the readers are behind, the store is left to them for so long.
+constexpr base::milliseconds longest_without_news{5'000};
+
+struct named_daemon {
+    std::string name;
+    double strength = 0;
+};
+
+// The strongest, one of eight.
+std::vector<named_daemon> readers_among(std::vector<named_daemon> daemons) {
+    if (daemons.size() < least_daemons) {
+        return {};
+    }
+    std::sort(daemons.begin(), daemons.end(), [](const auto& a, const auto& b) {
+        return a.strength != b.strength ? a.strength > b.strength : a.name < b.name;
+    });
+    daemons.resize((daemons.size() + daemons_per_reader - 1) / daemons_per_reader);
+    return daemons;
+}
 
 }  // namespace
 
 zone_reader::zone_reader(fleet::row_store& store, std::string name, fleet::zone_name zone,
-                         double strength, base::metrics& metrics)
+                         std::set<fleet::zone_name> region, double strength, base::metrics& metrics)
     : store_(store),
       name_(std::move(name)),
       zone_(std::move(zone)),
+      region_(std::move(region)),
       strength_(strength),
       metrics_(metrics) {}
 
 void zone_reader::set_daemons(const std::map<std::string, relay_candidate>& others) {
-    struct daemon {
-        std::string name;
-        double strength = 0;
-    };
-    std::vector<daemon> daemons{{name_, strength_}};
+    std::map<fleet::zone_name, std::vector<named_daemon>> zones;
+    zones[zone_].push_back({name_, strength_});
     for (const auto& it : others) {
-        if (it.second.zone == zone_ && !zone_.empty()) {
-            daemons.push_back({it.first, it.second.strength});
+        const auto& zone = it.second.zone;
+        if (!zone.empty() && (zone == zone_ || region_.count(zone) > 0)) {
+            zones[zone].push_back({it.first, it.second.strength});
         }
     }
     const auto known = std::exchange(readers_, {});
-    reads_for_others_ = false;
-    if (daemons.size() < least_daemons) {
+    const auto own = readers_among(zones[zone_]);
+    reads_for_others_ =
+        std::any_of(own.begin(), own.end(), [&](const auto& it) { return it.name == name_; });
+    if (own.empty() || reads_for_others_) {
         return;
     }
-    std::sort(daemons.begin(), daemons.end(), [](const daemon& a, const daemon& b) {
-        return a.strength != b.strength ? a.strength > b.strength : a.name < b.name;
-    });
-    daemons.resize((daemons.size() + daemons_per_reader - 1) / daemons_per_reader);
-    for (const auto& it : daemons) {
-        reads_for_others_ = reads_for_others_ || it.name == name_;
-    }
-    if (reads_for_others_) {
-        return;
-    }
-    for (const auto& it : daemons) {
-        const auto before = known.find(it.name);
-        readers_[it.name] = {others.at(it.name).way, before == known.end()
-                                                         ? base::time_point{}
-                                                         : before->second.avoid_until};
+    for (const auto& zone : zones) {
+        for (const auto& it : readers_among(zone.second)) {
+            const auto before = known.find(it.name);
+            readers_[it.name] = {
+                others.at(it.name).way, zone.first == zone_,
+                before == known.end() ? base::time_point{} : before->second.avoid_until};
+        }
     }
 }
 
@@ -75,37 +87,80 @@
 
 void zone_reader::follow(const fleet::table_name& table, fleet::store_version after,
                          base::milliseconds wait, fleet::read_done done) {
-    const reader* chosen = nullptr;
-    std::string chosen_name;
-    std::uint64_t best = 0;
-    for (const auto& it : readers_) {
-        const auto weight = base::rendezvous_weight(name_, it.first);
-        if (clock_.now() >= it.second.avoid_until && (chosen == nullptr || weight > best)) {
-            chosen = &it.second;
-            chosen_name = it.first;
-            best = weight;
+    ask_next(std::make_shared<question>(question{table, after, wait, std::move(done), {}, false}));
+}
+
+// Those of the own zone first; each daemon has an order of its own, so that they share the load.
+zone_reader::readers::const_iterator zone_reader::choose(const std::set<std::string>& asked) const {
+    auto best = readers_.end();
+    std::uint64_t most = 0;
+    for (auto it = readers_.begin(); it != readers_.end(); ++it) {
+        const auto weight = base::rendezvous_weight(name_, it->first);
+        const bool usable = clock_.now() >= it->second.avoid_until && asked.count(it->first) == 0;
+        if (usable && (best == readers_.end() || (it->second.in_zone && !best->second.in_zone) ||
+                       (it->second.in_zone == best->second.in_zone && weight > most))) {
+            best = it;
+            most = weight;
         }
     }
-    if (chosen == nullptr) {
-        store_.follow(table, after, wait, std::move(done));
+    return best;
+}
+
+void zone_reader::ask_next(const std::shared_ptr<question>& one) {
+    const auto chosen = choose(one->asked);
+    if (chosen != readers_.end()) {
+        const std::string& name = *one->asked.insert(chosen->first).first;
+        chosen->second.way->follow_configuration(
+            one->after, std::min(one->wait, longest_wait),
+            lifetime_.guard([this, one, name](const auto& answer) {
+                if (answer) {
+                    heard_ = clock_.now();
+                    one->done(answer);
+                    return;
+                }
+                reader_failed(name, *one, answer.error().failure);
+                ask_next(one);
+            }));
         return;
     }
-    chosen->way->follow_configuration(
-        after, std::min(wait, longest_wait),
-        lifetime_.guard([this, chosen_name, table, after, wait, done](const auto& answer) {
-            if (answer) {
-                done(answer);
-                return;
-            }
-            const auto it = readers_.find(chosen_name);
-            if (it != readers_.end()) {
-                it->second.avoid_until = clock_.now() + avoid_after_failure;
-            }
-            metrics_.count("cranberrydock_zone_reader_failures_total", "");
-            spdlog::info("event=zone_reader_avoided reader={} reason={} for_ms={}", chosen_name,
-                         fleet::to_string(answer.error().failure), avoid_after_failure.count());
-            store_.follow(table, after, wait, done);
-        }));
+    const auto news_age = clock_.now() - heard_;
+    if (one->some_are_behind && news_age < longest_without_news) {
+        one->done(tl::unexpected(fleet::store_error{fleet::store_failure::behind, {}}));
+        return;
+    }
+    ask_store(*one);
+}
+
+void zone_reader::ask_store(const question& one) {
+    store_.follow(one.table, one.after, one.wait,
+                  lifetime_.guard([this, done = one.done](const auto& answer) {
+                      if (answer) {
+                          heard_ = clock_.now();
+                      }
+                      done(answer);
+                  }));
+}
+
+void zone_reader::reader_failed(const std::string& name, question& one,
+                                fleet::store_failure failure) {
+    metrics_.count("cranberrydock_zone_reader_failures_total",
+                   std::string("reason=\"") + fleet::to_string(failure) + "\"");
+    base::milliseconds avoid_for{0};
+    if (failure == fleet::store_failure::behind) {
+        one.some_are_behind = true;
+    } else {
+        avoid_for = avoid_after_failure;
+        const auto it = readers_.find(name);
+        if (it != readers_.end()) {
+            it->second.avoid_until = clock_.now() + avoid_for;
+        }
+    }
+    if (!failure_lines_.allows(clock_.now())) {
+        return;
+    }
+    spdlog::info("event=zone_reader_failed reader={} reason={} avoid_for_ms={} news_age_ms={}",
+                 name, fleet::to_string(failure), avoid_for.count(),
+                 std::chrono::duration_cast<base::milliseconds>(clock_.now() - heard_).count());
 }
 
 void shared_feed::heard(const std::vector<fleet::stored_row>& rows, fleet::store_version version) {
@@ -128,19 +183,24 @@
 
 void shared_feed::follow(fleet::store_version after, base::milliseconds wait,
                          const fleet::read_done& done) {
-    auto changes = changes_after(after);
-    if (!changes.rows.empty()) {
-        done(std::move(changes));
-        return;
-    }
     const auto one = open_.insert(open_.end(), {after, done, nullptr});
-    one->timeout = loop_.after(wait, [this, one] {
+    const bool at_once = !changes_after(after).rows.empty() || !is_current_();
+    one->timeout = loop_.after(at_once ? base::milliseconds{0} : wait, [this, one] {
         const question what = std::move(*one);
         open_.erase(one);
-        what.done(changes_after(what.after));
+        answer(what);
     });
 }
 
+void shared_feed::answer(const question& one) const {
+    auto changes = changes_after(one.after);
+    if (changes.rows.empty() && !is_current_()) {
+        one.done(tl::unexpected(fleet::store_error{fleet::store_failure::behind, {}}));
+    } else {
+        one.done(std::move(changes));
+    }
+}
+
 fleet::rows_read shared_feed::changes_after(fleet::store_version after) const {
     fleet::rows_read out;
     // Never ahead of what the asker will have heard: it may know more than this daemon.
--- a/test/failure/changes_are_read_once_for_a_zone.cpp
+++ b/test/failure/changes_are_read_once_for_a_zone.cpp
@@ -1,5 +1,6 @@
-// A change that each of two dozen daemons of a zone has to hear of: a few read it from the store,
-// the others from these. Readers that fall silent or refuse cost the others a moment, not the news.
+// A change that each daemon of a zone has to hear of: a few read it from the store, the others from
+// these. Readers that fall silent, refuse or are behind cost the others a moment, not the news, and
+// send no crowd to the store.
 #include <cranberrydock/steward/table_follower.hpp>
 #include <cranberrydock/steward/zone_reader.hpp>
 
@@ -8,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <list>
+#include <utility>
 
 namespace {
 
@@ -39,18 +41,20 @@
         later(wait, [this, one] {
             const auto done_now = one->done;
             open_.erase(one);
-            fleet::rows_read none;
-            none.version = version;
-            done_now(none);
+            if (done_now) {
+                fleet::rows_read none;
+                none.version = version;
+                done_now(none);
+            }
         });
     }
     void change() {
         version = version.next();
         for (auto& it : open_) {
-            ++rows_told;
-            const auto done = it.done;
-            it.done = [](const auto& /*answer*/) {};
-            later(base::milliseconds{1}, [this, done] { done(now()); });
+            if (const auto done = std::exchange(it.done, nullptr)) {
+                ++rows_told;
+                later(base::milliseconds{1}, [this, done] { done(now()); });
+            }
         }
     }
 
@@ -80,10 +84,10 @@
 class daemon_of_zone final : public standins::silent_peer, public steward::table_listener {
 public:
     daemon_of_zone(net::event_loop& loop, fleet::row_store& store, const std::string& name,
-                   double strength)
+                   const fleet::zone_name& in, double strength)
         : loop_(loop),
-          zone(store, name, fleet::zone_name("z"), strength, metrics_),
-          feed_(loop),
+          zone(store, name, in, {fleet::zone_name("y"), fleet::zone_name("z")}, strength, metrics_),
+          feed_(loop, [this] { return !behind; }),
           follower_(loop, zone, table, {fleet::part_name("")}, base::milliseconds{1'000},
                     base::milliseconds{0}, *this) {}
 
@@ -104,7 +108,9 @@
     void start() { follower_.start(); }
     void on_table(const std::vector<fleet::stored_row>& rows) override { on_changes(rows); }
     void on_changes(const std::vector<fleet::stored_row>& rows) override {
-        feed_.heard(rows, follower_.handed_on());
+        if (!behind) {
+            feed_.heard(rows, follower_.handed_on());
+        }
         for (const auto& it : rows) {
             known = std::max(known, it.version);
         }
@@ -113,6 +119,7 @@
     void on_unreadable() override {}
 
     bool silent = false;
+    bool behind = false;  // as a reader whose own question to the store takes long
     fleet::store_version known;
 
 private:
@@ -128,18 +135,21 @@
     steward::table_follower follower_;
 };
 
-class zone_of_daemons : public testing::Test {
+class following_daemons : public testing::Test {
 public:
-    zone_of_daemons() {
-        std::map<std::string, steward::relay_candidate> all;
-        for (std::size_t i = 0; i < daemon_count; ++i) {
-            const std::string name = "d" + std::to_string(100 + i);
-            const double strength = i < strong ? 0.5 : 0.12;
-            daemons.push_back(std::make_shared<daemon_of_zone>(loop, store, name, strength));
-            all[name] = {daemons.back(), fleet::zone_name("z"), strength};
+    // Of `count` daemons the first `readers` are the strongest.
+    void add_zone(const fleet::zone_name& zone, std::size_t count, std::size_t readers) {
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string name = zone.str() + std::to_string(100 + i);
+            const double strength = i < readers ? 0.5 : 0.12;
+            daemons.push_back(std::make_shared<daemon_of_zone>(loop, store, name, zone, strength));
+            all_[name] = {daemons.back(), zone, strength};
         }
-        for (const auto& it : all) {
-            auto others = all;
+    }
+
+    void start() {
+        for (const auto& it : all_) {
+            auto others = all_;
             others.erase(it.first);
             std::static_pointer_cast<daemon_of_zone>(it.second.way)->zone.set_daemons(others);
         }
@@ -162,11 +172,38 @@
         return out;
     }
 
-    static constexpr std::size_t strong = 3;
-
     net::event_loop loop;
     counting_store store{loop};
     std::vector<std::shared_ptr<daemon_of_zone>> daemons;
+
+private:
+    std::map<std::string, steward::relay_candidate> all_;
+};
+
+class zone_of_daemons : public following_daemons {
+public:
+    zone_of_daemons() {
+        add_zone(fleet::zone_name("z"), daemon_count, strong);
+        start();
+    }
+
+    static constexpr std::size_t strong = 3;
+};
+
+// Two zones of eight, with one reader each.
+class region_of_daemons : public following_daemons {
+public:
+    region_of_daemons() {
+        add_zone(fleet::zone_name("y"), zone_size, 1);
+        add_zone(fleet::zone_name("z"), zone_size, 1);
+        start();
+    }
+
+    daemon_of_zone& reader_of_y() { return *daemons.front(); }
+    daemon_of_zone& reader_of_z() { return *daemons[zone_size]; }
+
+    static constexpr std::size_t zone_size = 8;
+    static constexpr int reader_count = 2;
 };
 
 TEST_F(zone_of_daemons, hears_of_a_change_at_once_and_reads_it_thrice) {
@@ -200,4 +237,43 @@
     EXPECT_FALSE(daemons.front()->zone.reads_for_others());
 }
 
+TEST_F(region_of_daemons, reads_a_change_once_a_zone_though_a_reader_is_silent) {
+    reader_of_z().silent = true;
+    run_for(base::milliseconds{600});  // questions that it would still answer have ended
+    store.change();
+    run_for(base::milliseconds{1'500});
+    EXPECT_EQ(informed(), daemons.size());
+    EXPECT_EQ(store.rows_told, reader_count);
+}
+
+TEST_F(region_of_daemons, reads_changes_once_a_zone_though_a_reader_is_behind) {
+    reader_of_z().behind = true;
+    constexpr int changes = 4;
+    for (int i = 0; i < changes; ++i) {
+        store.change();
+        run_for(base::milliseconds{700});
+    }
+    EXPECT_EQ(informed(), daemons.size());
+    EXPECT_EQ(store.rows_told, changes * reader_count);
+}
+
+// While the link to the store is full no reader has recent news, and more readers would fill it for
+// longer.
+TEST_F(region_of_daemons, leaves_the_store_to_its_readers_while_all_are_behind) {
+    reader_of_y().behind = true;
+    reader_of_z().behind = true;
+    run_for(base::milliseconds{2'500});
+    store.change();
+    run_for(base::milliseconds{500});
+    EXPECT_EQ(store.rows_told, reader_count);
+}
+
+TEST_F(region_of_daemons, reads_for_itself_when_its_readers_stay_behind) {
+    reader_of_y().behind = true;
+    reader_of_z().behind = true;
+    store.change();
+    run_for(base::milliseconds{7'000});
+    EXPECT_EQ(informed(), daemons.size());
+}
+
 }  // namespace
