--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -241,8 +241,9 @@
             if (configured && read->version <= configured->version) {
                 continue;
             }
-            spdlog::info("event=configuration_in_force version={} queues={} customers={}",
-                         read->version.value(), read->queues.size(), read->customers.size());
+            spdlog::info("event=configuration_in_force version={} queues={} customers={} bytes={}",
+                         read->version.value(), read->queues.size(), read->customers.size(),
+                         it.value.size());
             configured = std::make_shared<const fleet::fleet_configuration>(std::move(*read));
             if (owning) {
                 owning->configure(configured);
