steward: a daemon behind on the configuration reads it, not every version of it

The store's feed lists each version of a row as a change, whole. A reader of the configuration that was behind by n versions asked for n times its size; when that answer did not come in time, the next question asked for more. With changes that come faster than the link carries them this does not end when they do.

A follower of few large rows now reads the table, which has the newest version only, once an answer was lost or listed a row twice. Others (jobs, VMs) go on by changes: there a table is larger than its changes.

The daemons of changes_are_read_once_for_a_zone are a stand-in of their own now; its tests are as they were.

--- a/packages/steward/include/cranberrydock/steward/table_follower.hpp
+++ b/packages/steward/include/cranberrydock/steward/table_follower.hpp
@@ -25,13 +25,20 @@
     virtual void on_unreadable() = 0;
 };
 
+// How a follower that has fallen behind catches up: its answer was lost, or listed a row twice.
+enum class catch_up {
+    by_changes,  // for tables of many rows
+    by_reading,  // for few large rows: the store lists each of a row's versions as a change
+};
+
 class table_follower {
 public:
     // `wait`: how long the store may keep a question about changes open. `pause`: after changes
     // nothing is asked for so long, so that changes that come singly are read together.
     table_follower(net::event_loop& loop, fleet::row_store& store, fleet::table_name table,
                    std::vector<fleet::part_name> parts, base::milliseconds wait,
-                   base::milliseconds pause, table_listener& listener);
+                   base::milliseconds pause, table_listener& listener,
+                   catch_up manner = catch_up::by_changes);
 
     void start();
 
@@ -58,6 +65,7 @@
     base::milliseconds wait_;
     base::milliseconds pause_;
     table_listener& listener_;
+    catch_up catch_up_;
     std::size_t part_ = 0;  // being read
     fleet::row_name from_;
     fleet::store_version version_;  // changes up to here are known
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -89,7 +89,8 @@
                      },
                      [this] { store_unanswered(); }),
           configurations(loop, zone, rows.configuration_table(), {fleet::part_name("")},
-                         configuration_wait, no_pause, configuration_rows),
+                         configuration_wait, no_pause, configuration_rows,
+                         catch_up::by_reading),
           fleet_follower(loop, store, fleet_table, {fleet::part_name("")}, follow_wait, no_pause,
                          fleet_rows) {
         configurations.start();
--- a/packages/steward/src/table_follower.cpp
+++ b/packages/steward/src/table_follower.cpp
@@ -4,6 +4,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace cranberrydock::steward {
 namespace {
@@ -18,19 +20,27 @@
     return fleet::row_name(name.str() + "!");
 }
 
+bool lists_a_row_twice(const std::vector<fleet::stored_row>& rows) {
+    std::set<std::pair<fleet::part_name, fleet::row_name>> seen;
+    return !std::all_of(rows.begin(), rows.end(), [&](const auto& it) {
+        return seen.insert({it.address.part, it.address.name}).second;
+    });
+}
+
 }  // namespace
 
 table_follower::table_follower(net::event_loop& loop, fleet::row_store& store,
                                fleet::table_name table, std::vector<fleet::part_name> parts,
                                base::milliseconds wait, base::milliseconds pause,
-                               table_listener& listener)
+                               table_listener& listener, catch_up manner)
     : loop_(loop),
       store_(store),
       table_(std::move(table)),
       parts_(std::move(parts)),
       wait_(wait),
       pause_(pause),
-      listener_(listener) {}
+      listener_(listener),
+      catch_up_(manner) {}
 
 void table_follower::start() {
     part_ = 0;
@@ -86,10 +96,12 @@
             heard();
             if (read->rows.empty()) {
                 follow();
-            } else {
-                listener_.on_changes(read->rows);
-                later(pause_, &table_follower::follow);
+                return;
             }
+            listener_.on_changes(read->rows);
+            const bool is_behind =
+                catch_up_ == catch_up::by_reading && lists_a_row_twice(read->rows);
+            later(pause_, is_behind ? &table_follower::start : &table_follower::follow);
             return;
         }
         if (read.error().failure == fleet::store_failure::history_gone) {
@@ -98,7 +110,9 @@
             return;
         }
         lost(read.error());
-        later(retry_pause, &table_follower::follow);
+        const bool is_behind = catch_up_ == catch_up::by_reading &&
+                               read.error().failure == fleet::store_failure::answer_lost;
+        later(retry_pause, is_behind ? &table_follower::start : &table_follower::follow);
     }));
 }
 
--- a/test/failure/changes_are_read_once_for_a_zone.cpp
+++ b/test/failure/changes_are_read_once_for_a_zone.cpp
@@ -1,10 +1,7 @@
 // A change that each daemon of a zone has to hear of: a few read it from the store, the others from
 // these. Readers that fall silent, refuse or are behind cost the others a moment, not the news, and
 // send no crowd to the store.
-#include <cranberrydock/steward/table_follower.hpp>
-#include <cranberrydock/steward/zone_reader.hpp>
-
-#include "standins/silent_peer.hpp"
+#include "standins/following_daemons.hpp"
 
 #include <gtest/gtest.h>
 
@@ -14,6 +11,8 @@
 namespace {
 
 using namespace cranberrydock;
+using standins::following_daemon;
+using standins::following_daemons;
 
 constexpr std::size_t daemon_count = 24;
 const fleet::table_name table("configuration");
@@ -81,109 +80,29 @@
     std::vector<std::unique_ptr<net::timer>> timers_;
 };
 
-class daemon_of_zone final : public standins::silent_peer, public steward::table_listener {
-public:
-    daemon_of_zone(net::event_loop& loop, fleet::row_store& store, const std::string& name,
-                   const fleet::zone_name& in, double strength)
-        : loop_(loop),
-          zone(store, name, in, {fleet::zone_name("y"), fleet::zone_name("z")}, strength, metrics_),
-          feed_(loop, [this] { return !behind; }),
-          follower_(loop, zone, table, {fleet::part_name("")}, base::milliseconds{1'000},
-                    base::milliseconds{0}, *this) {}
-
-    void follow_configuration(fleet::store_version after, base::milliseconds wait,
-                              fleet::read_done done) override {
-        if (silent) {
-            constexpr base::milliseconds slack{300};
-            timers_.push_back(loop_.after(wait + slack, [done] {
-                done(tl::unexpected(fleet::store_error{fleet::store_failure::answer_lost, {}}));
-            }));
-        } else if (zone.reads_for_others()) {
-            feed_.follow(after, wait, done);
-        } else {
-            done(tl::unexpected(fleet::store_error{fleet::store_failure::refused, {}}));
-        }
-    }
-
-    void start() { follower_.start(); }
-    void on_table(const std::vector<fleet::stored_row>& rows) override { on_changes(rows); }
-    void on_changes(const std::vector<fleet::stored_row>& rows) override {
-        if (!behind) {
-            feed_.heard(rows, follower_.handed_on());
-        }
-        for (const auto& it : rows) {
-            known = std::max(known, it.version);
-        }
-    }
-    void on_current() override {}
-    void on_unreadable() override {}
-
-    bool silent = false;
-    bool behind = false;  // as a reader whose own question to the store takes long
-    fleet::store_version known;
-
-private:
-    net::event_loop& loop_;
-    base::metrics metrics_;
-    std::vector<std::unique_ptr<net::timer>> timers_;
-
-public:
-    steward::zone_reader zone;
-
-private:
-    steward::shared_feed feed_;
-    steward::table_follower follower_;
-};
-
-class following_daemons : public testing::Test {
+class followed_changes : public testing::Test {
 public:
-    // Of `count` daemons the first `readers` are the strongest.
-    void add_zone(const fleet::zone_name& zone, std::size_t count, std::size_t readers) {
-        for (std::size_t i = 0; i < count; ++i) {
-            const std::string name = zone.str() + std::to_string(100 + i);
-            const double strength = i < readers ? 0.5 : 0.12;
-            daemons.push_back(std::make_shared<daemon_of_zone>(loop, store, name, zone, strength));
-            all_[name] = {daemons.back(), zone, strength};
-        }
-    }
-
-    void start() {
-        for (const auto& it : all_) {
-            auto others = all_;
-            others.erase(it.first);
-            std::static_pointer_cast<daemon_of_zone>(it.second.way)->zone.set_daemons(others);
-        }
-        for (const auto& it : daemons) {
-            it->start();
-        }
-        run_for(base::milliseconds{200});
-    }
-
     void run_for(base::duration time) {
         const auto end = loop.after(time, [this] { loop.stop(); });
         loop.run();
     }
 
-    std::size_t informed() const {
-        std::size_t out = 0;
-        for (const auto& it : daemons) {
-            out += it->known == store.version ? 1 : 0;
-        }
-        return out;
+    void start() {
+        daemons.start();
+        run_for(base::milliseconds{200});
     }
 
+    std::size_t informed() const { return daemons.that_know(store.version); }
+
     net::event_loop loop;
     counting_store store{loop};
-    std::vector<std::shared_ptr<daemon_of_zone>> daemons;
-
-private:
-    std::map<std::string, steward::relay_candidate> all_;
+    following_daemons daemons{loop, store, {fleet::zone_name("y"), fleet::zone_name("z")}};
 };
 
-class zone_of_daemons : public following_daemons {
+class zone_of_daemons : public followed_changes {
 public:
     zone_of_daemons() {
-        add_zone(fleet::zone_name("z"), daemon_count, strong);
+        daemons.add_zone(fleet::zone_name("z"), daemon_count, strong);
         start();
     }
 
@@ -191,16 +110,16 @@
 };
 
 // Two zones of eight, with one reader each.
-class region_of_daemons : public following_daemons {
+class region_of_daemons : public followed_changes {
 public:
     region_of_daemons() {
-        add_zone(fleet::zone_name("y"), zone_size, 1);
-        add_zone(fleet::zone_name("z"), zone_size, 1);
+        daemons.add_zone(fleet::zone_name("y"), zone_size, 1);
+        daemons.add_zone(fleet::zone_name("z"), zone_size, 1);
         start();
     }
 
-    daemon_of_zone& reader_of_y() { return *daemons.front(); }
-    daemon_of_zone& reader_of_z() { return *daemons[zone_size]; }
+    following_daemon& reader_of_y() { return *daemons.all.front(); }
+    following_daemon& reader_of_z() { return *daemons.all[zone_size]; }
 
     static constexpr std::size_t zone_size = 8;
     static constexpr int reader_count = 2;
@@ -215,7 +134,7 @@
 
 TEST_F(zone_of_daemons, hears_of_it_soon_while_its_readers_are_silent) {
     for (std::size_t i = 0; i < strong; ++i) {
-        daemons[i]->silent = true;
+        daemons.all[i]->silent = true;
     }
     store.change();
     // Well within the 3 s in which a configuration has to be in force.
@@ -233,8 +152,8 @@
 }
 
 TEST_F(zone_of_daemons, of_few_reads_for_itself) {
-    daemons.front()->zone.set_daemons({});
-    EXPECT_FALSE(daemons.front()->zone.reads_for_others());
+    daemons.all.front()->zone.set_daemons({});
+    EXPECT_FALSE(daemons.all.front()->zone.reads_for_others());
 }
 
 TEST_F(region_of_daemons, reads_a_change_once_a_zone_though_a_reader_is_silent) {
@@ -242,7 +161,7 @@
     run_for(base::milliseconds{600});  // questions that it would still answer have ended
     store.change();
     run_for(base::milliseconds{1'500});
-    EXPECT_EQ(informed(), daemons.size());
+    EXPECT_EQ(informed(), daemons.all.size());
     EXPECT_EQ(store.rows_told, reader_count);
 }
 
@@ -253,7 +172,7 @@
         store.change();
         run_for(base::milliseconds{700});
     }
-    EXPECT_EQ(informed(), daemons.size());
+    EXPECT_EQ(informed(), daemons.all.size());
     EXPECT_EQ(store.rows_told, changes * reader_count);
 }
 
@@ -273,7 +192,7 @@
     reader_of_z().behind = true;
     store.change();
     run_for(base::milliseconds{7'000});
-    EXPECT_EQ(informed(), daemons.size());
+    EXPECT_EQ(informed(), daemons.all.size());
 }
 
 }  // namespace
--- /dev/null
+++ b/test/standins/following_daemons.hpp
@@ -0,0 +1,137 @@
+// Daemons that follow one table of a store, some of them for the others, in one process.
+#pragma once
+
+#include <cranberrydock/steward/table_follower.hpp>
+#include <cranberrydock/steward/zone_reader.hpp>
+
+#include "silent_peer.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cranberrydock::standins {
+
+class following_daemon final : public silent_peer, public steward::table_listener {
+public:
+    following_daemon(net::event_loop& loop, fleet::row_store& store, const std::string& name,
+                     const fleet::zone_name& in, const std::set<fleet::zone_name>& region,
+                     double strength)
+        : loop_(loop),
+          zone(store, name, in, region, strength, metrics_),
+          feed_(loop, [this] { return has_recent_news(); }),
+          follower_(loop, zone, fleet::table_name("configuration"), {fleet::part_name("")},
+                    base::milliseconds{1'000}, base::milliseconds{0}, *this,
+                    steward::catch_up::by_reading) {}
+
+    void follow_configuration(fleet::store_version after, base::milliseconds wait,
+                              fleet::read_done done) override {
+        if (silent) {
+            constexpr base::milliseconds slack{300};
+            timers_.push_back(loop_.after(wait + slack, [done] {
+                done(tl::unexpected(fleet::store_error{fleet::store_failure::answer_lost, {}}));
+            }));
+        } else if (zone.reads_for_others()) {
+            feed_.follow(after, wait, done);
+        } else {
+            done(tl::unexpected(fleet::store_error{fleet::store_failure::refused, {}}));
+        }
+    }
+
+    void start() { follower_.start(); }
+    void on_table(const std::vector<fleet::stored_row>& rows) override { on_changes(rows); }
+    void on_changes(const std::vector<fleet::stored_row>& rows) override {
+        if (!behind) {
+            feed_.heard(rows, follower_.handed_on());
+        }
+        for (const auto& it : rows) {
+            if (first_known.value() == 0) {
+                first_known = it.version;
+            }
+            known = std::max(known, it.version);
+        }
+    }
+    void on_current() override {}
+    void on_unreadable() override {}
+
+    bool silent = false;
+    bool behind = false;  // as a reader whose own question to the store takes long
+    fleet::store_version first_known;
+    fleet::store_version known;
+
+private:
+    bool has_recent_news() const {
+        constexpr base::milliseconds recent{2'500};
+        return !behind && clock_.now() - follower_.as_of() <= recent;
+    }
+
+    net::event_loop& loop_;
+    base::suspend_aware_clock clock_;
+    base::metrics metrics_;
+    std::vector<std::unique_ptr<net::timer>> timers_;
+
+public:
+    steward::zone_reader zone;
+
+private:
+    steward::shared_feed feed_;
+    steward::table_follower follower_;
+};
+
+// The daemons of a region, which know of each other.
+class following_daemons {
+public:
+    following_daemons(net::event_loop& loop, fleet::row_store& store,
+                      std::set<fleet::zone_name> zones)
+        : loop_(loop), store_(store), zones_(std::move(zones)) {}
+
+    // Of `count` daemons the first `readers` are the strongest.
+    void add_zone(const fleet::zone_name& zone, std::size_t count, std::size_t readers) {
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string name = zone.str() + std::to_string(100 + i);
+            const double strength = i < readers ? 0.5 : 0.12;
+            all.push_back(
+                std::make_shared<following_daemon>(loop_, store_, name, zone, zones_, strength));
+            candidates_[name] = {all.back(), zone, strength};
+        }
+    }
+
+    void start() {
+        for (const auto& it : candidates_) {
+            auto others = candidates_;
+            others.erase(it.first);
+            std::static_pointer_cast<following_daemon>(it.second.way)->zone.set_daemons(others);
+        }
+        for (const auto& it : all) {
+            it->start();
+        }
+    }
+
+    // A weak one, after the others.
+    following_daemon& start_another(const fleet::zone_name& zone) {
+        constexpr double weak = 0.06;
+        all.push_back(std::make_shared<following_daemon>(loop_, store_, zone.str() + "-late", zone,
+                                                         zones_, weak));
+        all.back()->zone.set_daemons(candidates_);
+        all.back()->start();
+        return *all.back();
+    }
+
+    std::size_t that_know(fleet::store_version version) const {
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const auto& it) { return it->known == version; }));
+    }
+
+    std::vector<std::shared_ptr<following_daemon>> all;
+
+private:
+    net::event_loop& loop_;
+    fleet::row_store& store_;
+    std::set<fleet::zone_name> zones_;
+    std::map<std::string, steward::relay_candidate> candidates_;
+};
+
+}  // namespace cranberrydock::standins
