steward: daemons that start read the configuration through their region's readers

Each daemon that starts read the configuration from the store; sixteen answers fill the link between the regions for longer than each is waited for (3 s), all are given up, and all are asked for anew, for ever.

Now a daemon reads the list of its peers first, then the configuration from a reader, as it does with changes; a reader that has just started itself answers as soon as it has read it. A reader without recent news tells a daemon that knows nothing yet that it is behind: a key in its old configuration may have been withdrawn. What it knows is not replaced by an older table that it has read from another.

Ruled out: processor time (near daemons had it after 1.7 and 2.7 s), a longer wait (several versions of 1.5 MB for sixteen daemons are past any bound of the rule).

--- a/packages/steward/include/cranberrydock/steward/zone_reader.hpp
+++ b/packages/steward/include/cranberrydock/steward/zone_reader.hpp
@@ -22,10 +22,10 @@
 
 namespace cranberrydock::steward {
 
-// The store, but for what it is asked of changes: that goes to a reader of this daemon's zone, then
-// to the readers of the region's other zones, and to the store when none of them answers. Readers
-// that answer but are behind themselves are asked again instead: the way to the store is slow then,
-// and every daemon that reads for itself makes it slower.
+// The store, but for reads of the table and its changes. These go to a reader of this daemon's
+// zone, then to the readers of the region's other zones, and to the store when none of them
+// answers. Readers that answer but are behind themselves are asked again instead: the way to the
+// store is slow then, and every daemon that reads for itself makes it slower.
 class zone_reader final : public fleet::row_store {
 public:
     // `name`, `zone` and `strength`: this daemon's. `region`: the zones of its region.
@@ -40,6 +40,7 @@
 
     void commit(const fleet::row_transaction& what, base::milliseconds timeout,
                 fleet::commit_done done) override;
+    // Readers answer with the whole table, whatever `from` and `limit` are.
     void read(const fleet::table_name& table, const fleet::part_name& part,
               const fleet::row_name& from, std::size_t limit, base::milliseconds timeout,
               fleet::read_done done) override;
@@ -54,9 +55,9 @@
     };
     using readers = std::map<std::string, reader>;
     struct question {
-        fleet::table_name table;
         fleet::store_version after;
         base::milliseconds wait;
+        std::function<void(fleet::read_done)> ask_store;
         fleet::read_done done;
         std::set<std::string> asked;
         bool some_are_behind = false;
@@ -78,7 +79,8 @@
     base::log_budget failure_lines_{"zone_reader_failed", failure_lines_per_second};
     readers readers_;  // of the region; empty while this daemon is one
     bool reads_for_others_ = false;
-    base::time_point heard_{};  // of changes, or that there are none
+    // Of the table, of changes, or that there are none; at first the start.
+    base::time_point heard_ = clock_.now();
     lifetime lifetime_;
 };
 
@@ -92,7 +94,7 @@
     // `version`: up to which the table's changes have been heard.
     void heard(const std::vector<fleet::stored_row>& rows, fleet::store_version version);
     // Answers with the rows that have changed after `after`, or with none after `wait`; or that
-    // this daemon is behind.
+    // this daemon is behind. Who knows nothing yet (version 0) is told recent news only.
     void follow(fleet::store_version after, base::milliseconds wait, const fleet::read_done& done);
 
 private:
@@ -101,8 +103,8 @@
         fleet::read_done done;
         std::unique_ptr<net::timer> timeout;
     };
+    bool has_news_for(fleet::store_version after) const;
     fleet::rows_read changes_after(fleet::store_version after) const;
-    void answer(const question& one) const;
 
     net::event_loop& loop_;
     std::function<bool()> is_current_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -89,11 +89,9 @@
                      },
                      [this] { store_unanswered(); }),
           configurations(loop, zone, rows.configuration_table(), {fleet::part_name("")},
-                         configuration_wait, no_pause, configuration_rows,
-                         catch_up::by_reading),
+                         configuration_wait, no_pause, configuration_rows, catch_up::by_reading),
           fleet_follower(loop, store, fleet_table, {fleet::part_name("")}, follow_wait, no_pause,
                          fleet_rows) {
-        configurations.start();
         fleet_follower.start();
         tick = loop.every(ownership_tick, [this] { on_tick(); });
         probing = loop.every(probe_period, [this] { probe_owner(); });
@@ -262,6 +260,10 @@
             ownership.row_read(std::nullopt, fleet::store_version(0), clock.now());
         }
         on_fleet_rows(found);
+        if (!configurations_started) {
+            configurations_started = true;
+            configurations.start();
+        }
     }
 
     void on_fleet_rows(const std::vector<fleet::stored_row>& found) {
@@ -581,6 +583,7 @@
     detail::rows_listener configuration_rows;
     detail::rows_listener fleet_rows;
     table_follower configurations;
+    bool configurations_started = false;  // once it is known who reads them for others
     table_follower fleet_follower;
     std::shared_ptr<const fleet::fleet_configuration> configured;
     // The other daemons, by the names of their VMs.
--- a/packages/steward/src/zone_reader.cpp
+++ b/packages/steward/src/zone_reader.cpp
@@ -19,6 +19,7 @@
 constexpr base::milliseconds avoid_after_failure{2'000};
 // While the readers are behind, the store is left to them for so long.
 constexpr base::milliseconds longest_without_news{5'000};
+const fleet::store_version nothing_known(0);
 
 struct named_daemon {
     std::string name;
@@ -82,12 +83,26 @@
 void zone_reader::read(const fleet::table_name& table, const fleet::part_name& part,
                        const fleet::row_name& from, std::size_t limit, base::milliseconds timeout,
                        fleet::read_done done) {
-    store_.read(table, part, from, limit, timeout, std::move(done));
+    ask_next(std::make_shared<question>(question{nothing_known,
+                                                 timeout,
+                                                 [=](fleet::read_done answered) {
+                                                     store_.read(table, part, from, limit, timeout,
+                                                                 std::move(answered));
+                                                 },
+                                                 std::move(done),
+                                                 {},
+                                                 false}));
 }
 
 void zone_reader::follow(const fleet::table_name& table, fleet::store_version after,
                          base::milliseconds wait, fleet::read_done done) {
-    ask_next(std::make_shared<question>(question{table, after, wait, std::move(done), {}, false}));
+    ask_next(std::make_shared<question>(question{
+        after,
+        wait,
+        [=](fleet::read_done answered) { store_.follow(table, after, wait, std::move(answered)); },
+        std::move(done),
+        {},
+        false}));
 }
 
 // Those of the own zone first; each daemon has an order of its own, so that they share the load.
@@ -132,13 +147,12 @@
 }
 
 void zone_reader::ask_store(const question& one) {
-    store_.follow(one.table, one.after, one.wait,
-                  lifetime_.guard([this, done = one.done](const auto& answer) {
-                      if (answer) {
-                          heard_ = clock_.now();
-                      }
-                      done(answer);
-                  }));
+    one.ask_store(lifetime_.guard([this, done = one.done](const auto& answer) {
+        if (answer) {
+            heard_ = clock_.now();
+        }
+        done(answer);
+    }));
 }
 
 void zone_reader::reader_failed(const std::string& name, question& one,
@@ -165,13 +179,17 @@
 
 void shared_feed::heard(const std::vector<fleet::stored_row>& rows, fleet::store_version version) {
     for (const auto& it : rows) {
-        rows_[it.address.name.str()] = it;
+        auto& known = rows_[it.address.name.str()];
+        // Another reader's table may be older.
+        if (it.version >= known.version) {
+            known = it;
+        }
     }
     version_ = std::max(version_, version);
     std::list<question> answered;
     for (auto it = open_.begin(); it != open_.end();) {
         const auto next = std::next(it);
-        if (!changes_after(it->after).rows.empty()) {
+        if (has_news_for(it->after)) {
             answered.splice(answered.end(), open_, it);
         }
         it = next;
@@ -184,21 +202,24 @@
 void shared_feed::follow(fleet::store_version after, base::milliseconds wait,
                          const fleet::read_done& done) {
     const auto one = open_.insert(open_.end(), {after, done, nullptr});
-    const bool at_once = !changes_after(after).rows.empty() || !is_current_();
+    // While many start together, a reader has soon read what the others wait for.
+    const bool is_known_to_be_behind = after > nothing_known && !is_current_();
+    const bool at_once = has_news_for(after) || is_known_to_be_behind;
     one->timeout = loop_.after(at_once ? base::milliseconds{0} : wait, [this, one] {
         const question what = std::move(*one);
         open_.erase(one);
-        answer(what);
+        if (has_news_for(what.after) || is_current_()) {
+            what.done(changes_after(what.after));
+        } else {
+            what.done(tl::unexpected(fleet::store_error{fleet::store_failure::behind, {}}));
+        }
     });
 }
 
-void shared_feed::answer(const question& one) const {
-    auto changes = changes_after(one.after);
-    if (changes.rows.empty() && !is_current_()) {
-        one.done(tl::unexpected(fleet::store_error{fleet::store_failure::behind, {}}));
-    } else {
-        one.done(std::move(changes));
-    }
+bool shared_feed::has_news_for(fleet::store_version after) const {
+    const bool some_changed = std::any_of(
+        rows_.begin(), rows_.end(), [&](const auto& it) { return it.second.version > after; });
+    return some_changed && (after > nothing_known || is_current_());
 }
 
 fleet::rows_read shared_feed::changes_after(fleet::store_version after) const {
--- a/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
+++ b/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
@@ -49,6 +49,25 @@
         loop, store, {zone_name("a"), zone_name("b"), zone_name("c")}};
 };
 
+TEST_F(narrow_link, is_not_filled_by_daemons_that_start_at_once) {
+    store.set_transfer_time(large);
+    daemons.start();
+    EXPECT_EQ(informed_in_time(), daemons.all.size());
+}
+
+TEST_F(narrow_link, that_was_cut_is_not_filled_by_all_daemons_reading_at_once) {
+    start_and_grow();
+    store.cut();
+    // Longer than news of the configuration is handed on.
+    run_for(base::milliseconds{8'000});
+    store.restore();
+    for (int i = 0; i < 3; ++i) {
+        store.change();
+        run_for(base::milliseconds{1'000});
+    }
+    EXPECT_EQ(informed_in_time(), daemons.all.size());
+}
+
 TEST_F(narrow_link, carries_the_last_of_changes_in_quick_succession_in_time) {
     start_and_grow();
     for (int i = 0; i < 16; ++i) {
--- a/test/failure/changes_are_read_once_for_a_zone.cpp
+++ b/test/failure/changes_are_read_once_for_a_zone.cpp
@@ -187,6 +187,16 @@
     EXPECT_EQ(store.rows_told, reader_count);
 }
 
+// A key may have been withdrawn since.
+TEST_F(region_of_daemons, tells_a_daemon_that_starts_no_old_news) {
+    reader_of_y().behind = true;
+    reader_of_z().behind = true;
+    store.change();
+    const auto& late = daemons.start_another(fleet::zone_name("z"));
+    run_for(base::milliseconds{8'000});
+    EXPECT_EQ(late.first_known, store.version);
+}
+
 TEST_F(region_of_daemons, reads_for_itself_when_its_readers_stay_behind) {
     reader_of_y().behind = true;
     reader_of_z().behind = true;
