steward: readers of the configuration that fall silent together have substitutes

When none of a region's readers answered, every daemon of it read from the store, which fills the link as if there were no readers: of 15 daemons in the model, on a link that carries a version in 0.225 s, 3 knew the last of six changes (one a second) 4 s after it. Readers are the strongest VMs, so they are not unlikely to fail together; the far ones share their way.

As many daemons of each zone as read for it, the next strongest, now stand in: the others ask these before they ask the store, and a substitute reads from the store while no reader answers, or all have been behind for 5 s. The others do not read past readers that are behind any more. A substitute hands on what it has from the store only, so that ages do not add up.

Test: narrow_link.is_not_filled_when_all_readers_fall_silent.

--- a/packages/steward/include/cranberrydock/steward/zone_reader.hpp
+++ b/packages/steward/include/cranberrydock/steward/zone_reader.hpp
@@ -23,9 +23,10 @@
 namespace cranberrydock::steward {
 
 // The store, but for reads of the table and its changes. These go to a reader of this daemon's
-// zone, then to the readers of the region's other zones, and to the store when none of them
-// answers. Readers that answer but are behind themselves are asked again instead: the way to the
-// store is slow then, and every daemon that reads for itself makes it slower.
+// zone, then to the readers of the region's other zones, then to the substitutes of all these, and
+// to the store when none of them answers. Readers that answer but are behind themselves are asked
+// again instead: the way to the store is slow then, and every daemon that reads for itself makes
+// it slower. Only substitutes read past them, after a while.
 class zone_reader final : public fleet::row_store {
 public:
     // `name`, `zone` and `strength`: this daemon's. `region`: the zones of its region.
@@ -35,9 +36,12 @@
     // The other daemons, by the names of their VMs.
     void set_daemons(const std::map<std::string, relay_candidate>& others);
 
-    // Whether others of the zone ask this daemon.
+    // Whether others ask this daemon.
     bool reads_for_others() const { return reads_for_others_; }
 
+    // When the store, not a reader, was asked what it answered last.
+    base::time_point store_news_as_of() const { return store_news_as_of_; }
+
     void commit(const fleet::row_transaction& what, base::milliseconds timeout,
                 fleet::commit_done done) override;
     // Readers answer with the whole table, whatever `from` and `limit` are.
@@ -50,7 +54,7 @@
 private:
     struct reader {
         std::shared_ptr<peer> way;
-        bool in_zone = false;
+        int turn = 0;
         base::time_point avoid_until{};
     };
     using readers = std::map<std::string, reader>;
@@ -77,8 +81,10 @@
     base::suspend_aware_clock clock_;
     static constexpr std::int64_t failure_lines_per_second = 5;
     base::log_budget failure_lines_{"zone_reader_failed", failure_lines_per_second};
-    readers readers_;  // of the region; empty while this daemon is one
+    readers readers_;  // of the region, and their substitutes; empty while this daemon reads
     bool reads_for_others_ = false;
+    bool is_substitute_ = false;
+    base::time_point store_news_as_of_{};
     // Of the table, of changes, or that there are none; at first the start.
     base::time_point heard_ = clock_.now();
     lifetime lifetime_;
--- a/packages/steward/src/daemon.cpp
+++ b/packages/steward/src/daemon.cpp
@@ -183,7 +183,7 @@
         configuration_feed.follow(after, wait, done);
     }
     bool configuration_is_recent() const {
-        return clock.now() - configurations.as_of() <= oldest_shared_news;
+        return clock.now() - zone.store_news_as_of() <= oldest_shared_news;
     }
     fleet::placement_adviser& adviser() override { return own_adviser; }
     fleet::row_store& direct_store() override { return direct; }
--- a/packages/steward/src/zone_reader.cpp
+++ b/packages/steward/src/zone_reader.cpp
@@ -17,8 +17,12 @@
 // store to be asked instead.
 constexpr base::milliseconds longest_wait{500};
 constexpr base::milliseconds avoid_after_failure{2'000};
-// While the readers are behind, the store is left to them for so long.
+// While the readers are behind, their substitutes leave the store to them for so long.
 constexpr base::milliseconds longest_without_news{5'000};
+// In which order the daemons that read for others are asked.
+constexpr int own_readers_turn = 0;
+constexpr int other_readers_turn = 1;
+constexpr int substitutes_turn = 2;
 const fleet::store_version nothing_known(0);
 
 struct named_daemon {
@@ -26,16 +30,30 @@
     double strength = 0;
 };
 
-// The strongest, one of eight.
-std::vector<named_daemon> readers_among(std::vector<named_daemon> daemons) {
+struct zone_roles {
+    std::vector<named_daemon> readers;
+    std::vector<named_daemon> substitutes;
+};
+
+// The strongest read, one of eight; as many of the next strongest stand in for them.
+zone_roles roles_among(std::vector<named_daemon> daemons) {
+    zone_roles out;
     if (daemons.size() < least_daemons) {
-        return {};
+        return out;
     }
     std::sort(daemons.begin(), daemons.end(), [](const auto& a, const auto& b) {
         return a.strength != b.strength ? a.strength > b.strength : a.name < b.name;
     });
-    daemons.resize((daemons.size() + daemons_per_reader - 1) / daemons_per_reader);
-    return daemons;
+    const std::size_t n = (daemons.size() + daemons_per_reader - 1) / daemons_per_reader;
+    for (std::size_t i = 0; i < std::min(2 * n, daemons.size()); ++i) {
+        (i < n ? out.readers : out.substitutes).push_back(daemons[i]);
+    }
+    return out;
+}
+
+bool contains(const std::vector<named_daemon>& daemons, const std::string& name) {
+    return std::any_of(daemons.begin(), daemons.end(),
+                       [&](const auto& it) { return it.name == name; });
 }
 
 }  // namespace
@@ -59,19 +77,27 @@
         }
     }
     const auto known = std::exchange(readers_, {});
-    const auto own = readers_among(zones[zone_]);
-    reads_for_others_ =
-        std::any_of(own.begin(), own.end(), [&](const auto& it) { return it.name == name_; });
-    if (own.empty() || reads_for_others_) {
+    const auto own = roles_among(zones[zone_]);
+    const bool is_reader = contains(own.readers, name_);
+    is_substitute_ = contains(own.substitutes, name_);
+    reads_for_others_ = is_reader || is_substitute_;
+    if (own.readers.empty() || is_reader) {
         return;
     }
-    for (const auto& zone : zones) {
-        for (const auto& it : readers_among(zone.second)) {
+    const auto add = [&](const std::vector<named_daemon>& daemons, int turn) {
+        for (const auto& it : daemons) {
             const auto before = known.find(it.name);
             readers_[it.name] = {
-                others.at(it.name).way, zone.first == zone_,
+                others.at(it.name).way, turn,
                 before == known.end() ? base::time_point{} : before->second.avoid_until};
         }
+    };
+    for (const auto& zone : zones) {
+        const auto roles = roles_among(zone.second);
+        add(roles.readers, zone.first == zone_ ? own_readers_turn : other_readers_turn);
+        if (!is_substitute_) {
+            add(roles.substitutes, substitutes_turn);
+        }
     }
 }
 
@@ -105,15 +131,15 @@
         false}));
 }
 
-// Those of the own zone first; each daemon has an order of its own, so that they share the load.
+// In turn; within a turn each daemon has an order of its own, so that they share the load.
 zone_reader::readers::const_iterator zone_reader::choose(const std::set<std::string>& asked) const {
     auto best = readers_.end();
     std::uint64_t most = 0;
     for (auto it = readers_.begin(); it != readers_.end(); ++it) {
         const auto weight = base::rendezvous_weight(name_, it->first);
         const bool usable = clock_.now() >= it->second.avoid_until && asked.count(it->first) == 0;
-        if (usable && (best == readers_.end() || (it->second.in_zone && !best->second.in_zone) ||
-                       (it->second.in_zone == best->second.in_zone && weight > most))) {
+        if (usable && (best == readers_.end() || it->second.turn < best->second.turn ||
+                       (it->second.turn == best->second.turn && weight > most))) {
             best = it;
             most = weight;
         }
@@ -138,8 +164,8 @@
             }));
         return;
     }
-    const auto news_age = clock_.now() - heard_;
-    if (one->some_are_behind && news_age < longest_without_news) {
+    const bool has_waited = is_substitute_ && clock_.now() - heard_ >= longest_without_news;
+    if (one->some_are_behind && !has_waited) {
         one->done(tl::unexpected(fleet::store_error{fleet::store_failure::behind, {}}));
         return;
     }
@@ -147,9 +173,11 @@
 }
 
 void zone_reader::ask_store(const question& one) {
-    one.ask_store(lifetime_.guard([this, done = one.done](const auto& answer) {
+    const auto asked = clock_.now();
+    one.ask_store(lifetime_.guard([this, asked, done = one.done](const auto& answer) {
         if (answer) {
             heard_ = clock_.now();
+            store_news_as_of_ = asked;
         }
         done(answer);
     }));
--- a/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
+++ b/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
@@ -55,6 +55,19 @@
     EXPECT_EQ(informed_in_time(), daemons.all.size());
 }
 
+TEST_F(narrow_link, is_not_filled_when_all_readers_fall_silent) {
+    start_and_grow();
+    for (std::size_t reader = 0; reader < daemons.all.size(); reader += zone_size) {
+        daemons.all[reader]->silent = true;
+    }
+    run_for(base::milliseconds{1'000});
+    for (int i = 0; i < 6; ++i) {
+        store.change();
+        run_for(base::milliseconds{1'000});
+    }
+    EXPECT_EQ(informed_in_time(), daemons.all.size());
+}
+
 TEST_F(narrow_link, that_was_cut_is_not_filled_by_all_daemons_reading_at_once) {
     start_and_grow();
     store.cut();
--- a/test/standins/following_daemons.hpp
+++ b/test/standins/following_daemons.hpp
@@ -65,7 +65,7 @@
 private:
     bool has_recent_news() const {
         constexpr base::milliseconds recent{2'500};
-        return !behind && clock_.now() - follower_.as_of() <= recent;
+        return !behind && clock_.now() - zone.store_news_as_of() <= recent;
     }
 
     net::event_loop& loop_;
