--- a/test/standins/store_behind_a_link.hpp
+++ b/test/standins/store_behind_a_link.hpp
@@ -26,14 +26,14 @@
               const fleet::row_name& /*from*/, std::size_t /*limit*/, base::milliseconds timeout,
               fleet::read_done done) override {
         table_ = table;
-        ask({true, {}, clock_.now(), timeout, std::move(done)});
+        enqueue({true, {}, clock_.now(), timeout, std::move(done)});
     }
     // As platform/ does: the answer is expected a while after the wait.
     void follow(const fleet::table_name& table, fleet::store_version after, base::milliseconds wait,
                 fleet::read_done done) override {
         constexpr base::milliseconds slack{700};
         table_ = table;
-        ask({false, after, clock_.now() + wait, wait + slack, std::move(done)});
+        enqueue({false, after, clock_.now() + wait, wait + slack, std::move(done)});
     }
 
     void change() { version = version.next(); }
@@ -67,7 +67,7 @@
         fleet::store_version up_to{};
     };
 
-    void ask(call one) {
+    void enqueue(call one) {
         one.deadline = clock_.now() + one.timeout;
         one.last_moment = clock_.now() + one.timeout * longest_answer_in_timeouts;
         one.lost = is_cut_;
