--- a/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
+++ b/test/failure/a_large_configuration_is_in_force_over_a_narrow_link.cpp
@@ -37,6 +37,13 @@
         loop.run();
     }
 
+    void change(int times, base::milliseconds pause) {
+        for (int i = 0; i < times; ++i) {
+            store.change();
+            run_for(pause);
+        }
+    }
+
     std::size_t informed_in_time() {
         run_for(in_force_within);
         return daemons.that_know(store.version);
@@ -61,10 +68,7 @@
         daemons.all[reader]->silent = true;
     }
     run_for(base::milliseconds{1'000});
-    for (int i = 0; i < 6; ++i) {
-        store.change();
-        run_for(base::milliseconds{1'000});
-    }
+    change(6, base::milliseconds{1'000});
     EXPECT_EQ(informed_in_time(), daemons.all.size());
 }
 
@@ -74,19 +78,13 @@
     // Longer than news of the configuration is handed on.
     run_for(base::milliseconds{8'000});
     store.restore();
-    for (int i = 0; i < 3; ++i) {
-        store.change();
-        run_for(base::milliseconds{1'000});
-    }
+    change(3, base::milliseconds{1'000});
     EXPECT_EQ(informed_in_time(), daemons.all.size());
 }
 
 TEST_F(narrow_link, carries_the_last_of_changes_in_quick_succession_in_time) {
     start_and_grow();
-    for (int i = 0; i < 16; ++i) {
-        store.change();
-        run_for(base::milliseconds{250});
-    }
+    change(16, base::milliseconds{250});
     EXPECT_EQ(informed_in_time(), daemons.all.size());
 }
 
