--- a/review/standins/site_standin.py
+++ b/review/standins/site_standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,7 +34,9 @@
 MAX_ENDS_IN_ANSWER = 500
 HEARTBEAT_S = 1.5
 STOP_S = 0.1
-STARTUP_PORTS = 16
+PEER_PORTS = 16  # of `portRange`
+LOWEST_PORT = 10000
+HIGHEST_PORT = 32000
 
 
 class Record:
@@ -447,15 +450,15 @@
     def __init__(self, site, name, zone):
         self.site = site
         self.name = name
-        ports = free_ports(3)
-        first = free_port_range(STARTUP_PORTS)
+        first = free_ports(PEER_PORTS + 3)
+        ports = range(first + PEER_PORTS, first + PEER_PORTS + 3)
         self.frontend = f"{HOST}:{ports[0]}"
         self.settings = {
             "nodeName": name, "role": "member", "machineClass": "edge", "serves": ["edge"],
             "ip": HOST, "zone": zone, "region": "north", "zones": {"north-a": "north"},
             "listenAddrs": {"frontend": self.frontend, "readiness": f"{HOST}:{ports[1]}",
                             "control": f"{HOST}:{ports[2]}"},
-            "portRange": [first, first + STARTUP_PORTS - 1], "seeds": [], "bootstrap": True,
+            "portRange": [first, first + PEER_PORTS - 1], "seeds": [], "bootstrap": True,
             "inFailureBudget": False,
             "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4200,
                        "linkMbps": 1000.0, "diskMb": 0},
@@ -492,18 +495,13 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind((HOST, 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
-    return ports
-
-
-def free_port_range(count):
-    base = 20000 + (os.getpid() * 64 + int(time.monotonic() * 1000)) % 12000
-    for first in range(base, 60000, count):
+    """The first of `count` free ports in a row.
+
+    They lie below the range from which the system takes the ports of outgoing connections, and blocks
+    are drawn at random, so that cases that run side by side rarely draw the same one.
+    """
+    for _ in range(1000):
+        first = LOWEST_PORT + random.randrange((HIGHEST_PORT - LOWEST_PORT) // count) * count
         sockets = []
         try:
             for port in range(first, first + count):
@@ -579,6 +577,12 @@
             await self.daemons[-1].start()
         deadline = time.monotonic() + 20
         while not all([await it.ready() for it in self.daemons]):
+            for n, it in enumerate(self.daemons):
+                if it.process.returncode is not None:
+                    # Another program took one of its ports before it could listen.
+                    self.record(f"{it.name}: did not start, starts again with other ports")
+                    self.daemons[n] = Daemon(self, it.name, "north-a")
+                    await self.daemons[n].start()
             if time.monotonic() > deadline:
                 raise RuntimeError("the daemons did not become ready")
             await asyncio.sleep(0.1)
