--- a/review/standins/site_standin.py
+++ b/review/standins/site_standin.py
@@ -521,7 +521,7 @@
 class Site:
     """A small deployment: a store, runners and daemons, and one queue with two tenants."""
 
-    PREFIX = "/work/"
+    PREFIX = "/jobs/"
 
     def __init__(self, case_folder):
         self.record = Record(os.path.join(case_folder, "record.txt"))
