fleet_daemon: a new owner waits for the leases of VMs that it does not find

What callers saw: tasks ran in two places (TWICE) after a change of owner while a VM was cut off from the store. The VM worked on under the leases of the previous owner, and the new owner started its tasks elsewhere.

Cause: the new owner waited for a VM only if the member list showed it. It compared the number of listed VMs with the previous owner's, for 2.5 s at most, and gave a VM up at once if its entry went before its first report. A VM that fell silent after its first report, before its first lease, was given up at once too; and leases of a previous owner whose end became known late were counted from the takeover, not from that end.

Ruled out: the store being away (members_complete_from), which the cases do not use; the fencing tokens, since the cut-off VM gets none.

Change: fleet/run_leases decides in one place when the runs on a VM must have ended. Every session asks it, and the owner asks it for VMs that it has never seen. The owner's row carries a digest of the VMs on record; inherited tasks start once all of these have reported, or have ended, or once every lease that a previous owner may have granted has expired. The row of a takeover has no digest until the new owner knows its VMs.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -74,8 +74,9 @@
         site.max_store_writes_per_s / std::max<std::size_t>(1, site.max_part_writes_per_s), 1,
         max_job_parts);
     out.drain = std::min(max_drain, share_of(site.stop_grace, drain_share));
-    out.owner.session.max_lease = site.max_lease;
-    out.owner.session.lease = std::min(renewed_lease_limit, share_of(site.max_lease, lease_share));
+    out.owner.session.leases.max_lease = site.max_lease;
+    out.owner.session.leases.lease =
+        std::min(renewed_lease_limit, share_of(site.max_lease, lease_share));
     out.owner.scheduler.gang_start_timeout = share_of(site.gang_timeout, gang_start_share);
     out.owner.max_job_feed_age =
         std::max(base::milliseconds{0}, site.cancel_deadline - max_start_delay);
--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -31,6 +31,26 @@
     std::map<queue_name, std::int64_t> jobs;
 };
 
+// A digest of a set of VMs. Two sets with equal digests are the same, up to hash collisions.
+class vm_set_digest {
+public:
+    vm_set_digest() = default;
+    vm_set_digest(std::size_t count, std::uint64_t hash) : count_(count), hash_(hash) {}
+
+    void add(const vm_id& vm);
+    std::size_t count() const { return count_; }
+    std::uint64_t hash() const { return hash_; }  // independent of the order of the VMs
+
+    friend bool operator==(const vm_set_digest& a, const vm_set_digest& b) {
+        return a.count_ == b.count_ && a.hash_ == b.hash_;
+    }
+    friend bool operator!=(const vm_set_digest& a, const vm_set_digest& b) { return !(a == b); }
+
+private:
+    std::size_t count_ = 0;
+    std::uint64_t hash_ = 0;
+};
+
 // The content of the owner's row.
 struct owner_record {
     std::string holder;  // name of the daemon's VM; empty: the fleet has no owner
@@ -46,9 +66,12 @@
     // rejected immediately.
     resources largest_vm;
     std::set<vm_label> labels;
-    // The number of VMs on record at the owner. The next owner may find fewer in the member list:
-    // entries expire during an outage of the store and reappear shortly after it.
+    // The number of VMs on record at the owner.
     std::size_t vm_count = 0;
+    // The VMs on which an owner may have started tasks. The entries of some may be missing from the
+    // member list that the next owner reads: they expire when a VM does not reach the store, and it
+    // may still run its tasks. Empty if the owner does not know all of these VMs.
+    std::optional<vm_set_digest> vm_set;
 };
 
 std::string encode_owner(const owner_record& record);
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -2,6 +2,7 @@
 #include <cranberrydock/fleet/ownership.hpp>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 
@@ -25,6 +26,11 @@
 
 }  // namespace
 
+void vm_set_digest::add(const vm_id& vm) {
+    ++count_;
+    hash_ ^= XXH64(vm.str().data(), vm.str().size(), 0);
+}
+
 std::string encode_owner(const owner_record& record) {
     json overloaded = json::object();
     for (const auto& it : record.overloaded) {
@@ -46,6 +52,9 @@
                 {"largest_cores", record.largest_vm.cores.value()},
                 {"largest_memory", record.largest_vm.memory.value()},
                 {"largest_accelerators", record.largest_vm.accelerators.value()}};
+    if (record.vm_set) {
+        out["vm_set"] = {{"count", record.vm_set->count()}, {"hash", record.vm_set->hash()}};
+    }
     if (record.waiting_jobs) {
         out["count"] = {{"by", record.waiting_jobs->counted_by.value()},
                         {"number", record.waiting_jobs->sequence}};
@@ -75,6 +84,11 @@
             out.overloaded[queue_name(it.key())] = milliseconds(it.value().get<std::int64_t>());
         }
         out.vm_count = fields.value("vms", std::size_t{0});
+        // Earlier versions do not write the set.
+        if (fields.contains("vm_set")) {
+            out.vm_set = vm_set_digest(fields.at("vm_set").at("count").get<std::size_t>(),
+                                       fields.at("vm_set").at("hash").get<std::uint64_t>());
+        }
         for (const auto& it : fields.value("labels", json::array())) {
             out.labels.insert(vm_label(it.get<std::string>()));
         }
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace cranberrydock::fleet_daemon {
 
@@ -30,11 +31,12 @@
     // The longest time for which a previous owner may continue to issue commands to VMs that this
     // owner can't reach.
     base::milliseconds previous_owner_validity{0};
-    // The number of VMs that the previous owner had on record. While fewer are listed, the missing
-    // ones are waited for.
+    // The VMs that the previous owner had on record. Until all of them are listed, tasks that it
+    // may have started are not started again before its leases have expired.
     std::size_t expected_vms = 0;
+    std::optional<fleet::vm_set_digest> expected_vm_set;
     // Member entries may be missing before this time, because the store was unavailable until
-    // recently.
+    // recently. The previous owner may have used VMs that it could not put on record any more.
     base::time_point members_complete_from{};
     // No task is started while the last read of the job table is older than this: jobs may have
     // been cancelled since, and a cancelled job must not start tasks once this time has passed.
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -1,22 +1,22 @@
 // The owner's session with one VM. It renews the lease of the runs on the VM, receives the VM's
-// reports of running and completed runs, and determines when all earlier runs must have stopped.
+// reports of running and completed runs, and reports when all earlier runs must have ended
+// (fleet/run_leases.hpp).
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/fleet/run_leases.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/fleet_daemon/lifetime.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace cranberrydock::fleet_daemon {
 
 struct session_settings {
-    base::milliseconds lease{4'500};      // granted with each renewal
-    base::milliseconds max_lease{6'000};  // the longest lease that a VM accepts
+    fleet::lease_settings leases;
     // How long the VM may keep a watch command open while no run completes.
     base::milliseconds wait{700};
     base::milliseconds retry_pause{150};
@@ -39,7 +39,7 @@
     // No earlier run exists on the VM any more. If `gone` is set, the VM will not return. The
     // session may be destroyed within this call.
     virtual void on_lost(const fleet::vm_id& vm, const std::string& reason, bool gone) = 0;
-    // The process that ran the VM's tasks has ended.
+    // The incarnation of the VM that held its runs has ended, and another VM has its address.
     virtual void on_process_ended(const fleet::vm_id& vm) = 0;
     // Another incarnation of the VM has taken its place. No earlier run exists there, except runs
     // whose start command reached the new incarnation; the next report lists these.
@@ -56,32 +56,27 @@
 public:
     vm_session(net::event_loop& loop, fleet::vm_control& vms, const fleet::vm_info& facts,
                fleet::fencing_token owner, const session_settings& settings,
-               session_listener& listener);
+               const fleet::inherited_leases& inherited, session_listener& listener);
 
     const fleet::vm_info& facts() const { return facts_; }
     void start();
     void update(const fleet::vm_info& facts);
-    // The member list no longer contains the VM.
-    void mark_unlisted();
+    // The member list no longer contains the VM. The session ends once no earlier run can exist.
+    void mark_unlisted() { listed_ = false; }
     bool listed() const { return listed_; }
     // Whether the current incarnation has sent a report.
-    bool has_report() const { return last_reading_.has_value(); }
+    bool has_report() const { return leases_.has_report(); }
 
     // The end of the lease for a command that is issued now; 0 if no report has been received yet.
-    fleet::vm_time lease_from_now();
+    fleet::vm_time lease_from_now() { return leases_.grant(clock_.now()); }
     // Another incarnation of the VM has taken its place.
     void on_other_incarnation();
     // A command for this VM was answered by another VM at its address, so this VM has ended.
     void on_address_reused();
-    // Whether every lease that was granted must have expired, on the VM's own clock.
-    bool leases_expired(base::time_point now) const;
+    // Whether no earlier run can exist on the VM.
+    bool leases_expired(base::time_point now) const { return leases_.all_expired(now); }
 
 private:
-    struct vm_clock_reading {
-        fleet::vm_time vm;
-        base::time_point local;
-    };
-
     void send_watch();
     void on_answer(base::time_point watch_sent_at, const fleet::vm_report& report);
     void on_failure(fleet::command_failure failure);
@@ -97,16 +92,15 @@
     session_settings settings_;
     session_listener& listener_;
     base::suspend_aware_clock clock_;
-    std::optional<vm_clock_reading> last_reading_;  // from the last report of this incarnation
-    fleet::boot_time boot_;
-    fleet::vm_time lease_until_;  // the latest lease end that any command carried
-    // Commands for an earlier incarnation may have granted this one a lease until this time.
-    base::time_point lease_expiry_not_before_{};
+    fleet::vm_leases leases_;
+    fleet::boot_time boot_;                            // from the last report
     fleet::completion_number last_listed_completion_;  // in the last report
-    int failures_ = 0;                                 // consecutive
     int refusals_ = 0;                                 // consecutive refused connections
+    int failures_ = 0;                                 // consecutive
     bool listed_ = true;
-    bool expiry_reported_ = false;
+    // Since the last report. Before the first one there are no runs whose leases could expire.
+    bool end_reported_ = false;
+    bool expiry_reported_ = true;
     std::unique_ptr<net::timer> next_watch_;
     lifetime lifetime_;
 };
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -461,6 +461,7 @@
             previous_holder = ownership.record().holder;
             previous_run = ownership.record().process_run;
             previous_vm_count = ownership.record().vm_count;
+            previous_vm_set = ownership.record().vm_set;
         }
         // The figures of the previous record are kept until this owner has its own.
         fleet::owner_record record = ownership.record();
@@ -468,6 +469,8 @@
         record.process_run = settings.run;
         if (step == fleet::ownership::step::acquire) {
             record.token = ownership.next_fencing_token();
+            // Only an owner that has read the member list knows on which VMs it may start tasks.
+            record.vm_set.reset();
         }
         if (local_owner) {
             local_owner->describe(record, ++last_count);
@@ -506,8 +509,9 @@
         owner_settings task_settings = settings.owner;
         task_settings.previous_owner_validity = settings.ownership.validity;
         task_settings.expected_vms = previous_vm_count;
-        vms.set_vm_count(previous_vm_count);
+        task_settings.expected_vm_set = previous_vm_set;
         task_settings.members_complete_from = members_complete_from;
+        vms.set_vm_count(previous_vm_count);
         local_owner =
             std::make_unique<owner_task>(loop, store, vms, rows, layout, advisors, *this,
                                          ownership.record().token, task_settings, metrics);
@@ -625,6 +629,7 @@
     std::string previous_holder;
     std::string previous_run;
     std::size_t previous_vm_count = 0;
+    std::optional<fleet::vm_set_digest> previous_vm_set;
     std::int64_t last_count = 0;  // number of the last count of waiting jobs
     std::unique_ptr<owner_task> local_owner;
     base::time_point store_answered_at{};
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -203,7 +203,8 @@
     }
     spdlog::info("event=vm_seen vm={} address={} zone={} leaving={}", id.str(), facts->address,
                  facts->zone.str(), facts->leaving);
-    session = std::make_unique<vm_session>(loop, vms, *facts, owner, settings.session, *this);
+    session =
+        std::make_unique<vm_session>(loop, vms, *facts, owner, settings.session, inherited, *this);
     session->start();
 }
 
@@ -214,15 +215,13 @@
         listed.insert(id);
         add_member(id, it.value);
     }
-    if (!members_known) {
-        members_known = true;
-        members_read_at = clock.now();
-    }
+    members_known = true;
     for (const auto& it : sessions) {
         if (listed.count(it.first) == 0) {
             it.second->mark_unlisted();
         }
     }
+    check_expected_vms();
     wake();
 }
 
@@ -236,7 +235,26 @@
             session->second->mark_unlisted();
         }
     }
+    check_expected_vms();
     wake();
 }
 
+fleet::vm_set_digest owner_task::state::vm_set() const {
+    fleet::vm_set_digest out;
+    for (const auto& it : sessions) {
+        out.add(it.first);
+    }
+    return out;
+}
+
+void owner_task::state::check_expected_vms() {
+    const bool is_first_owner = owner == fleet::fencing_token(1);
+    expected_vms_listed =
+        expected_vms_listed || is_first_owner || vm_set() == settings.expected_vm_set;
+}
+
+bool owner_task::state::all_listed() const {
+    return expected_vms_listed && clock.now() >= settings.members_complete_from;
+}
+
 }  // namespace cranberrydock::fleet_daemon
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -58,7 +58,11 @@
     // Whether jobs may be started that no previous owner can have on record.
     bool may_start_new_jobs();
     bool all_vms_satisfy(const std::function<bool(const fleet::vm_id&)>& predicate) const;
-    // Whether every VM that may still run tasks is listed.
+    // The VMs that are on record here.
+    fleet::vm_set_digest vm_set() const;
+    // Records whether every VM that the previous owner had on record has been listed.
+    void check_expected_vms();
+    // Whether every VM on which a previous owner may have started tasks has been listed.
     bool all_listed() const;
     void check_inherited_runs();
 
@@ -106,6 +110,7 @@
     owner_settings settings;
     base::metrics& metrics;
     base::suspend_aware_clock clock;
+    fleet::inherited_leases inherited;
 
     fleet::scheduler scheduler;
     std::map<fleet::vm_id, std::unique_ptr<vm_session>> sessions;
@@ -118,7 +123,7 @@
     table_follower jobs;
     table_follower members;
     bool members_known = false;
-    base::time_point members_read_at;  // when the member table was first read
+    bool expected_vms_listed = false;  // see check_expected_vms()
     bool jobs_known = false;
     std::set<fleet::vm_id> reported_vms;  // VMs with a report that the scheduler has processed
     // The last report of each VM that was received before the jobs were loaded.
@@ -129,7 +134,7 @@
     std::map<fleet::vm_id, early_report> early_reports;
     // VMs that have not answered since they became unreachable.
     std::set<fleet::vm_id> unresponsive_vms;
-    // VMs whose process has ended and that have not reported since.
+    // VMs whose incarnation has ended and that have not reported since.
     std::set<fleet::vm_id> ended_vms;
     bool progress_loaded = false;
     // Jobs that were read before their progress had been loaded.
@@ -137,9 +142,8 @@
     bool inherited_known = false;
     bool may_start_known = false;
     std::optional<fleet::store_version> new_jobs_after;  // jobs with later rows are new ones
-    bool starts_held = false;           // because the last read of the jobs is too old
-    bool previous_owner_ended = false;  // the previous owner's process has ended
-    base::time_point started_at;        // when this daemon became the owner
+    bool starts_held = false;     // because the last read of the jobs is too old
+    base::time_point started_at;  // when this daemon became the owner
 
     std::unordered_map<fleet::job_id, fleet::job_progress> progress;  // only while loading
     std::size_t partitions_fenced = 0;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -41,6 +41,8 @@
       owner(token),
       settings(initial_settings),
       metrics(metrics_registry),
+      inherited(initial_settings.session.leases, clock.now(),
+                initial_settings.previous_owner_validity),
       scheduler(token, initial_settings.scheduler, metrics_registry),
       job_rows([this](const auto& all) { on_job_table(all); },
                [this](const auto& changed) { on_job_changes(changed); }),
@@ -173,7 +175,7 @@
 }
 
 void owner_task::on_previous_owner_ended() {
-    state_->previous_owner_ended = true;
+    state_->inherited.on_previous_owner_ended(state_->clock.now());
 }
 
 void owner_task::job_written(const fleet::job_id& job, const std::string& row,
@@ -215,12 +217,16 @@
         record.waiting_jobs =
             fleet::waiting_job_counts{state_->owner, number, state_->scheduler.jobs_not_started()};
     }
-    if (state_->all_listed()) {
+    if (state_->inherited_known || state_->all_listed()) {
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
     }
     const std::size_t vms = state_->sessions.size();
     record.vm_count = state_->inherited_known ? vms : std::max(vms, state_->settings.expected_vms);
+    // A VM that is missing here may still run tasks of a previous owner.
+    const auto vm_set = state_->vm_set();
+    const bool is_complete = state_->inherited_known || vm_set == state_->settings.expected_vm_set;
+    record.vm_set = is_complete ? std::optional<fleet::vm_set_digest>(vm_set) : std::nullopt;
 }
 
 }  // namespace cranberrydock::fleet_daemon
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -15,15 +15,6 @@
 // Every daemon follows the owner's row with queries that stay open for half a second.
 constexpr base::milliseconds owner_row_propagation_time{700};
 
-// The time after which every lease that a previous owner granted has expired, even on a slow clock.
-base::milliseconds max_inherited_lease(const session_settings& settings) {
-    constexpr double min_clock_rate = 0.96;
-    constexpr base::milliseconds margin{200};
-    return base::milliseconds(static_cast<std::int64_t>(
-               static_cast<double>(settings.lease.count()) / min_clock_rate)) +
-           margin;
-}
-
 }  // namespace
 
 bool owner_task::state::may_issue_commands() {
@@ -178,21 +169,22 @@
         return may_start_known;
     }
     const auto elapsed = clock.now() - started_at;
-    const bool all_reported =
-        all_vms_satisfy([this](const auto& vm) { return reported_vms.count(vm) > 0; });
+    const bool all_reported = all_listed() && all_vms_satisfy([this](const auto& vm) {
+                                  return reported_vms.count(vm) > 0;
+                              });
     // A previous owner that can still reach one of the VMs that have reported has learned of this
-    // owner by now. The remaining VMs' processes have ended: there it could start a task only if it
-    // were the first to reach the VM's next incarnation.
-    const bool others_have_ended =
-        elapsed > previous_owner_detection_time && all_vms_satisfy([this](const auto& vm) {
-            return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0;
-        });
-    may_start_known = all_reported || others_have_ended || previous_owner_ended ||
-                      elapsed > settings.previous_owner_validity;
+    // owner by now. The incarnations of the remaining VMs have ended: there it could start a task
+    // only if it were the first to reach the next incarnation.
+    const bool others_have_ended = all_listed() && elapsed > previous_owner_detection_time &&
+                                   all_vms_satisfy([this](const auto& vm) {
+                                       return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0;
+                                   });
+    const bool earlier_commands_ended = inherited.commands_ended(clock.now());
+    may_start_known = all_reported || others_have_ended || earlier_commands_ended;
     if (may_start_known) {
         spdlog::info(
             "event=owner_starts_work all_judged={} others_have_ended={} earlier_gone={} took_ms={}",
-            all_reported, others_have_ended, previous_owner_ended,
+            all_reported, others_have_ended, earlier_commands_ended,
             std::chrono::duration_cast<base::milliseconds>(elapsed).count());
     }
     return may_start_known;
@@ -216,34 +208,25 @@
                        [&](const auto& it) { return predicate(it.first); });
 }
 
-bool owner_task::state::all_listed() const {
-    const auto now_steady = clock.now();
-    const bool count_is_complete = sessions.size() >= settings.expected_vms ||
-                                   now_steady - members_read_at >= member_return_time;
-    return members_known && count_is_complete && now_steady >= settings.members_complete_from;
-}
-
-// Inherited tasks may be started once every VM has reported its runs, or can no longer have runs
-// that a previous owner started.
+// Inherited tasks may be started once every VM that may run one of them has reported its runs or
+// has ended, or once every lease of the previous owners has expired.
 void owner_task::state::check_inherited_runs() {
-    if (inherited_known || !may_start() || !all_listed()) {
+    if (inherited_known || !may_start()) {
         return;
     }
-    const bool all_reported = all_vms_satisfy(
-        [this](const auto& vm) { return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0; });
-    const auto previous_owner_commands_end =
-        previous_owner_ended ? base::milliseconds{0} : settings.previous_owner_validity;
-    const bool leases_expired = clock.now() - started_at >
-                                previous_owner_commands_end + max_inherited_lease(settings.session);
-    // A VM's report is waited for unless the VM is unresponsive.
+    const bool all_reported = all_listed() && all_vms_satisfy([this](const auto& vm) {
+                                  return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0;
+                              });
+    // A VM that answers may hold runs whose leases this owner has extended.
     const bool all_responsive_reported = all_vms_satisfy([this](const auto& vm) {
         return reported_vms.count(vm) > 0 || unresponsive_vms.count(vm) > 0;
     });
+    const bool leases_expired = inherited.all_expired(clock.now());
     if (all_reported || (leases_expired && all_responsive_reported)) {
         inherited_known = true;
         spdlog::info(
-            "event=inherited_runs_known all_judged={} vms={} took_ms={}", all_reported,
-            sessions.size(),
+            "event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={}",
+            all_reported, sessions.size(), all_listed(),
             std::chrono::duration_cast<base::milliseconds>(clock.now() - started_at).count());
         scheduler.inherited_runs_reported(now());
     }
--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -8,39 +8,29 @@
 namespace cranberrydock::fleet_daemon {
 namespace {
 
-// The lowest rate of a VM's clock relative to this process's clock. Each clock may deviate by 2 %.
-constexpr double min_clock_rate = 0.96;
-constexpr base::milliseconds expiry_margin{150};
 constexpr int failures_until_unreachable = 1;
 // A single refused connection may be due to a listener that is still being set up.
 constexpr int refusals_until_ended = 2;
 
-// The time on the local clock after which `vm_duration` has passed on the VM's clock even if that
-// runs at the lowest rate.
-base::milliseconds worst_case_local_time(base::milliseconds vm_duration) {
-    return base::milliseconds(static_cast<std::int64_t>(static_cast<double>(vm_duration.count()) /
-                                                        min_clock_rate)) +
-           expiry_margin;
-}
-
 }  // namespace
 
 vm_session::vm_session(net::event_loop& loop, fleet::vm_control& vms, const fleet::vm_info& facts,
                        fleet::fencing_token owner, const session_settings& settings,
-                       session_listener& listener)
+                       const fleet::inherited_leases& inherited, session_listener& listener)
     : loop_(loop),
       vms_(vms),
       facts_(facts),
       owner_(owner),
       settings_(settings),
-      listener_(listener) {}
+      listener_(listener),
+      leases_(settings.leases, inherited) {}
 
 void vm_session::start() {
     send_watch();
 }
 
 void vm_session::update(const fleet::vm_info& facts) {
-    const bool restarted = last_reading_ && facts.boot > boot_;
+    const bool restarted = leases_.has_report() && facts.boot > boot_;
     facts_ = facts;
     listed_ = true;
     if (restarted) {
@@ -48,53 +38,19 @@
     }
 }
 
-void vm_session::mark_unlisted() {
-    listed_ = false;
-    if (!last_reading_) {
-        next_watch_ = loop_.after(base::duration{0},
-                                  [this] { listener_.on_lost(facts_.id, "never_heard", true); });
-    }
-}
-
 void vm_session::on_other_incarnation() {
-    if (last_reading_) {
-        // Commands issued from now on grant no lease until the new incarnation has reported.
-        lease_expiry_not_before_ = clock_.now() + worst_case_local_time(settings_.max_lease);
-    }
-    last_reading_.reset();
-    lease_until_ = {};
+    leases_.on_other_incarnation(clock_.now());
     last_listed_completion_ = {};
     boot_ = {};
     listener_.on_restarted(facts_.id);
 }
 
 void vm_session::on_address_reused() {
-    if (last_reading_) {
+    if (!end_reported_) {
+        end_reported_ = true;
         listener_.on_process_ended(facts_.id);
+        on_other_incarnation();
     }
-    on_other_incarnation();
-}
-
-fleet::vm_time vm_session::lease_from_now() {
-    if (!last_reading_) {
-        return {};
-    }
-    const auto elapsed =
-        std::chrono::duration_cast<base::milliseconds>(clock_.now() - last_reading_->local);
-    const fleet::vm_time out(last_reading_->vm.value() + elapsed.count() + settings_.lease.count());
-    lease_until_ = std::max(lease_until_, out);
-    return out;
-}
-
-bool vm_session::leases_expired(base::time_point now) const {
-    if (now < lease_expiry_not_before_) {
-        return false;
-    }
-    if (!last_reading_ || lease_until_.value() == 0) {
-        return true;
-    }
-    const base::milliseconds left(lease_until_.value() - last_reading_->vm.value());
-    return now > last_reading_->local + worst_case_local_time(left);
 }
 
 void vm_session::send_watch() {
@@ -106,7 +62,7 @@
     fleet::watch_command command;
     // The lease of an unresponsive VM is not extended, so that its work can be started elsewhere
     // sooner.
-    const bool answering = last_reading_ && failures_ == 0;
+    const bool answering = leases_.has_report() && failures_ == 0;
     if (answering) {
         command.lease_until = lease_from_now();
         command.wait = settings_.wait;
@@ -124,22 +80,19 @@
 }
 
 void vm_session::on_answer(base::time_point watch_sent_at, const fleet::vm_report& report) {
-    const bool restarted = last_reading_ && report.boot != boot_;
+    const bool restarted = leases_.has_report() && report.boot != boot_;
     if (restarted) {
         on_other_incarnation();
     }
     if (failures_ >= failures_until_unreachable) {
         listener_.on_reachable(facts_.id, true);
     }
-    if (refusals_ >= refusals_until_ended && last_reading_) {
-        spdlog::warn("event=vm_back_in_the_same_life vm={} refusals={}", facts_.id.str(),
-                     refusals_);
-    }
     failures_ = 0;
     refusals_ = 0;
+    end_reported_ = false;
     expiry_reported_ = false;
     boot_ = report.boot;
-    last_reading_ = vm_clock_reading{report.now, clock_.now()};
+    leases_.on_report(report.now, clock_.now());
     if (!report.completions.empty()) {
         last_listed_completion_ = report.completions.back().number;
     }
@@ -193,7 +146,7 @@
         listener_.on_lost(facts_.id, "left", true);
         return;
     }
-    if (!expiry_reported_ && last_reading_) {
+    if (!expiry_reported_) {
         expiry_reported_ = true;
         listener_.on_lost(facts_.id, "lease_lapsed", false);
     }
--- /dev/null
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -0,0 +1,85 @@
+// Guards against a task that runs in two places because its first run was given up too early: an
+// owner counts a run as ended when its VM or a later incarnation says so, or when every lease that
+// any owner can have granted has expired, and not because a VM can't be reached or is not listed.
+#include <cranberrydock/fleet/ownership.hpp>
+#include <cranberrydock/fleet/run_leases.hpp>
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace cranberrydock;
+using base::milliseconds;
+
+constexpr milliseconds validity{6'500};
+constexpr milliseconds lease{4'500};
+// A lease of 4.5 s on a clock that is 4 % slow lasts for less than 4.7 s.
+constexpr milliseconds slowest_lease{4'700};
+constexpr milliseconds margin{500};
+
+class leases : public testing::Test {
+public:
+    const base::time_point start{std::chrono::seconds(100)};
+    fleet::lease_settings settings{lease, milliseconds(6'000)};
+    fleet::inherited_leases inherited{settings, start, validity};
+    fleet::vm_leases vm{settings, inherited};
+};
+
+TEST_F(leases, of_reachable_previous_owner_outlast_its_validity) {
+    EXPECT_FALSE(inherited.commands_ended(start + validity - milliseconds(1)));
+    EXPECT_TRUE(inherited.commands_ended(start + validity));
+    EXPECT_FALSE(inherited.all_expired(start + validity + slowest_lease - milliseconds(20)));
+    EXPECT_TRUE(inherited.all_expired(start + validity + slowest_lease + margin));
+}
+
+// The previous owner may have renewed leases until shortly before its end became known.
+TEST_F(leases, of_ended_previous_owner_count_from_its_end) {
+    const auto known_at = start + milliseconds(2'000);
+    inherited.on_previous_owner_ended(known_at);
+    EXPECT_TRUE(inherited.commands_ended(known_at));
+    EXPECT_FALSE(inherited.all_expired(start + slowest_lease + margin));
+    EXPECT_FALSE(inherited.all_expired(known_at + lease));
+    EXPECT_TRUE(inherited.all_expired(known_at + slowest_lease + margin));
+}
+
+TEST_F(leases, of_vm_that_never_reported_are_inherited) {
+    EXPECT_FALSE(vm.all_expired(start + lease));
+    EXPECT_TRUE(vm.all_expired(start + validity + slowest_lease + margin));
+}
+
+// The first report comes before the first lease: until then the VM's clock is not known.
+TEST_F(leases, of_vm_that_fell_silent_after_first_report_are_inherited) {
+    vm.on_report(fleet::vm_time(1'000), start + milliseconds(100));
+    EXPECT_FALSE(vm.all_expired(start + milliseconds(100)));
+    EXPECT_FALSE(vm.all_expired(start + lease));
+    EXPECT_TRUE(vm.all_expired(start + milliseconds(100) + slowest_lease + margin));
+}
+
+TEST_F(leases, last_until_vm_clock_has_passed_them) {
+    const auto granted_at = start + validity + slowest_lease + margin;
+    vm.on_report(fleet::vm_time(1'000), granted_at);
+    EXPECT_EQ(vm.grant(granted_at), fleet::vm_time(1'000 + lease.count()));
+    EXPECT_FALSE(vm.all_expired(granted_at + lease));
+    EXPECT_TRUE(vm.all_expired(granted_at + slowest_lease + margin));
+}
+
+TEST(vm_sets, with_one_vm_replaced_differ) {
+    const auto digest_of = [](const std::vector<std::string>& names) {
+        fleet::vm_set_digest out;
+        for (const auto& it : names) {
+            out.add(fleet::vm_id(it));
+        }
+        return out;
+    };
+    const auto set = digest_of({"a", "b", "c"});
+    EXPECT_EQ(set, digest_of({"c", "a", "b"}));
+    EXPECT_NE(set, digest_of({"a", "b"}));
+    EXPECT_NE(set, digest_of({"a", "b", "d"}));
+
+    fleet::owner_record record;
+    EXPECT_FALSE(fleet::decode_owner(fleet::encode_owner(record))->vm_set);
+    record.vm_set = set;
+    EXPECT_EQ(fleet::decode_owner(fleet::encode_owner(record))->vm_set, set);
+}
+
+}  // namespace
--- a/test/correctness/vm_is_queried_again_after_completions_are_saved.cpp
+++ b/test/correctness/vm_is_queried_again_after_completions_are_saved.cpp
@@ -32,7 +32,9 @@
                    base::time_point /*asked*/) override {}
     void on_reachable(const fleet::vm_id& /*vm*/, bool /*reachable*/) override {}
     void on_lost(const fleet::vm_id& /*vm*/, const std::string& /*reason*/,
-                 bool /*gone*/) override {}
+                 bool /*gone*/) override {
+        ++lost;
+    }
     void on_process_ended(const fleet::vm_id& /*vm*/) override { ++ended; }
     void on_restarted(const fleet::vm_id& /*vm*/) override { ++restarted; }
     void on_higher_fencing_token(const fleet::vm_id& /*vm*/) override {}
@@ -42,6 +44,7 @@
     bool may_issue_commands() override { return true; }
 
     fleet::completion_number saved;
+    int lost = 0;
     int ended = 0;
     int restarted = 0;
 };
@@ -70,11 +73,23 @@
         loop.run();
     }
 
+    static fleet_daemon::session_settings short_leases() {
+        fleet_daemon::session_settings out;
+        out.leases = {base::milliseconds(1'500), base::milliseconds(2'000)};
+        return out;
+    }
+
+    // A slow clock, the margin and the interval of the watch commands.
+    static constexpr base::milliseconds lease_slack{1'000};
+
     net::event_loop loop;
     recorded_vm vm;
     recording_listener listener;
-    const fleet_daemon::session_settings settings;
-    fleet_daemon::vm_session session{loop, vm, {}, fleet::fencing_token(1), settings, listener};
+    const fleet_daemon::session_settings settings = short_leases();
+    // A previous owner that has just ended may have granted leases.
+    fleet::inherited_leases inherited{settings.leases, base::suspend_aware_clock().now(), {}};
+    fleet_daemon::vm_session session{loop,     vm,        {},      fleet::fencing_token(1),
+                                     settings, inherited, listener};
 };
 
 TEST_F(vm_session_test, queries_again_only_after_save) {
@@ -130,6 +145,21 @@
     EXPECT_EQ(listener.ended, 1);
 }
 
+// A missing member entry does not end the runs of a VM that has not reported to this owner either.
+TEST_F(vm_session_test, unlisted_vm_is_not_given_up_before_inherited_leases_expire) {
+    session.mark_unlisted();
+    const base::suspend_aware_clock clock;
+    vm.answer(tl::make_unexpected(fleet::command_failure::answer_lost));
+    run_for(settings.retry_pause * 2);
+    while (!inherited.all_expired(clock.now())) {
+        EXPECT_EQ(listener.lost, 0);
+        vm.answer(tl::make_unexpected(fleet::command_failure::answer_lost));
+        run_for(settings.retry_pause * 2);
+    }
+    vm.answer(tl::make_unexpected(fleet::command_failure::answer_lost));
+    EXPECT_EQ(listener.lost, 1);
+}
+
 // The address of an ended VM was given to another VM, which answers every request with
 // `other_incarnation`. These answers must not prolong the time for which the runs of the ended VM
 // count as running.
@@ -145,7 +175,7 @@
     EXPECT_EQ(listener.ended, 1);
     const base::milliseconds slow_clock_and_margin{500};
     EXPECT_TRUE(
-        session.leases_expired(first_reported + settings.max_lease + slow_clock_and_margin));
+        session.leases_expired(first_reported + settings.leases.max_lease + slow_clock_and_margin));
 }
 
 TEST_F(vm_session_test, new_incarnation_may_hold_longest_lease) {
@@ -154,8 +184,8 @@
     EXPECT_EQ(listener.restarted, 1);
     const base::suspend_aware_clock clock;
     EXPECT_FALSE(session.leases_expired(clock.now()));
-    EXPECT_FALSE(session.leases_expired(clock.now() + settings.max_lease));
-    EXPECT_TRUE(session.leases_expired(clock.now() + settings.max_lease * 2));
+    EXPECT_FALSE(session.leases_expired(clock.now() + settings.leases.max_lease));
+    EXPECT_TRUE(session.leases_expired(clock.now() + settings.leases.max_lease * 2));
 }
 
 }  // namespace
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -272,6 +272,7 @@
         state& site;
         base::monotonic_clock clock;
         std::unique_ptr<net::http_server> server;
+        net::endpoint address;  // while the server is closed
         std::unique_ptr<fleet_vm> vm;
         std::deque<pending_watch> waiting;
         bool silent = false;
@@ -415,6 +416,16 @@
         answer_feeds();
     }
 
+    void set_listed(const vm_request_handler& handler, bool listed) {
+        if (listed) {
+            handler.write_entry();
+            return;
+        }
+        ++rows.version;
+        rows.remove({"servers", "", handler.vm->facts().id.str()});
+        answer_feeds();
+    }
+
     void check_start(const vm_request_handler& started_on, const fleet::task_ref& task) {
         ++start_count;
         ++starts_per_job[task.job];
@@ -552,6 +563,34 @@
     on_loop([&] { state_->vms[static_cast<std::size_t>(index)]->silent = true; });
 }
 
+void platform_site::make_vm_responsive(int index) {
+    on_loop([&] { state_->vms[static_cast<std::size_t>(index)]->silent = false; });
+}
+
+void platform_site::set_vm_refuses_connections(int index, bool refuses) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        if (refuses) {
+            handler.address = handler.server->listen_endpoint();
+            handler.waiting.clear();
+            handler.server.reset();
+        } else {
+            handler.server = std::make_unique<net::http_server>(state_->loop, handler.address,
+                                                                net::http_server_limits{}, handler);
+        }
+    });
+}
+
+void platform_site::set_vm_listed(int index, bool listed) {
+    on_loop([&] { state_->set_listed(*state_->vms[static_cast<std::size_t>(index)], listed); });
+}
+
+bool platform_site::vm_is_busy(int index) {
+    bool out = false;
+    on_loop([&] { out = !state_->vms[static_cast<std::size_t>(index)]->vm->running().empty(); });
+    return out;
+}
+
 void platform_site::crash_vm(int index) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
@@ -564,13 +603,7 @@
 void platform_site::set_vms_listed(bool listed) {
     on_loop([&] {
         for (std::size_t i = 1; i < state_->vms.size(); ++i) {
-            if (listed) {
-                state_->vms[i]->write_entry();
-            } else {
-                ++state_->rows.version;
-                state_->rows.remove({"servers", "", state_->vms[i]->vm->facts().id.str()});
-                state_->answer_feeds();
-            }
+            state_->set_listed(*state_->vms[i], listed);
         }
     });
 }
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -55,8 +55,15 @@
     void crash_vm(int index);
     // Ends the VM's process for good; its entry stays in the member list.
     void stop_vm_process(int index);
-    // The VM accepts calls and answers none.
+    // The VM accepts calls and answers none, until it is made responsive again.
     void make_vm_unresponsive(int index);
+    void make_vm_responsive(int index);
+    // While set, the VM's address resets open connections and refuses new ones. The VM runs on.
+    void set_vm_refuses_connections(int index, bool refuses);
+    // Removes the VM's entry from the member list, or adds it again.
+    void set_vm_listed(int index, bool listed);
+    // Whether the VM runs any task.
+    bool vm_is_busy(int index);
     // The feeds lose all changes so far: followers of older versions get 410.
     void truncate_feed_history();
     // Removes the entries of all VMs but the first from the member list, or adds them again.
