fleet_daemon: refused connections do not end the runs of a VM

Cause: two refused connections in a row counted as proof that the VM's process had ended, and all its confirmed runs were released at once. A path that resets connections looks the same, and the VM works on under its lease.

Change: a refused connection is a failed call like any other. Runs are given up when their VM or a later incarnation says so, when another VM answers at the address, or when their leases have expired (fleet/run_leases). A VM whose address has been reused counts as ended for a new owner even if it never reported to it.

--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -62,7 +62,7 @@
 
 enum class command_failure {
     not_delivered,        // the VM has not received the command
-    connection_refused,   // not delivered: the process that ran the VM's tasks has ended
+    connection_refused,   // not delivered: no process listens, or the path resets connections
     answer_lost,          // outcome unknown: may be carried out now, later or never
     other_incarnation,    // the addressed incarnation of the VM is gone
     stale_fencing_token,  // the VM has received a higher fencing token from another owner
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -95,7 +95,6 @@
     fleet::vm_leases leases_;
     fleet::boot_time boot_;                            // from the last report
     fleet::completion_number last_listed_completion_;  // in the last report
-    int refusals_ = 0;                                 // consecutive refused connections
     int failures_ = 0;                                 // consecutive
     bool listed_ = true;
     // Since the last report. Before the first one there are no runs whose leases could expire.
--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr int failures_until_unreachable = 1;
-// A single refused connection may be due to a listener that is still being set up.
-constexpr int refusals_until_ended = 2;
 
 }  // namespace
 
@@ -88,7 +86,6 @@
         listener_.on_reachable(facts_.id, true);
     }
     failures_ = 0;
-    refusals_ = 0;
     end_reported_ = false;
     expiry_reported_ = false;
     boot_ = report.boot;
@@ -129,10 +126,6 @@
                      fleet::to_string(failure));
         listener_.on_reachable(facts_.id, false);
     }
-    refusals_ = failure == fleet::command_failure::connection_refused ? refusals_ + 1 : 0;
-    if (refusals_ == refusals_until_ended) {
-        listener_.on_process_ended(facts_.id);
-    }
     check_lease_expiry();
 }
 
--- a/test/failure/task_of_unreachable_vm_runs_in_one_place.cpp
+++ b/test/failure/task_of_unreachable_vm_runs_in_one_place.cpp
@@ -75,6 +75,15 @@
     fleet_cluster daemons;
 };
 
+TEST_F(unreachable_vm, keeps_its_tasks_while_it_refuses_connections) {
+    start_job();
+    daemons.site().set_vm_refuses_connections(cut_vm, true);
+    std::this_thread::sleep_for(cut_time);
+    daemons.site().set_vm_refuses_connections(cut_vm, false);
+    expect_complete();
+    EXPECT_EQ(daemons.site().counts_of(fleet::job_id(job)).starts, task_count);
+}
+
 TEST_F(unreachable_vm, keeps_its_tasks_when_new_owner_does_not_find_its_entry) {
     start_job();
     daemons.site().make_vm_unresponsive(cut_vm);
@@ -121,4 +130,15 @@
     expect_complete();
 }
 
+// Waiting for leases must not delay the tasks of a VM that is known to have restarted.
+TEST_F(unreachable_vm, loses_its_tasks_at_once_when_it_has_restarted) {
+    start_job();
+    const int starts_before = daemons.site().start_count();
+    daemons.site().crash_vm(cut_vm);
+    constexpr base::milliseconds max_restart_time{1'500};
+    EXPECT_TRUE(
+        wait_until([&] { return daemons.site().start_count() > starts_before; }, max_restart_time));
+    expect_complete();
+}
+
 }  // namespace
