fleet: a restarted VM ends the runs that it had listed, and no late start revives one

Two sides of the same question. A VM that is seen to have restarted proves the end of every run that its earlier incarnation had listed: these are released at once, without waiting for a report of the new incarnation, which may not be reachable yet.

A start that was sent twice is different: its first attempt may still be carried out by the new incarnation, which knows nothing of the run. The run is now stopped at the new incarnation first, which rejects it from then on. Likewise, a stop that the earlier incarnation confirmed does not count for the next one.

Test: placed_task.* in correctness/runs_are_given_up_only_after_proof; the first and the last fail on the scheduler before.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -34,7 +34,10 @@
     run_phase phase = run_phase::starting;
     time_point placed_at{};
     std::optional<time_point> confirmed_at;  // when the VM first confirmed the run
+    bool listed = false;                     // in a report of the VM's current incarnation
     int start_attempts = 1;
+    // An unanswered start command for an earlier incarnation may still reach the current one.
+    bool may_start_late = false;
     bool start_pending = true;  // a start command is unanswered
     bool stop_pending = false;  // a stop command is unanswered
     // When a stop command was answered. A report that was requested later and does not show the run
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -49,13 +49,26 @@
 }
 
 void scheduler::vm_restarted(const vm_id& id) {
-    if (vm_record* const vm = state_->find_vm(id)) {
-        spdlog::info("event=vm_reborn vm={} runs={}", id.str(), vm->runs.size());
-        state_->metrics->count("cranberrydock_vms_reborn_total", "");
-        vm->reported = false;
-        vm->last_completion = {};
-        vm->unsaved.clear();
+    vm_record* const vm = state_->find_vm(id);
+    if (vm == nullptr) {
+        return;
     }
+    state_->metrics->count("cranberrydock_vms_reborn_total", "");
+    vm->reported = false;
+    vm->last_completion = {};
+    vm->unsaved.clear();
+    std::vector<task_ref> ended;
+    for (auto& it : vm->runs) {
+        placed_run& run = it.second;
+        if (run.listed && !run.start_pending && run.start_attempts == 1) {
+            ended.push_back(it.first);
+        }
+        run.listed = false;
+        run.may_start_late = run.start_attempts > 1;
+        run.stop_answered.reset();  // by the earlier incarnation
+    }
+    spdlog::info("event=vm_reborn vm={} runs={} ended={}", id.str(), vm->runs.size(), ended.size());
+    state_->drop_lost_runs(*vm, ended, "vm_reborn");
 }
 
 void scheduler::vm_lost(const vm_id& id, const std::string& reason) {
@@ -348,6 +361,7 @@
         adopt_run(vm, reported_run, now);
         return;
     }
+    run->listed = true;
     if (!run->confirmed_at) {
         run->confirmed_at = now.steady;
     }
@@ -392,6 +406,7 @@
         unknown_run.run = found.run;
         unknown_run.start_pending = false;
         unknown_run.confirmed_at = now.steady;
+        unknown_run.listed = true;
         auto& placed = vm.runs.emplace(found.task, unknown_run).first->second;
         unknown_runs.insert({found.task, vm.facts.id});
         request_stop(vm, placed, "job_unknown");
@@ -402,6 +417,7 @@
     auto& placed = vm.runs.at(found.task);
     placed.start_pending = false;
     placed.confirmed_at = now.steady;
+    placed.listed = true;
     placed.phase = run_phase::running;
     placed.saved = found.last_checkpoint;
     placed.percent = found.percent;
@@ -437,6 +453,7 @@
         auto& run = vm->runs.at(task);
         run.start_pending = false;
         run.confirmed_at = previous.confirmed_at;
+        run.listed = previous.listed;
         run.saved = previous.saved;
         run.stop_pending = previous.stop_pending;
         run.stop_answered = previous.stop_answered;
@@ -455,16 +472,18 @@
         listed.insert({it.task, it.run.value()});
     }
     std::vector<task_ref> gone;
-    for (const auto& it : vm.runs) {
-        const placed_run& run = it.second;
+    for (auto& it : vm.runs) {
+        placed_run& run = it.second;
         if (listed.count({it.first, run.run.value()}) > 0) {
             continue;
         }
         const bool never_will_run = run.stop_answered && *run.stop_answered < requested_at;
         const bool has_vanished =
             run.confirmed_at && *run.confirmed_at < requested_at && !run.start_pending;
-        if (never_will_run || has_vanished) {
+        if (never_will_run || (has_vanished && !run.may_start_late)) {
             gone.push_back(it.first);
+        } else if (has_vanished) {
+            request_stop(vm, run, "start_may_be_late");
         }
     }
     for (const auto& it : gone) {
--- a/test/correctness/runs_are_given_up_only_after_proof.cpp
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -3,12 +3,16 @@
 // any owner can have granted has expired, and not because a VM can't be reached or is not listed.
 #include <cranberrydock/fleet/ownership.hpp>
 #include <cranberrydock/fleet/run_leases.hpp>
+#include <cranberrydock/fleet/scheduler.hpp>
+
+#include "standins/fleet_test_data.hpp"
 
 #include <gtest/gtest.h>
 
 namespace {
 
 using namespace cranberrydock;
+using namespace cranberrydock::standins;
 using base::milliseconds;
 
 constexpr milliseconds validity{6'500};
@@ -82,4 +86,92 @@
     EXPECT_EQ(fleet::decode_owner(fleet::encode_owner(record))->vm_set, set);
 }
 
+// One task that runs on one of two VMs.
+class placed_task : public testing::Test {
+public:
+    placed_task() {
+        owner.configure(
+            std::make_shared<const fleet::fleet_configuration>(two_queue_configuration()));
+        for (const auto& it : {first, second}) {
+            fleet::vm_info facts;
+            facts.id = it;
+            facts.service = fleet::service_name("svc");
+            facts.capacity = vm_capacity_of(4'000);
+            owner.vm_listed(facts);
+            owner.vm_reported(it, {}, now.steady, now);
+        }
+        owner.inherited_runs_reported(now);
+        owner.add_job(make_job("job", "urgent", {make_step(1, 1'000)}), nullptr, false, now);
+        const auto decided = owner.decide(now, {});
+        EXPECT_EQ(decided.starts.size(), 1U);
+        start = decided.starts.front();
+    }
+
+    void pass(int ms) {
+        now.steady += milliseconds(ms);
+        now.wall = fleet::unix_time(now.wall.value() + ms);
+    }
+
+    void report(const std::vector<fleet::running_task>& running) {
+        fleet::vm_report out;
+        out.running = running;
+        owner.vm_reported(start.vm, out, now.steady, now);
+    }
+
+    std::size_t new_starts() {
+        pass(10);
+        return owner.decide(now, {}).starts.size();
+    }
+
+    const fleet::vm_id first{"first"};
+    const fleet::vm_id second{"second"};
+    base::metrics metrics;
+    fleet::clock_reading now{base::time_point(std::chrono::seconds(100)),
+                             fleet::unix_time(1'000'000)};
+    fleet::scheduler owner{fleet::fencing_token(1), {}, metrics};
+    fleet::start_decision start;
+};
+
+TEST_F(placed_task, listed_run_ends_with_its_incarnation_before_next_report) {
+    owner.start_answered(start.vm, start.task, start.run, fleet::vm_time(1), now);
+    pass(10);
+    report({{start.task, start.run, {}, 0}});
+    EXPECT_EQ(new_starts(), 0U);
+    owner.vm_restarted(start.vm);
+    EXPECT_EQ(new_starts(), 1U);
+}
+
+// The answer doesn't show which incarnation has accepted the start; the next report does.
+TEST_F(placed_task, unlisted_run_waits_for_report_of_next_incarnation) {
+    owner.start_answered(start.vm, start.task, start.run, fleet::vm_time(1), now);
+    owner.vm_restarted(start.vm);
+    EXPECT_EQ(new_starts(), 0U);
+    pass(10);
+    report({{start.task, start.run, {}, 0}});
+    EXPECT_EQ(new_starts(), 0U);
+}
+
+// The first of two attempts may be carried out by the next incarnation, which accepts it unless it
+// has stopped the run.
+TEST_F(placed_task, repeated_start_is_stopped_at_next_incarnation) {
+    owner.start_answered(start.vm, start.task, start.run,
+                         tl::make_unexpected(fleet::command_failure::answer_lost), now);
+    EXPECT_EQ(new_starts(), 1U);  // the second attempt
+    owner.start_answered(start.vm, start.task, start.run, fleet::vm_time(1), now);
+    pass(10);
+    report({{start.task, start.run, {}, 0}});
+    owner.vm_restarted(start.vm);
+    pass(10);
+    report({});
+    pass(10);
+    const auto decided = owner.decide(now, {});
+    EXPECT_TRUE(decided.starts.empty());
+    ASSERT_EQ(decided.stops.size(), 1U);
+    EXPECT_EQ(decided.stops.front().run, start.run);
+    owner.stop_answered(start.vm, start.task, start.run, fleet::vm_time(2), now);
+    pass(10);
+    report({});
+    EXPECT_EQ(new_starts(), 1U);
+}
+
 }  // namespace
