fleet_daemon: a job cancelled before its acceptance is never accepted later

What callers saw: a submission ran to its end after its cancellation had been confirmed with 410 (UNASKED). The daemon that had the submission was suspended meanwhile, and accepted it when it resumed.

Cause: a cancellation of a job without a row was refused as unknown and left no trace in the store. The write of the submission, which is conditional on the absence of the job's rows, still succeeded later. The same holds for every write that arrives late, whoever delayed it.

Change: the cancellation writes a row that keeps the job out, on the same condition as the submission, before it answers 410. A submission that meets the row is refused (503, without Retry-After: it has not run and never will). The owner turns the row into an ended one, kept as long as other ended jobs. For callers the job does not exist: GET and DELETE answer 410. If the submission is written first, the cancellation finds it and cancels it as before.

--- a/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
@@ -23,6 +23,7 @@
     queue_name queue;
     job_state state = job_state::queued;
     unix_time ended;                                      // set in a final state
+    bool withdrawn = false;                               // see job_row_kind::withdrawn
     std::vector<std::vector<step_progress>> occurrences;  // empty for a final state
 };
 
@@ -30,17 +31,24 @@
 struct cancelled_job {
     customer_name customer;
     queue_name queue;
+    bool withdrawn = false;
 };
 
 std::string encode_job(const job_spec& job);
 std::string encode_cancelled(const cancelled_job& job);
 std::string encode_progress(const job_progress& progress);
 
-enum class job_row_kind { submitted, cancelled };
+enum class job_row_kind {
+    submitted,
+    cancelled,
+    // Cancelled before any submission of the job was stored. The row only prevents that a
+    // submission that arrives later is accepted; for callers the job does not exist.
+    withdrawn,
+};
 
 struct job_row {
     job_row_kind kind = job_row_kind::submitted;
-    job_spec job;  // a cancelled job has only its id, customer and queue
+    job_spec job;  // a cancelled or withdrawn job has only its id, customer and queue
 };
 
 // An error describes why the row cannot be decoded.
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -141,8 +141,11 @@
 }
 
 std::string encode_cancelled(const cancelled_job& job) {
-    return to_bytes(
-        {{"cancelled", true}, {"customer", job.customer.str()}, {"queue", job.queue.str()}});
+    json out = {{"cancelled", true}, {"customer", job.customer.str()}, {"queue", job.queue.str()}};
+    if (job.withdrawn) {
+        out["withdrawn"] = true;
+    }
+    return to_bytes(out);
 }
 
 std::string encode_progress(const job_progress& progress) {
@@ -151,6 +154,9 @@
                 {"state", static_cast<int>(progress.state)}};
     if (is_final(progress.state)) {
         out["ended"] = progress.ended.value();
+        if (progress.withdrawn) {
+            out["withdrawn"] = true;
+        }
         return to_bytes(out);
     }
     json occurrences = json::array();
@@ -173,7 +179,8 @@
         out.job.customer = customer_name(fields.value("customer", ""));
         out.job.queue = queue_name(fields.value("queue", ""));
         if (fields.value("cancelled", false)) {
-            out.kind = job_row_kind::cancelled;
+            out.kind = fields.value("withdrawn", false) ? job_row_kind::withdrawn
+                                                        : job_row_kind::cancelled;
             return out;
         }
         out.job.terms.service = service_name(fields.value("service", ""));
@@ -208,6 +215,7 @@
         }
         out.state = static_cast<job_state>(state);
         out.ended = unix_time(fields.value("ended", std::int64_t{0}));
+        out.withdrawn = fields.value("withdrawn", false);
         if (fields.contains("occurrences")) {
             for (const auto& it : fields.at("occurrences")) {
                 std::vector<step_progress> steps;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
@@ -119,7 +119,13 @@
     void answer(const std::shared_ptr<lookup>& request, const owner_job_status& found);
     void refuse_unreadable(const std::shared_ptr<lookup>& request, const fleet::row_address& row,
                            const std::string& error);
+    void refuse_unknown(const std::shared_ptr<lookup>& request);
     void cancel_existing_job(const std::shared_ptr<lookup>& request, const fleet::stored_row& row);
+    // Stores the cancellation of a job that has no row, so that a submission of it that arrives
+    // later, at any daemon, is not accepted.
+    void withdraw_job(const std::shared_ptr<lookup>& request);
+    // Looks the job up again after a cancellation that was not confirmed.
+    void retry_cancellation(const std::shared_ptr<lookup>& request);
 
     fleet::row_store& store_;
     job_layout layout_;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -34,6 +34,7 @@
     already_written,  // written by an earlier call for the same job, which may have ended since
     refused,          // not written, and will not be written later
     undetermined,     // outcome unknown: the write may have been applied or may still be applied
+    cancelled,        // not written, and will not be: the job was cancelled before it was stored
 };
 
 struct write_result {
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -175,7 +175,10 @@
         }
         spdlog::info("event=job_not_accepted job={} queue={} took_ms={} unclear={}", id.str(),
                      queue.str(), elapsed.count(), outcome == write_outcome::undetermined);
-        if (outcome == write_outcome::refused) {
+        if (outcome == write_outcome::cancelled) {
+            refuse(done, not_run(refusal_reason::cancelled,
+                                 "the job was cancelled before it was accepted"));
+        } else if (outcome == write_outcome::refused) {
             refuse(done, store_unavailable_refusal());
         } else {
             refuse(done, refusal{refusal_reason::outcome_unknown, false, retry_after_store_outage,
@@ -223,6 +226,10 @@
         refuse(done, admitted.error());
         return;
     }
+    if (admitted->job.empty()) {
+        refuse(done, not_run(refusal_reason::unknown_job, "expected the job's id"));
+        return;
+    }
     look_up(std::make_shared<lookup>(lookup{*admitted, admitted->job, true, 0, done}));
 }
 
@@ -278,7 +285,9 @@
             return;
         }
         const auto ended = fleet::decode_progress(found->value);
-        if (ended) {
+        if (ended && ended->withdrawn) {
+            refuse_unknown(request);
+        } else if (ended) {
             answer(request, {ended->customer, ended->queue, ended->state});
         } else {
             refuse_unreadable(request, row, ended.error());
@@ -292,16 +301,20 @@
         if (found == nullptr) {
             // The job may have ended between the two reads.
             constexpr int max_rounds = 2;
-            if (request->rounds < max_rounds) {
+            if (request->cancel) {
+                withdraw_job(request);
+            } else if (request->rounds < max_rounds) {
                 look_up(request);
             } else {
-                refuse(request->done, not_run(refusal_reason::unknown_job, "no such job"));
+                refuse_unknown(request);
             }
             return;
         }
         const auto job = fleet::decode_job(request->job, found->value);
         if (!job) {
             refuse_unreadable(request, row, job.error());
+        } else if (job->kind == fleet::job_row_kind::withdrawn) {
+            refuse_unknown(request);
         } else if (job->kind == fleet::job_row_kind::cancelled) {
             answer(request, {job->job.customer, job->job.queue, fleet::job_state::cancelled});
         } else if (!request->matches_request(job->job.customer, job->job.queue) ||
@@ -332,6 +345,10 @@
     });
 }
 
+void job_api::refuse_unknown(const std::shared_ptr<lookup>& request) {
+    refuse(request->done, not_run(refusal_reason::unknown_job, "no such job"));
+}
+
 void job_api::cancel_existing_job(const std::shared_ptr<lookup>& request,
                                   const fleet::stored_row& row) {
     const auto found = fleet::decode_job(request->job, row.value);
@@ -351,18 +368,42 @@
                 }));
                 return;
             }
-            constexpr int max_rounds = 4;
-            if (request->rounds < max_rounds) {
-                look_up(
-                    request);  // the job has ended or was cancelled meanwhile, or the write failed
-            } else {
-                refuse(request->done,
-                       refusal{refusal_reason::outcome_unknown, false, retry_after_store_outage,
-                               "the cancellation may not have been written; send it again"});
+            retry_cancellation(request);
+        }));
+}
+
+void job_api::withdraw_job(const std::shared_ptr<lookup>& request) {
+    const auto& queue = request->admission.queue->name;
+    const auto row = layout_.job_row(request->job);
+    fleet::row_transaction transaction;
+    transaction.conditions.push_back({row, fleet::store_version(0)});
+    transaction.conditions.push_back({layout_.ended_row(request->job), fleet::store_version(0)});
+    transaction.puts.push_back(
+        {row, fleet::encode_cancelled({request->admission.customer, queue, true})});
+    store_.commit(
+        transaction, read_timeout, lifetime_.guard([this, request, queue](const auto& answer) {
+            if (!answer) {
+                retry_cancellation(request);
+                return;
             }
+            metrics_.count("cranberrydock_jobs_withdrawn_total", "");
+            spdlog::info("event=job_withdrawn job={} queue={}", request->job.str(), queue.str());
+            refuse_unknown(request);
         }));
 }
 
+// The job has been submitted, has ended or was cancelled meanwhile, or the write failed.
+void job_api::retry_cancellation(const std::shared_ptr<lookup>& request) {
+    constexpr int max_rounds = 4;
+    if (request->rounds < max_rounds) {
+        look_up(request);
+    } else {
+        refuse(request->done,
+               refusal{refusal_reason::outcome_unknown, false, retry_after_store_outage,
+                       "the cancellation may not have been written; send it again"});
+    }
+}
+
 bool job_api::is_queue_request(const caller& requester) const {
     const auto found = admit(requester);
     return found && found->job.empty();
--- a/packages/fleet_daemon/src/owner_persistence.cpp
+++ b/packages/fleet_daemon/src/owner_persistence.cpp
@@ -60,6 +60,7 @@
         auto unsaved = std::move(partition.waiting.begin()->second);
         partition.waiting.erase(partition.waiting.begin());
         if (is_final(unsaved.progress.state)) {
+            unsaved.progress.withdrawn = withdrawn_jobs.count(unsaved.job) > 0;
             transaction.puts.push_back(
                 {layout.ended_row(unsaved.job), encode_progress(unsaved.progress)});
             transaction.removals.push_back(layout.job_row(unsaved.job));
@@ -120,8 +121,10 @@
             if (is_final(it.progress.state)) {
                 ended.emplace_back(it.progress.ended, it.job);
                 submitted_versions.erase(it.job);
-                ended_statuses[it.job] = {it.progress.customer, it.progress.queue,
-                                          it.progress.state};
+                if (!it.progress.withdrawn) {
+                    ended_statuses[it.job] = {it.progress.customer, it.progress.queue,
+                                              it.progress.state};
+                }
                 answer_waiting_callers(it.job);
                 if (job_end_log_limiter.allows(clock.now())) {
                     spdlog::info("event=job_ended job={} queue={} state={}", it.job.str(),
@@ -227,6 +230,7 @@
         partition.removed.push_back(ended.front().second);
         scheduler.forget(ended.front().second);
         ended_statuses.erase(ended.front().second);
+        withdrawn_jobs.erase(ended.front().second);
         ended.pop_front();
     }
     for (const auto& it : layout.partitions()) {
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -127,6 +127,9 @@
                           inherited, now());
         return;
     }
+    if (decoded->kind == fleet::job_row_kind::withdrawn) {
+        withdrawn_jobs.insert(id);
+    }
     // The row says that the job was cancelled. The job may not be on record: a previous owner did
     // not complete the cancellation, or the row of its submission arrives later. Adding and
     // cancelling it here stops its runs when they are found, gives the job its end, and prevents it
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -156,6 +156,9 @@
     std::unordered_set<fleet::job_id> progress_rows;
     // Final states of the jobs that have ended under this owner and whose end is durable.
     std::unordered_map<fleet::job_id, owner_job_status> ended_statuses;
+    // Jobs that were cancelled before they were accepted. Callers learn of them from the store
+    // only.
+    std::unordered_set<fleet::job_id> withdrawn_jobs;
     // Callers that wait until a job's end is durable.
     struct waiting_caller {
         status_callback done;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -190,11 +190,16 @@
 }
 
 bool owner_task::has_loaded(const fleet::job_id& job) const {
-    return state_->scheduler.status_of(job).has_value() || state_->ended_statuses.count(job) > 0;
+    return state_->withdrawn_jobs.count(job) == 0 &&
+           (state_->scheduler.status_of(job).has_value() || state_->ended_statuses.count(job) > 0);
 }
 
 void owner_task::job_status(const fleet::job_id& job, const status_callback& done) {
     ++state_->status_query_count;
+    if (state_->withdrawn_jobs.count(job) > 0) {
+        done(std::nullopt);
+        return;
+    }
     const auto ended = state_->ended_statuses.find(job);
     if (ended != state_->ended_statuses.end()) {
         done(ended->second);
--- a/packages/fleet_daemon/src/peer_codec.cpp
+++ b/packages/fleet_daemon/src/peer_codec.cpp
@@ -229,7 +229,7 @@
 write_result decode_write_result(const std::string& body) {
     const json from = json::from_cbor(body);
     const int outcome = from.at("outcome").get<int>();
-    if (outcome < 0 || outcome > static_cast<int>(write_outcome::undetermined)) {
+    if (outcome < 0 || outcome > static_cast<int>(write_outcome::cancelled)) {
         throw std::invalid_argument("expected the outcome of a write, found " +
                                     std::to_string(outcome));
     }
--- a/packages/fleet_daemon/src/submission_writer.cpp
+++ b/packages/fleet_daemon/src/submission_writer.cpp
@@ -1,9 +1,11 @@
 // Makes submitted jobs durable.
+#include <cranberrydock/fleet/job_rows.hpp>
 #include <cranberrydock/fleet_daemon/submission_writer.hpp>
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace cranberrydock::fleet_daemon {
 namespace {
@@ -32,10 +34,25 @@
 // is left before the deadline: the answer would come too late for the caller.
 constexpr base::milliseconds min_write_time{60};
 
-bool exists(const std::vector<fleet::stored_row>& rows, const fleet::job_id& job) {
-    return std::any_of(rows.begin(), rows.end(), [&](const auto& it) {
-        return it.address.name.str() == job.str() && it.version.value() != 0;
+bool is_withdrawn(const fleet::job_id& job, const fleet::stored_row& row) {
+    if (row.address.table == job_table) {
+        const auto found = fleet::decode_job(job, row.value);
+        return found && found->kind == fleet::job_row_kind::withdrawn;
+    }
+    const auto ended = fleet::decode_progress(row.value);
+    return ended && ended->withdrawn;
+}
+
+// The outcome for a job of which a row existed already. Empty if none of `rows` belongs to the job.
+std::optional<write_outcome> outcome_of_existing(const std::vector<fleet::stored_row>& rows,
+                                                 const fleet::job_id& job) {
+    const auto it = std::find_if(rows.begin(), rows.end(), [&](const auto& row) {
+        return row.address.name.str() == job.str() && row.version.value() != 0;
     });
+    if (it == rows.end()) {
+        return std::nullopt;
+    }
+    return is_withdrawn(job, *it) ? write_outcome::cancelled : write_outcome::already_written;
 }
 
 }  // namespace
@@ -165,7 +182,8 @@
             delegated_.erase(number);
             --pending->writes_in_flight;
             if (result.outcome == write_outcome::written ||
-                result.outcome == write_outcome::already_written) {
+                result.outcome == write_outcome::already_written ||
+                result.outcome == write_outcome::cancelled) {
                 record_write_time(clock_.now() - now);
                 settle(*pending, result);
                 return;
@@ -342,8 +360,8 @@
         } else if (refused || lost) {
             it->may_be_written |= lost;
             retry_later(it);
-        } else if (exists(answer.error().rows, it->job)) {
-            settle(*it, {write_outcome::already_written, {}});
+        } else if (const auto existing = outcome_of_existing(answer.error().rows, it->job)) {
+            settle(*it, {*existing, {}});
         } else if (it->open && it->writes_in_flight == 0) {
             partitions_[partition].waiting.push_back(it);  // the conflict was about another job
         }
