platform: odd entries in the member list name no VM

Another writer's entry in the member list may be deeply nested, have a number too large or a port out of range. Shown here: the old daemons neither end nor stop following the list (the parser does not recurse, and ports are checked), but an entry with an absurd capacity sets the largest VM of the fleet, so that a job that fits nowhere is accepted and waits for ever; numbers outside 64 bits are converted with undefined behavior (a later boot time than any real one resets the VM's session); a host name in an address would be looked up, which blocks the event loop.

An unreadable entry counts as missing, also where it replaces a VM's entry for a moment: its runs go on under their leases. The log line is rate-limited, and there is a counter.

--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -190,11 +190,14 @@
     wake();
 }
 
-void owner_task::state::add_member(const fleet::vm_id& id, const std::string& value) {
+bool owner_task::state::add_member(const fleet::vm_id& id, const std::string& value) {
     const auto facts = rows.read_member(id, value);
     if (!facts) {
-        spdlog::warn("event=member_unreadable vm={} error=\"{}\"", id.str(), facts.error());
-        return;
+        metrics.count("cranberrydock_members_unreadable_total", "");
+        if (unreadable_log_limiter.allows(clock.now())) {
+            spdlog::warn("event=member_unreadable vm={} error=\"{}\"", id.str(), facts.error());
+        }
+        return false;
     }
     largest_vm = max_of(largest_vm, facts->capacity);
     labels.insert(facts->labels.begin(), facts->labels.end());
@@ -202,21 +205,23 @@
     auto& session = sessions[id];
     if (session) {
         session->update(*facts);
-        return;
+        return true;
     }
     spdlog::info("event=vm_seen vm={} address={} zone={} leaving={}", id.str(), facts->address,
                  facts->zone.str(), facts->leaving);
     session =
         std::make_unique<vm_session>(loop, vms, *facts, owner, settings.session, inherited, *this);
     session->start();
+    return true;
 }
 
 void owner_task::state::on_member_table(const std::vector<fleet::stored_row>& rows_found) {
     std::set<fleet::vm_id> listed;
     for (const auto& it : rows_found) {
         const fleet::vm_id id(it.address.name.str());
-        listed.insert(id);
-        add_member(id, it.value);
+        if (add_member(id, it.value)) {
+            listed.insert(id);
+        }
     }
     members_known = true;
     for (const auto& it : sessions) {
@@ -231,10 +236,9 @@
 void owner_task::state::on_member_changes(const std::vector<fleet::stored_row>& rows_found) {
     for (const auto& it : rows_found) {
         const fleet::vm_id id(it.address.name.str());
+        const bool is_listed = !it.removed && add_member(id, it.value);
         const auto session = sessions.find(id);
-        if (!it.removed) {
-            add_member(id, it.value);
-        } else if (session != sessions.end()) {
+        if (!is_listed && session != sessions.end()) {
             session->second->mark_unlisted();
         }
     }
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -39,7 +39,8 @@
     bool jobs_are_current() const;
     void on_member_table(const std::vector<fleet::stored_row>& rows);
     void on_member_changes(const std::vector<fleet::stored_row>& rows);
-    void add_member(const fleet::vm_id& id, const std::string& value);
+    // False if the entry can't be read, and so names no VM.
+    bool add_member(const fleet::vm_id& id, const std::string& value);
 
     // owner_vms.cpp
     void on_report(const fleet::vm_id& vm, const fleet::vm_report& report,
@@ -173,6 +174,9 @@
     base::log_rate_limiter stop_log_limiter{"task_stop", task_lines_per_second};
     base::log_rate_limiter job_end_log_limiter{"job_ended", task_lines_per_second};
     static constexpr std::int64_t task_lines_per_second = 250;
+    // Entries of other writers, which may be many.
+    base::log_rate_limiter unreadable_log_limiter{"member_unreadable", unreadable_lines_per_second};
+    static constexpr std::int64_t unreadable_lines_per_second = 20;
 
     std::unique_ptr<net::timer> decide_timer;
     std::unique_ptr<net::timer> tick;
--- a/packages/net/include/cranberrydock/net/http.hpp
+++ b/packages/net/include/cranberrydock/net/http.hpp
@@ -34,6 +34,9 @@
 // Parses "ADDRESS:PORT". Returns port 0 when the text does not have this form.
 endpoint parse_endpoint(const std::string& text);
 
+// Whether the text is an IPv4 address in dotted notation.
+bool is_ip_address(const std::string& text);
+
 struct http_request {
     http_method method = http_method::get;
     std::string path;   // without the query, still percent-encoded
--- a/packages/net/src/http.cpp
+++ b/packages/net/src/http.cpp
@@ -1,6 +1,7 @@
 // Endpoint parsing, and access to the headers and query parameters of HTTP messages.
 #include <cranberrydock/net/http.hpp>
 
+#include <arpa/inet.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
@@ -54,6 +55,11 @@
     return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
+bool is_ip_address(const std::string& text) {
+    in_addr address{};
+    return inet_pton(AF_INET, text.c_str(), &address) == 1;
+}
+
 std::string http_request::header(const std::string& name) const {
     return find_header(headers, name);
 }
