platform: malformed requests and answers do not end a daemon

Cause: refusals quote the bytes that could not be read, and encoding them as JSON throws if they are not UTF-8; the fields of answers to commands were read by functions that throw. Nothing caught either in the callback.

--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -8,6 +8,7 @@
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
 #include <cstdint>
@@ -69,6 +70,8 @@
     evbuffer_free(buf);
 }
 
+constexpr int status_internal_error = 500;
+
 enum class request_number : std::uint64_t {};
 
 // The requests that have no response yet. evhttp keeps a request until it is answered, even if the
@@ -115,14 +118,20 @@
         auto* server = static_cast<state*>(self);
         const request_number number = server->pending->add(raw);
         const std::weak_ptr<pending_requests> pending = server->pending;
-        server->handler->handle(
-            read_request(raw), [pending, number](const http_response& response) {
-                const auto requests = pending.lock();
-                evhttp_request* const raw = requests ? requests->take(number) : nullptr;
-                if (raw != nullptr) {
-                    write_response(raw, response);
-                }
-            });
+        const http_responder respond = [pending, number](const http_response& response) {
+            const auto requests = pending.lock();
+            evhttp_request* const raw = requests ? requests->take(number) : nullptr;
+            if (raw != nullptr) {
+                write_response(raw, response);
+            }
+        };
+        try {
+            server->handler->handle(read_request(raw), respond);
+        } catch (const std::exception& error) {
+            // One request must not end the process, nor the other requests with it.
+            spdlog::error("event=request_failed error=\"{}\"", error.what());
+            respond({status_internal_error, {}, ""});
+        }
     }
 };
 
