fleet_daemon: limit the log lines of failed starts

It gets the limit of the others. The line of a job that is not accepted says whether it was cancelled.

--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -173,8 +173,9 @@
             done(job_accepted{});
             return;
         }
-        spdlog::info("event=job_not_accepted job={} queue={} took_ms={} unclear={}", id.str(),
-                     queue.str(), elapsed.count(), outcome == write_outcome::undetermined);
+        spdlog::info("event=job_not_accepted job={} queue={} took_ms={} unclear={} cancelled={}",
+                     id.str(), queue.str(), elapsed.count(), outcome == write_outcome::undetermined,
+                     outcome == write_outcome::cancelled);
         if (outcome == write_outcome::cancelled) {
             refuse(done, not_run(refusal_reason::cancelled,
                                  "the job was cancelled before it was accepted"));
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -170,6 +170,7 @@
     std::deque<std::pair<fleet::unix_time, fleet::job_id>> ended;
     // For tracing single jobs in the log. Limited to `task_lines_per_second` each under load.
     base::log_rate_limiter start_log_limiter{"task_started", task_lines_per_second};
+    base::log_rate_limiter start_failed_log_limiter{"start_failed", task_lines_per_second};
     base::log_rate_limiter completion_log_limiter{"task_ended", task_lines_per_second};
     base::log_rate_limiter stop_log_limiter{"task_stop", task_lines_per_second};
     base::log_rate_limiter job_end_log_limiter{"job_ended", task_lines_per_second};
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -121,10 +121,12 @@
                 "cranberrydock_start_ms", "",
                 static_cast<double>(
                     std::chrono::duration_cast<base::milliseconds>(clock.now() - sent).count()));
-            if (!answer) {
+            if (!answer && start_failed_log_limiter.allows(clock.now())) {
                 spdlog::info("event=start_failed vm={} task={} run={} reason={}", decision.vm.str(),
                              fleet::to_string(decision.task), decision.run.value(),
                              fleet::to_string(answer.error()));
+            }
+            if (!answer) {
                 if (answer.error() == fleet::command_failure::stale_fencing_token) {
                     rights.on_superseded("vm " + decision.vm.str());
                     return;
