fleet_daemon: an owner starts nothing on a VM before its row shows the VM

A takeover wrote a row without a digest of the VMs, since the new owner had not read them yet. If it was killed before its first renewal, 0.4 s later, the next owner could not know whether tasks had been started, and waited for all leases: up to 11.4 s, though every VM had reported. Seen in the whole run of the tests: fleet_failure.killed_owner_and_restarted_vm took 12.7 s instead of 3.5 s at most, killed_owner_is_replaced 13.4 s.

The takeover now leaves the previous owner's digest in the row, and the new owner processes no report of a VM, and so starts nothing there, before a renewal that was sent after the VM was listed has been confirmed. The first such renewal is sent as soon as the member list has been read. A row without a digest and without VMs means that nothing has been started.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -68,9 +68,10 @@
     std::set<vm_label> labels;
     // The number of VMs on record at the owner.
     std::size_t vm_count = 0;
-    // The VMs on which an owner may have started tasks. The entries of some may be missing from the
-    // member list that the next owner reads: they expire when a VM does not reach the store, and it
-    // may still run its tasks. Empty if the owner does not know all of these VMs.
+    // The VMs on which an owner may have started tasks: it starts none on a VM before this row
+    // shows the VM. The entries of some may be missing from the member list that the next owner
+    // reads: they expire when a VM does not reach the store, and it may still run its tasks. Empty
+    // if the owner does not know all of these VMs, or has started no task.
     std::optional<vm_set_digest> vm_set;
 };
 
@@ -127,6 +128,8 @@
     // The row version that the write must be conditional on.
     store_version condition() const { return version_; }
     fencing_token next_fencing_token() const { return fencing_token(record_.token.value() + 1); }
+    // Makes the next renewal due at once.
+    void renew_soon() { next_write_ = {}; }
     // `sent`: when the write was sent.
     void written(store_version version, const owner_record& record, base::time_point sent);
     // `outcome_unknown`: the write may have been applied, or may still be.
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -36,7 +36,7 @@
     std::size_t expected_vms = 0;
     std::optional<fleet::vm_set_digest> expected_vm_set;
     // Member entries may be missing before this time, because the store was unavailable until
-    // recently. The previous owner may have used VMs that it could not put on record any more.
+    // recently.
     base::time_point members_complete_from{};
     // No task is started while the last read of the job table is older than this: jobs may have
     // been cancelled since, and a cancelled job must not start tasks once this time has passed.
@@ -60,6 +60,8 @@
         fleet::store_version version;
     };
     virtual renewal last_renewal() = 0;
+    // The figures of the owner's row have changed and are needed there soon.
+    virtual void renew_soon() = 0;
     // The task has found a newer owner; `where` says where, for the log. The task is destroyed
     // after the call, not within it.
     virtual void on_superseded(const std::string& where) = 0;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -59,6 +59,7 @@
                const fleet::inherited_leases& inherited, session_listener& listener);
 
     const fleet::vm_info& facts() const { return facts_; }
+    base::time_point created_at() const { return created_at_; }
     void start();
     void update(const fleet::vm_info& facts);
     // The member list no longer contains the VM. The session ends once no earlier run can exist.
@@ -92,6 +93,7 @@
     session_settings settings_;
     session_listener& listener_;
     base::suspend_aware_clock clock_;
+    base::time_point created_at_ = clock_.now();
     fleet::vm_leases leases_;
     fleet::boot_time boot_;                            // from the last report
     fleet::completion_number last_listed_completion_;  // in the last report
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -213,6 +213,7 @@
     renewal last_renewal() override {
         return {ownership.last_renewal_sent(), ownership.condition()};
     }
+    void renew_soon() override { ownership.renew_soon(); }
     bool store_answers() override {
         return clock.now() - store_answered_at < store_answer_validity;
     }
@@ -469,8 +470,6 @@
         record.process_run = settings.run;
         if (step == fleet::ownership::step::acquire) {
             record.token = ownership.next_fencing_token();
-            // Only an owner that has read the member list knows on which VMs it may start tasks.
-            record.vm_set.reset();
         }
         if (local_owner) {
             local_owner->describe(record, ++last_count);
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -165,11 +165,7 @@
             std::chrono::duration_cast<base::milliseconds>(clock.now() - started_at).count());
     }
     progress.clear();
-    const auto early = std::move(early_reports);
-    early_reports.clear();
-    for (const auto& it : early) {
-        on_report(it.first, it.second.report, it.second.watch_sent_at);
-    }
+    process_early_reports();
     wake();
 }
 
@@ -223,7 +219,10 @@
             listed.insert(id);
         }
     }
-    members_known = true;
+    if (!members_known) {
+        members_known = true;
+        rights.renew_soon();
+    }
     for (const auto& it : sessions) {
         if (listed.count(it.first) == 0) {
             it.second->mark_unlisted();
@@ -255,7 +254,7 @@
 }
 
 void owner_task::state::check_expected_vms() {
-    const bool is_first_owner = owner == fleet::fencing_token(1);
+    const bool is_first_owner = settings.expected_vms == 0 && !settings.expected_vm_set;
     expected_vms_listed =
         expected_vms_listed || is_first_owner || vm_set() == settings.expected_vm_set;
 }
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -45,6 +45,9 @@
     // owner_vms.cpp
     void on_report(const fleet::vm_id& vm, const fleet::vm_report& report,
                    base::time_point watch_sent_at) override;
+    // Whether the owner's row shows the VM.
+    bool is_on_record(const fleet::vm_id& vm) const;
+    void process_early_reports();
     void on_reachable(const fleet::vm_id& vm, bool reachable) override;
     void on_lost(const fleet::vm_id& vm, const std::string& reason, bool gone) override;
     void on_process_ended(const fleet::vm_id& vm) override;
@@ -127,7 +130,8 @@
     bool expected_vms_listed = false;  // see check_expected_vms()
     bool jobs_known = false;
     std::set<fleet::vm_id> reported_vms;  // VMs with a report that the scheduler has processed
-    // The last report of each VM that was received before the jobs were loaded.
+    // The last report of each VM that was received before the jobs were loaded, or before the
+    // owner's row showed the VM.
     struct early_report {
         fleet::vm_report report;
         base::time_point watch_sent_at;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -53,6 +53,7 @@
               members_batch_pause, member_rows) {
     started_at = clock.now();
     tick = loop.every(tick_period, [this] {
+        process_early_reports();
         check_inherited_runs();
         if (jobs_known) {
             scheduler.jobs_read_as_of(jobs.as_of());
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberrydock::fleet_daemon {
 namespace {
@@ -23,12 +24,14 @@
 
 void owner_task::state::on_report(const fleet::vm_id& vm, const fleet::vm_report& report,
                                   base::time_point watch_sent_at) {
-    if (!jobs_known) {
-        // The report can't be compared with the jobs yet. Until it has been processed, no task is
-        // started on the VM and none of its completions is acknowledged.
+    if (!jobs_known || !is_on_record(vm)) {
+        // The report can't be compared with the jobs yet, or the next owner would not know of the
+        // VM. Until the report has been processed, no task is started on the VM and none of its
+        // completions is acknowledged.
         early_reports[vm] = {report, watch_sent_at};
         return;
     }
+    early_reports.erase(vm);
     ++report_count;
     reported_vms.insert(vm);
     unresponsive_vms.erase(vm);
@@ -44,6 +47,21 @@
     wake();
 }
 
+bool owner_task::state::is_on_record(const fleet::vm_id& vm) const {
+    const auto session = sessions.find(vm);
+    return session != sessions.end() && session->second->created_at() < rights.last_renewal().sent;
+}
+
+void owner_task::state::process_early_reports() {
+    if (!jobs_known || early_reports.empty()) {
+        return;
+    }
+    const auto early = std::exchange(early_reports, {});
+    for (const auto& it : early) {
+        on_report(it.first, it.second.report, it.second.watch_sent_at);
+    }
+}
+
 void owner_task::state::on_reachable(const fleet::vm_id& vm, bool reachable) {
     if (!reachable) {
         unresponsive_vms.insert(vm);
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -85,6 +85,7 @@
     bool may_issue_commands() override { return true; }
     bool store_answers() override { return true; }
     renewal last_renewal() override { return {}; }
+    void renew_soon() override {}
     void on_superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
 
