--- a/test/failure/job_cancelled_before_acceptance_never_runs.cpp
+++ b/test/failure/job_cancelled_before_acceptance_never_runs.cpp
@@ -74,8 +74,10 @@
 
 TEST_F(cancelled_before_acceptance, other_jobs_of_same_write_are_accepted) {
     EXPECT_EQ(cancel(other), unknown);
+    constexpr int jobs = 8;
     std::vector<std::future<http_reply>> replies;
-    for (int i = 0; i < 8; ++i) {
+    replies.reserve(jobs);
+    for (int i = 0; i < jobs; ++i) {
         replies.push_back(std::async(
             std::launch::async, [&, i] { return daemons.submit(other, job_id_text(1 + i), 1); }));
     }
