fleet: reserve what a previous owner's runs may take on unlisted VMs

Cause: the VMs that such a cut takes from the store stay reachable for the owner, which renews their leases until it is stopped. The next owner does not find them in the member list. It waits for their leases before it starts inherited work, but new jobs of the customer start at once, and what runs on those VMs was not counted: only VMs that are listed and have not reported were.

Change: until the inherited runs are known, the owner counts for each VM that it misses the capacity of the largest VM against every customer's limit; if it can't tell how many are missing, it counts all that the previous owner had.

Test: customer_at_its_limit.reserves_capacity_of_unlisted_vm.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -107,6 +107,9 @@
     // received earlier and belongs to none of them, its job has ended, and the VM may forget the
     // completion.
     void jobs_read_as_of(base::time_point read_at);
+    // Upper bound of what a previous owner's runs take on VMs that are not listed. Applies until
+    // inherited_runs_reported().
+    void reserve_for_unlisted_vms(const resources& capacity);
     // Every VM that may run an inherited task has reported, or its leases have expired.
     void inherited_runs_reported(const clock_reading& now);
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -350,7 +350,7 @@
     round.budget = budget;
     resources free;
     resources total;
-    unreported_use = {};
+    unreported_use = inherited_known ? resources{} : unlisted_use;
     for (vm_record* const vm : vms_by_number) {
         if (vm != nullptr && !inherited_known && !vm->reported && !vm->ended) {
             unreported_use += vm->facts.capacity;
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -29,6 +29,10 @@
     }
 }
 
+void scheduler::reserve_for_unlisted_vms(const resources& capacity) {
+    state_->unlisted_use = capacity;
+}
+
 void scheduler::inherited_runs_reported(const clock_reading& /*now*/) {
     state_->inherited_known = true;
     // A gang that is incomplete now cannot become complete, so its members are stopped.
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -243,8 +243,10 @@
     std::unordered_map<customer_name, resources> in_use;
     // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
     resources unknown_use;
-    // Upper bound of the use by a previous owner's runs on VMs that have not reported yet.
+    // Upper bound of the use by a previous owner's runs on VMs that have not reported yet, listed
+    // or not, and the part of it for VMs that are not listed.
     resources unreported_use;
+    resources unlisted_use;
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
     bool inherited_known = false;
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -68,6 +68,8 @@
     void check_expected_vms();
     // Whether every VM on which a previous owner may have started tasks has been listed.
     bool all_listed() const;
+    // Upper bound of what a previous owner's runs take on VMs that are not listed.
+    fleet::resources unlisted_use() const;
     void check_inherited_runs();
 
     // owner_task.cpp
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -88,6 +88,9 @@
         return;  // a decision is scheduled already, or none is allowed
     }
     hold_starts_on_stale_jobs();
+    if (!inherited_known) {
+        scheduler.reserve_for_unlisted_vms(unlisted_use());
+    }
     const auto decision_start = clock.now();
     const auto decided = scheduler.decide(now(), advisors.room());
     last_decision = clock.now();
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -228,6 +228,19 @@
                        [&](const auto& it) { return predicate(it.first); });
 }
 
+fleet::resources owner_task::state::unlisted_use() const {
+    if (all_listed()) {
+        return {};
+    }
+    // If other VMs are listed in place of the missing ones, the number of those is not known.
+    const std::size_t known = sessions.size() < settings.expected_vms ? sessions.size() : 0;
+    const auto missing = static_cast<std::int64_t>(settings.expected_vms - known);
+    return {base::millicores(largest_vm.cores.value() * missing),
+            base::mebibytes(largest_vm.memory.value() * missing),
+            base::accelerator_count(largest_vm.accelerators.value() * missing),
+            {}};
+}
+
 // Inherited tasks may be started once every VM that may run one of them has reported its runs or
 // has ended, or once every lease of the previous owners has expired.
 void owner_task::state::check_inherited_runs() {
--- a/test/correctness/owner_accounts_for_inherited_runs.cpp
+++ b/test/correctness/owner_accounts_for_inherited_runs.cpp
@@ -132,4 +132,27 @@
     EXPECT_EQ(owner.decide(now, {}).starts.size(), 2U);
 }
 
+// The same for a VM whose entry is missing when the new owner reads the member list, while the VM
+// runs on under the leases of the previous owner (QUOTA, review/3/day.toml, seed 41).
+TEST(customer_at_its_limit, reserves_capacity_of_unlisted_vm) {
+    base::metrics metrics;
+    const fleet::clock_reading now{base::time_point(std::chrono::seconds(100)),
+                                   fleet::unix_time(1'000'000)};
+    fleet::scheduler owner{fleet::fencing_token(2), {}, metrics};
+    constexpr std::int64_t limit = 5'000;
+    owner.configure(
+        std::make_shared<const fleet::fleet_configuration>(two_queue_configuration(limit)));
+    fleet::vm_info listed;
+    listed.id = fleet::vm_id("listed");
+    listed.service = fleet::service_name("svc");
+    listed.capacity = vm_capacity_of(4'000);
+    owner.vm_listed(listed);
+    owner.vm_reported(listed.id, {}, now.steady, now);
+    owner.reserve_for_unlisted_vms(listed.capacity);
+    owner.add_job(make_job("new", "urgent", {make_step(3, 1'000)}), nullptr, false, now);
+    EXPECT_EQ(owner.decide(now, {}).starts.size(), 1U);
+    owner.inherited_runs_reported(now);
+    EXPECT_EQ(owner.decide(now, {}).starts.size(), 2U);
+}
+
 }  // namespace
