fleet_daemon: a job names the owner that its entry knew

Callers saw a task that must run once on two VMs. A new owner started the jobs that were accepted more than 0.7 s after its takeover without waiting for VMs, since every entry had read its row by then. An entry whose feed of that row is lost has not: it reports the job to the previous owner, which may issue commands for 6.5 s after its last renewal and may reach a VM that the new owner does not.

The row of a job now has the fencing token of the owner that its entry knew. No earlier owner starts the job; one that reads a later token steps down. The new owner starts jobs with its own token at once, without the 0.7 s, and treats all others as inherited. That needs each owner's task to have a token of its own, so a daemon whose task has ended takes over again instead of going on.

Ruled out: a longer propagation time, which bounds nothing while a feed is lost; a renewal before each start, which costs urgent work up to 0.4 s.

--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -13,8 +13,6 @@
 
 // Milliseconds on a VM's own steady clock.
 using vm_time = base::strong_number<struct vm_time_tag>;
-// The fencing token of an owner. A VM rejects commands with a lower token than it has received.
-using fencing_token = base::strong_number<struct fencing_token_tag>;
 // Numbers the completions that one incarnation of a VM lists.
 using completion_number = base::strong_number<struct completion_number_tag>;
 // Identifies an incarnation of a VM.
--- a/packages/fleet/include/cranberrydock/fleet/work.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/work.hpp
@@ -25,6 +25,8 @@
 using placement_ticket = base::strong_id<struct placement_ticket_tag>;
 using checkpoint = base::strong_id<struct checkpoint_tag>;  // empty: start from the beginning
 using run_number = base::strong_number<struct run_number_tag, std::int32_t>;
+// Numbers the owners of the fleet. A VM rejects commands with a lower token than it has received.
+using fencing_token = base::strong_number<struct fencing_token_tag>;
 // Wall-clock time in milliseconds since 1970. Callers specify due times in it.
 using unix_time = base::strong_number<struct unix_time_tag>;
 
@@ -63,6 +65,9 @@
     customer_name customer;
     queue_terms terms;
     unix_time accepted;
+    // The owner that the accepting daemon knew when it wrote the job; no earlier owner starts the
+    // job. 0: not known.
+    fencing_token accepted_under;
     std::string payload;  // passed to each task unchanged
     std::vector<step_spec> steps;
     int occurrences = 0;  // 0: the job runs once, immediately
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -130,6 +130,7 @@
                 {"slack_factor", job.terms.slack_factor},
                 {"target_latency_ms", job.terms.target_latency.count()},
                 {"accepted", job.accepted.value()},
+                {"accepted_under", job.accepted_under.value()},
                 {"payload", job.payload},
                 {"steps", std::move(steps)}};
     if (job.occurrences > 0) {
@@ -190,6 +191,7 @@
         out.job.terms.target_latency =
             milliseconds(fields.value("target_latency_ms", std::int64_t{0}));
         out.job.accepted = unix_time(fields.value("accepted", std::int64_t{0}));
+        out.job.accepted_under = fencing_token(fields.value("accepted_under", std::int64_t{0}));
         out.job.payload = fields.value("payload", "");
         for (const auto& it : fields.at("steps")) {
             out.job.steps.push_back(decode_step(it));
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -53,13 +53,8 @@
     virtual bool may_issue_commands() = 0;
     // Whether the store has answered a recent call of this daemon.
     virtual bool store_answers() = 0;
-    // The last renewal of the ownership that the store has confirmed. Rows with a later version
-    // were written after `sent`.
-    struct renewal {
-        base::time_point sent{};
-        fleet::store_version version;
-    };
-    virtual renewal last_renewal() = 0;
+    // When the last renewal of the ownership that the store has confirmed was sent.
+    virtual base::time_point last_renewal_sent() = 0;
     // The figures of the owner's row have changed and are needed there soon.
     virtual void renew_soon() = 0;
     // The task has found a newer owner; `where` says where, for the log. The task is destroyed
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -210,9 +210,7 @@
     }
     // Whether this process was just paused for so long that another daemon may have taken over.
     bool was_paused() const { return clock.now() - last_tick > max_pause; }
-    renewal last_renewal() override {
-        return {ownership.last_renewal_sent(), ownership.condition()};
-    }
+    base::time_point last_renewal_sent() override { return ownership.last_renewal_sent(); }
     void renew_soon() override { ownership.renew_soon(); }
     bool store_answers() override {
         return clock.now() - store_answered_at < store_answer_validity;
@@ -449,6 +447,11 @@
             spdlog::warn("event=ownership_lost holder={}", ownership.record().holder);
             stop_ownership();
         }
+        if (!local_owner && ownership.owns() && ownership.record().token == last_owner_token) {
+            // A job accepted under this token counts as not started yet, which holds for the first
+            // task with the token only.
+            ownership.step_down();
+        }
         if (!local_owner && ownership.owns() && configured &&
             ownership.may_issue_commands(clock.now())) {
             start_ownership();
@@ -504,6 +507,7 @@
 
     void start_ownership() {
         owner_since = clock.now();
+        last_owner_token = ownership.record().token;
         lag.reset();
         owner_settings task_settings = settings.owner;
         task_settings.previous_owner_validity = settings.ownership.validity;
@@ -511,9 +515,8 @@
         task_settings.expected_vm_set = previous_vm_set;
         task_settings.members_complete_from = members_complete_from;
         vms.set_vm_count(previous_vm_count);
-        local_owner =
-            std::make_unique<owner_task>(loop, store, vms, rows, layout, advisors, *this,
-                                         ownership.record().token, task_settings, metrics);
+        local_owner = std::make_unique<owner_task>(loop, store, vms, rows, layout, advisors, *this,
+                                                   last_owner_token, task_settings, metrics);
         local_owner->configure(configured);
         if (ownership.previous_owner_ended()) {
             local_owner->on_previous_owner_ended();
@@ -629,7 +632,8 @@
     std::string previous_run;
     std::size_t previous_vm_count = 0;
     std::optional<fleet::vm_set_digest> previous_vm_set;
-    std::int64_t last_count = 0;  // number of the last count of waiting jobs
+    fleet::fencing_token last_owner_token;  // of the latest owner's task of this process
+    std::int64_t last_count = 0;            // number of the last count of waiting jobs
     std::unique_ptr<owner_task> local_owner;
     base::time_point store_answered_at{};
     bool store_unreachable = false;  // reads have failed since then
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -144,6 +144,7 @@
     job.customer = admitted->customer;
     job.terms = admitted->queue->terms;
     job.accepted = wall_clock_now();
+    job.accepted_under = view_.owner().token;
     job.payload = std::move(draft->payload);
     job.steps = std::move(draft->steps);
     job.occurrences = draft->occurrences;
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -109,15 +109,23 @@
 
 void owner_task::state::add_job(const fleet::stored_row& row, bool loaded) {
     const fleet::job_id id(row.address.name.str());
-    const bool known_to_previous_owner =
-        !may_start_known && !(new_jobs_after && row.version > *new_jobs_after);
-    const bool inherited = loaded || known_to_previous_owner;
     const auto decoded = fleet::decode_job(id, row.value);
     if (!decoded) {
         spdlog::error("event=row_unreadable table=jobs row={} error=\"{}\"", id.str(),
                       decoded.error());
         return;
     }
+    const fleet::fencing_token accepted_under = decoded->job.accepted_under;
+    if (accepted_under > owner) {
+        // A newer owner may start the job.
+        rights.on_superseded("job " + id.str());
+        return;
+    }
+    const bool inherited = accepted_under < owner && (loaded || !may_start_known);
+    if (!inherited_known && job_log_limiter.allows(clock.now())) {
+        spdlog::info("event=job_found job={} accepted_under={} fence={} inherited={}", id.str(),
+                     accepted_under.value(), owner.value(), inherited);
+    }
     const auto saved = progress.find(id);
     if (decoded->kind == fleet::job_row_kind::submitted) {
         if (row.version.value() > 0 && ended_statuses.count(id) == 0) {
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -59,8 +59,6 @@
     void send_stop(const fleet::stop_decision& decision);
     // Whether no previous owner can start a task any more.
     bool may_start();
-    // Whether jobs may be started that no previous owner can have on record.
-    bool may_start_new_jobs();
     bool all_vms_satisfy(const std::function<bool(const fleet::vm_id&)>& predicate) const;
     // The VMs that are on record here.
     fleet::vm_set_digest vm_set() const;
@@ -148,7 +146,6 @@
     std::optional<std::vector<fleet::stored_row>> early_job_rows;
     bool inherited_known = false;
     bool may_start_known = false;
-    std::optional<fleet::store_version> new_jobs_after;  // jobs with later rows are new ones
     bool starts_held = false;     // because the last read of the jobs is too old
     base::time_point started_at;  // when this daemon became the owner
 
@@ -175,6 +172,7 @@
     // Ended jobs in the order of their ends, to be removed after `ended_job_retention`.
     std::deque<std::pair<fleet::unix_time, fleet::job_id>> ended;
     // For tracing single jobs in the log. Limited to `task_lines_per_second` each under load.
+    base::log_rate_limiter job_log_limiter{"job_found", task_lines_per_second};
     base::log_rate_limiter start_log_limiter{"task_started", task_lines_per_second};
     base::log_rate_limiter start_failed_log_limiter{"start_failed", task_lines_per_second};
     base::log_rate_limiter completion_log_limiter{"task_ended", task_lines_per_second};
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -84,7 +84,7 @@
 
 void owner_task::state::decide() {
     ended_sessions.clear();
-    if (decide_timer || !rights.may_issue_commands() || !(may_start() || may_start_new_jobs())) {
+    if (decide_timer || !rights.may_issue_commands() || !jobs_known || !members_known) {
         return;  // a decision is scheduled already, or none is allowed
     }
     hold_starts_on_stale_jobs();
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -13,8 +13,6 @@
 // An owner sends each VM a new watch command within 0.7 s, and learns of a higher fencing token
 // from the answer.
 constexpr base::milliseconds previous_owner_detection_time{1'000};
-// Every daemon follows the owner's row with queries that stay open for half a second.
-constexpr base::milliseconds owner_row_propagation_time{700};
 
 }  // namespace
 
@@ -49,7 +47,7 @@
 
 bool owner_task::state::is_on_record(const fleet::vm_id& vm) const {
     const auto session = sessions.find(vm);
-    return session != sessions.end() && session->second->created_at() < rights.last_renewal().sent;
+    return session != sessions.end() && session->second->created_at() < rights.last_renewal_sent();
 }
 
 void owner_task::state::process_early_reports() {
@@ -210,18 +208,6 @@
     return may_start_known;
 }
 
-// Jobs that no previous owner can have on record may be started earlier: jobs that were accepted
-// after every daemon had learned of this owner.
-bool owner_task::state::may_start_new_jobs() {
-    const auto renewal = rights.last_renewal();
-    if (!new_jobs_after && jobs_known && renewal.sent > started_at + owner_row_propagation_time) {
-        new_jobs_after = renewal.version;
-        spdlog::info("event=owner_starts_new_jobs fence={} after_version={}", owner.value(),
-                     renewal.version.value());
-    }
-    return new_jobs_after.has_value() && members_known;
-}
-
 bool owner_task::state::all_vms_satisfy(
     const std::function<bool(const fleet::vm_id&)>& predicate) const {
     return std::all_of(sessions.begin(), sessions.end(),
--- a/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
+++ b/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
@@ -112,7 +112,7 @@
     bool may_issue_commands() override { return true; }
     bool store_answers() override { return true; }
     // The owner's row has just been renewed, so it shows every VM.
-    renewal last_renewal() override { return {base::suspend_aware_clock().now(), {}}; }
+    base::time_point last_renewal_sent() override { return base::suspend_aware_clock().now(); }
     void renew_soon() override {}
     void on_superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
--- a/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
+++ b/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
@@ -102,7 +102,7 @@
 public:
     bool may_issue_commands() override { return !superseded; }
     bool store_answers() override { return true; }
-    renewal last_renewal() override { return {base::suspend_aware_clock().now(), loaded}; }
+    base::time_point last_renewal_sent() override { return base::suspend_aware_clock().now(); }
     void renew_soon() override {}
     void on_superseded(const std::string& /*where*/) override { superseded = true; }
 
@@ -174,4 +174,12 @@
     EXPECT_EQ(next->vms.started_on, std::vector<std::string>{});
 }
 
+TEST_F(two_owners, start_job_of_current_entry_once_and_without_a_wait) {
+    job.accepted_under = fleet::fencing_token(2);
+    accept(job);
+    EXPECT_TRUE(previous.rights.superseded);
+    EXPECT_EQ(previous.vms.started_on, std::vector<std::string>{});
+    EXPECT_EQ(next->vms.started_on, std::vector<std::string>{new_owners_vm});
+}
+
 }  // namespace
--- a/test/failure/late_row_notifications_are_ordered_by_version.cpp
+++ b/test/failure/late_row_notifications_are_ordered_by_version.cpp
@@ -133,4 +133,21 @@
     EXPECT_EQ(state_of(owner), "cancelled");
 }
 
+TEST_F(late_row_notification, job_of_newer_owner_ends_the_ownership) {
+    const int owner = daemons.owner_index();
+    const std::int64_t token = fencing_token();
+    ASSERT_EQ(daemons.submit(owner, job, 1).status, ok);
+    fleet::job_spec job_of_newer_owner = make_job(job, "urgent", {make_step(1, 1'000)});
+    EXPECT_EQ(fleet::decode_job(job_of_newer_owner.id, stored().value)->job.accepted_under,
+              fleet::fencing_token(token));
+
+    job_of_newer_owner.accepted_under = fleet::fencing_token(token + 1);
+    constexpr std::int64_t newer_than_stored = 1'000'000;
+    notify(owner, {fleet::encode_job(job_of_newer_owner), newer_than_stored}, token + 1);
+    // No other daemon has taken over, so this one does, under a token that it has not used yet.
+    EXPECT_TRUE(wait_until([&] { return fencing_token() > token; }));
+    EXPECT_TRUE(job_completes(owner));
+    EXPECT_EQ(daemons.site().counts_of(fleet::job_id(job)).starts, 1);
+}
+
 }  // namespace
