test: clocks of the stand-in's VMs follow real time

fleet_failure.killed_owner_and_vm_that_refuses_connections reported once, at load 28 on 8 cores, that 8 tasks had been started again after they were done. The stand-in moved the VMs' clocks by 10 ms with each tick of its timer, and late ticks were not made up for: its clocks ran far slower than the 2 % that the platform promises, so leases outlasted the owner's wait.

The clocks now move on to the present at each tick and before each command. No check has changed. The same slow clocks would have shown false double runs in the soak at the size of the users' sites.

--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -179,6 +179,7 @@
                 unanswered.push_back(std::move(respond));
                 return;
             }
+            site.advance();
             const json body = json::parse(request.body);
             const fleet::fencing_token owner(body.at("fencingToken").get<std::int64_t>());
             if (request.path == "/cranberrydock/hold") {
@@ -454,7 +455,16 @@
         }
     }
 
+    // Moves the VMs' clocks on to the present, however late the timer is: a slower clock would
+    // break the platform's promise about leases.
     void advance() {
+        for (; advanced_until + vm_step <= clock.now(); advanced_until += vm_step) {
+            step_vms();
+        }
+        answer_feeds();
+    }
+
+    void step_vms() {
         for (std::size_t i = 0; i < vms.size(); ++i) {
             vm_request_handler& handler = *vms[i];
             const double rate =
@@ -476,7 +486,6 @@
             }
             handler.answer_watches();
         }
-        answer_feeds();
     }
 
     struct feed {
@@ -505,6 +514,7 @@
     int start_count = 0;
     int call_count = 0;
     int watch_count = 0;
+    base::time_point advanced_until = clock.now();  // by the VMs' clocks
     std::unique_ptr<net::timer> step_timer;
 };
 
