fleet_daemon: a slow refusal of the store is not an unknown outcome

Callers got 504 ("send the job again") instead of 503 with a time to return, although the store had refused every write. Seen once in fleet_failure.store_outage_keeps_owner, at load 28 on 8 cores: an answer that takes over 0.25 s marked the job as possibly stored for good, also when the answer then was a refusal. The mark is now set only when an answer is lost; until the answer comes, the write in flight counts.

Evidence: submission_writers.slow_refusals_refuse_the_job, refused 0 of 1 before, 1 of 1 now; the other six tests of the file pass.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -92,7 +92,7 @@
         bool open = true;             // at least one waiter has not been called
         bool may_delegate = true;     // the owner may be asked to write it
         int writes_in_flight = 0;     // transactions and delegations that may still write it
-        bool may_be_written = false;  // a write with unknown outcome was sent
+        bool may_be_written = false;  // the answer to a write was lost
     };
     using submission_ptr = std::shared_ptr<submission>;
 
@@ -131,6 +131,7 @@
     void retry_later(const submission_ptr& pending);
     void record_write_time(base::duration elapsed);
     void settle(submission& pending, const write_result& result);
+    static bool may_be_applied(const submission& pending);
     static write_result failure_of(const submission& pending);
 
     net::event_loop& loop_;
--- a/packages/fleet_daemon/src/submission_writer.cpp
+++ b/packages/fleet_daemon/src/submission_writer.cpp
@@ -108,9 +108,12 @@
                      [this, pending = pending.get(), index] { on_deadline(*pending, index); })});
 }
 
+bool submission_writer::may_be_applied(const submission& pending) {
+    return pending.may_be_written || pending.writes_in_flight > 0;
+}
+
 write_result submission_writer::failure_of(const submission& pending) {
-    const bool may_be_applied = pending.may_be_written || pending.writes_in_flight > 0;
-    return {may_be_applied ? write_outcome::undetermined : write_outcome::refused, {}};
+    return {may_be_applied(pending) ? write_outcome::undetermined : write_outcome::refused, {}};
 }
 
 // Reports the failure to one waiter whose deadline has passed.
@@ -174,7 +177,7 @@
         owner_check_timer_ = loop_.every(owner_check_period, [this] { check_owner(); });
     }
     metrics_.count("cranberrydock_submissions_written_together_total", "");
-    const bool other_write_sent = pending->writes_in_flight > 0 || pending->may_be_written;
+    const bool other_write_sent = may_be_applied(*pending);
     ++pending->writes_in_flight;
     owner_.write_through_owner(
         {pending->job, pending->row, other_write_sent}, left,
@@ -208,7 +211,6 @@
     for (const auto& it : taken_back) {
         const submission_ptr& pending = it.second.job;
         if (pending->open) {
-            pending->may_be_written = true;
             partitions.insert(layout_.partition_of(pending->job));
             partitions_[layout_.partition_of(pending->job)].waiting.push_back(pending);
         }
@@ -258,7 +260,7 @@
         // already are not mixed with new ones.
         const bool must_split =
             std::any_of(out->jobs.begin(), out->jobs.end(), [&](const auto& it) {
-                return it->job == pending->job || it->may_be_written != pending->may_be_written;
+                return it->job == pending->job || may_be_applied(*it) != may_be_applied(*pending);
             });
         if (must_split) {
             postponed.push_back(pending);
@@ -319,7 +321,6 @@
     const bool was_slow = slow();
     slow_until_ = clock_.now() + slow_period;
     for (const auto& it : batch->jobs) {
-        it->may_be_written = true;
         const bool may_write_again = it->open && it->writes_in_flight <= 1;
         if (may_write_again && !delegate_to_owner(it) && !was_slow) {
             partitions_[partition].waiting.push_back(it);
--- a/test/failure/jobs_are_accepted_while_store_is_slow.cpp
+++ b/test/failure/jobs_are_accepted_while_store_is_slow.cpp
@@ -198,4 +198,17 @@
     EXPECT_EQ(count(fleet_daemon::write_outcome::undetermined), submitted);
 }
 
+// Guards against a job being reported as possibly stored after the store has refused every write.
+TEST_F(submission_writers, slow_refusals_refuse_the_job) {
+    owner_responds = false;
+    static constexpr base::milliseconds refused_always{-1'000'000'000'000};
+    start_daemons({base::milliseconds(320), base::milliseconds(400), refused_always});
+    submit_for(base::milliseconds(100), base::milliseconds(100));
+    timers.push_back(loop.after(base::milliseconds(1'000), [this] {
+        store.set_options({base::milliseconds(4), base::milliseconds(5), refused_always});
+    }));
+    run_for(base::milliseconds(3'500));
+    EXPECT_EQ(count(fleet_daemon::write_outcome::refused), submitted);
+}
+
 }  // namespace
