soak: checks of the calm phase work for ten daemons and more

It made job ids of 17 digits for daemon 10 and higher, which every daemon refuses, and waited 20 s for each of three answers of each of 20 daemons. The ids now have 16 digits, and the daemons are checked one question at a time, so that they work at the same moment.

Beside it, 46 % of the time of the soak process went to the stand-in's feeds (perf, while the daemons became ready): each feed went through all changes of the store every 10 ms. Changes are now kept by table, and a feed begins at its version; daemons that follow from the same version share one answer; watches, ends of tasks and counts of a job no longer copy all runs.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -421,52 +421,39 @@
         key_ = "key-" + std::to_string(++version_);
         cluster_.site().put_row("op", "config",
                                 fleet_cluster::configuration(version_, false, key_));
-        for (int i = 0; i < FLAGS_daemons; ++i) {
-            const std::string path = "/urgent/c00000000000000" + std::to_string(i);
-            const nlohmann::json step = {{"count", 2}, {"cpu", 1'000}, {"memMb", 10}};
-            const std::string body =
-                nlohmann::json{{"spec", "calm"}, {"phases", nlohmann::json::array({step})}}.dump();
-            const auto answers = [&](const std::string& key, int status) {
-                return standins::wait_until(
-                    [&] {
-                        return client
-                                   .call(cluster_.caller_address(i), net::http_method::post, path,
-                                         body, key)
-                                   .status == status;
-                    },
-                    calm_timeout);
-            };
-            constexpr int unauthorized = 401;
-            if (!answers(key_, status_ok)) {
-                violations_.push_back("daemon " + std::to_string(i) +
-                                      " takes no job when all is calm");
-            }
-            if (!answers(withdrawn_key, unauthorized)) {
-                violations_.push_back("daemon " + std::to_string(i) + " takes a withdrawn key");
-            }
-            if (!standins::wait_until(
-                    [&] {
-                        return client
-                                   .call(cluster_.caller_address(i), net::http_method::get, path,
-                                         "", key_)
-                                   .state == "complete";
-                    },
-                    calm_timeout)) {
-                violations_.push_back("daemon " + std::to_string(i) +
-                                      ": a job does not end in calm");
-            }
-            // A daemon that always refused to report a count would pass the check of the counts.
-            if (!standins::wait_until(
-                    [&] {
-                        return client
-                            .call(cluster_.caller_address(i), net::http_method::get, "/urgent/", "",
-                                  key_)
-                            .waiting.has_value();
-                    },
-                    calm_timeout)) {
-                violations_.push_back("daemon " + std::to_string(i) + " tells no count in calm");
+        const nlohmann::json step = {{"count", 2}, {"cpu", 1'000}, {"memMb", 10}};
+        const std::string body =
+            nlohmann::json{{"spec", "calm"}, {"phases", nlohmann::json::array({step})}}.dump();
+        const auto path = [](int daemon) {
+            constexpr int job_digits = 15;
+            const std::string number = std::to_string(daemon);
+            return "/urgent/c" + std::string(job_digits - number.size(), '0') + number;
+        };
+        const auto submit = [&](int daemon, const std::string& key) {
+            return client.call(cluster_.caller_address(daemon), net::http_method::post,
+                               path(daemon), body, key);
+        };
+        const auto get = [&](int daemon, const std::string& target) {
+            return client.call(cluster_.caller_address(daemon), net::http_method::get, target, "",
+                               key_);
+        };
+        const auto check = [&](const std::string& what, const std::function<bool(int)>& holds) {
+            for (int i = 0; i < FLAGS_daemons; ++i) {
+                if (!standins::wait_until([&] { return holds(i); }, calm_timeout)) {
+                    violations_.push_back("daemon " + std::to_string(i) + what);
+                }
             }
-        }
+        };
+        constexpr int unauthorized = 401;
+        check(" takes no job when all is calm",
+              [&](int i) { return submit(i, key_).status == status_ok; });
+        check(" takes a withdrawn key",
+              [&](int i) { return submit(i, withdrawn_key).status == unauthorized; });
+        check(": a job does not end in calm",
+              [&](int i) { return get(i, path(i)).state == "complete"; });
+        // A daemon that always refused to report a count would pass the check of the counts.
+        check(" tells no count in calm",
+              [&](int i) { return get(i, "/urgent/").waiting.has_value(); });
     }
 
     std::uint32_t seed_;
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -44,6 +44,7 @@
 
     // Completions that no owner has acknowledged.
     const std::vector<fleet::task_completion>& unacknowledged() const { return completions_; }
+    fleet::fencing_token fencing_token() const { return fencing_token_; }
     // True if the VM's lease has expired.
     bool leases_expired() const { return now_ > lease_until_; }
 
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -57,17 +57,37 @@
 
     void put(const row_id& id, const std::string& value) {
         rows[id] = {value, version};
-        changes.push_back({version, id, false});
+        changes[std::get<0>(id)].push_back({version, id, false});
     }
 
     void remove(const row_id& id) {
         if (rows.erase(id) > 0) {
-            changes.push_back({version, id, true});
+            changes[std::get<0>(id)].push_back({version, id, true});
         }
     }
 
+    // The changes of the table after a version, as the feed sends them.
+    json changes_after(const std::string& table, std::int64_t after) const {
+        json out = json::array();
+        const auto found = changes.find(table);
+        if (found == changes.end()) {
+            return out;
+        }
+        auto it = std::upper_bound(
+            found->second.begin(), found->second.end(), after,
+            [](std::int64_t known, const change& one) { return known < one.version; });
+        for (; it != found->second.end(); ++it) {
+            json row = row_json(it->row);
+            if (it->removed) {
+                row["deleted"] = true;
+            }
+            out.push_back(std::move(row));
+        }
+        return out;
+    }
+
     std::map<row_id, site_row> rows;
-    std::vector<change> changes;
+    std::map<std::string, std::vector<change>> changes;  // by table, ordered by version
     std::int64_t version = 1;
     std::int64_t history_from = 0;
 };
@@ -233,12 +253,14 @@
         // report.
         void answer_watches() {
             for (auto it = waiting.begin(); it != waiting.end();) {
+                const bool superseded = it->owner < vm->fencing_token();
+                if (!superseded && vm->unacknowledged().empty() && clock.now() < it->deadline) {
+                    ++it;
+                    continue;
+                }
                 const auto report = vm->watch(it->owner, {});
                 if (!report) {
                     refuse(it->respond, report.error());
-                } else if (report->completions.empty() && clock.now() < it->deadline) {
-                    ++it;
-                    continue;
                 } else {
                     it->respond(net::json_response(status_ok, report_json(*report).dump()));
                 }
@@ -375,7 +397,13 @@
             status_ok, json{{"rows", found}, {"hasMore", more}, {"ver", rows.version}}.dump()));
     }
 
+    struct feed_answer {
+        bool empty = true;
+        std::string body;
+    };
+
     void answer_feeds() {
+        std::map<std::pair<std::string, std::int64_t>, feed_answer> answers;
         for (auto it = feeds.begin(); it != feeds.end();) {
             if (suspended_feeds.count(it->table) > 0) {
                 ++it;
@@ -386,22 +414,19 @@
                 it = feeds.erase(it);
                 continue;
             }
-            json found = json::array();
-            for (const auto& change : rows.changes) {
-                if (change.version > it->after && std::get<0>(change.row) == it->table) {
-                    json row = rows.row_json(change.row);
-                    if (change.removed) {
-                        row["deleted"] = true;
-                    }
-                    found.push_back(row);
-                }
+            // Many daemons follow a table from the same version.
+            const auto key = std::make_pair(it->table, it->after);
+            auto known = answers.find(key);
+            if (known == answers.end()) {
+                const json found = rows.changes_after(it->table, it->after);
+                known = answers.emplace(key, feed_answer{found.empty(), {}}).first;
+                known->second.body = json{{"rows", found}, {"ver", rows.version}}.dump();
             }
-            if (found.empty() && clock.now() < it->deadline) {
+            if (known->second.empty && clock.now() < it->deadline) {
                 ++it;
                 continue;
             }
-            it->respond(
-                net::json_response(status_ok, json{{"rows", found}, {"ver", rows.version}}.dump()));
+            it->respond(net::json_response(status_ok, known->second.body));
             it = feeds.erase(it);
         }
     }
@@ -454,6 +479,17 @@
         }
     }
 
+    // Records the tasks that ended as done; `first` is the number of completions before that.
+    void record_done(const fleet_vm& vm, std::size_t first) {
+        for (std::size_t i = first; i < vm.unacknowledged().size(); ++i) {
+            const auto& completion = vm.unacknowledged()[i];
+            if (completion.kind == fleet::completion_kind::done) {
+                done.insert(completion.task);
+                ever_done_tasks.insert(completion.task);
+            }
+        }
+    }
+
     void advance() {
         for (std::size_t i = 0; i < vms.size(); ++i) {
             vm_request_handler& handler = *vms[i];
@@ -462,15 +498,9 @@
             handler.fractional_ms += static_cast<double>(vm_step.count()) * rate;
             const base::milliseconds step(static_cast<std::int64_t>(handler.fractional_ms));
             handler.fractional_ms -= static_cast<double>(step.count());
-            const auto running_before = handler.vm->running();
+            const std::size_t completions_before = handler.vm->unacknowledged().size();
             handler.vm->advance(step);
-            for (const auto& run : running_before) {
-                const bool ended = handler.vm->running().count(run.first) == 0;
-                if (ended && run.second.remaining <= step && !run.second.behavior.fails) {
-                    done.insert(run.first);
-                    ever_done_tasks.insert(run.first);
-                }
-            }
+            record_done(*handler.vm, completions_before);
             if (handler.vm->leases_expired()) {
                 discard_unacknowledged(handler);
             }
@@ -669,13 +699,18 @@
 platform_site::job_counts platform_site::counts_of(const fleet::job_id& job) {
     job_counts out;
     on_loop([&] {
-        for (const auto& it : state_->ever_done_tasks) {
-            out.done += it.job == job ? 1 : 0;
-        }
-        for (const auto& vm : state_->vms) {
-            for (const auto& it : vm->vm->running()) {
-                out.running += it.first.job == job ? 1 : 0;
+        const fleet::task_ref first{job, 0, 0, 0};
+        const auto count = [&](const auto& tasks, const auto& task_of_entry) {
+            int n = 0;
+            for (auto it = tasks.lower_bound(first);
+                 it != tasks.end() && task_of_entry(*it).job == job; ++it) {
+                ++n;
             }
+            return n;
+        };
+        out.done = count(state_->ever_done_tasks, [](const auto& it) { return it; });
+        for (const auto& vm : state_->vms) {
+            out.running += count(vm->vm->running(), [](const auto& it) { return it.first; });
         }
         const auto starts = state_->starts_per_job.find(job);
         out.starts = starts == state_->starts_per_job.end() ? 0 : starts->second;
