soak: runs at the size and with the faults of the users' sites

The soak had run with a few VMs in one zone, short tasks, no gangs, and no VM that runs on while it can't be reached.

The small site draws what it drew.

--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -25,6 +25,7 @@
 constexpr base::milliseconds call_timeout{3'000};
 constexpr base::milliseconds visible_after{3'000};  // after a job was accepted
 constexpr base::milliseconds counted_after{5'000};  // after a job was accepted
+constexpr base::milliseconds short_task_time{300};
 const std::string queue_path = "/urgent/";
 
 bool is_rejection(int status) {
@@ -40,16 +41,36 @@
     return state == "queued" || state == "active" || is_final(state);
 }
 
-// A job id of 16 characters: the kind of job, the caller's number and the caller's job number.
-std::string job_text(char kind, int caller_number, int n) {
+// A job id has 16 hexadecimal digits: the kind of job, the caller's number, the time of the tasks,
+// the size of their gang and the caller's job number.
+struct task_traits {
+    int time_100ms = 0;  // 0: the time of short tasks
+    int gang_size = 0;
+};
+
+std::string job_text(char kind, int caller_number, int n, const task_traits& traits) {
     char out[17];
-    std::snprintf(out, sizeof out, "%c%03x%012x", kind, caller_number, n);
+    std::snprintf(out, sizeof out, "%c%03x%02x%02x%08x", kind, caller_number, traits.time_100ms,
+                  traits.gang_size, n);
     return out;
 }
 
-std::string job_body(int tasks, bool chained, int cores) {
-    const json step = {
-        {"count", tasks}, {"cpu", 1'000 * cores}, {"memMb", 10}, {"estimatedMs", 300}};
+task_traits traits_of(const fleet::job_id& job) {
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t time_position = 4;
+    constexpr std::size_t gang_position = 6;
+    const std::string& text = job.str();
+    return {std::stoi(text.substr(time_position, 2), nullptr, hexadecimal),
+            std::stoi(text.substr(gang_position, 2), nullptr, hexadecimal)};
+}
+
+std::string job_body(int tasks, bool chained, int cores, const task_traits& traits = {}) {
+    const int estimate_ms = traits.time_100ms > 0 ? 100 * traits.time_100ms : 300;
+    json step = {
+        {"count", tasks}, {"cpu", 1'000 * cores}, {"memMb", 10}, {"estimatedMs", estimate_ms}};
+    if (traits.gang_size > 0) {
+        step["gang"] = true;
+    }
     json steps = json::array({step});
     if (chained) {
         steps.push_back(step);
@@ -64,6 +85,16 @@
     return job.str().front() == 'f';
 }
 
+standins::task_behavior behavior_of(const fleet::job_id& job) {
+    const task_traits traits = traits_of(job);
+    standins::task_behavior out;
+    out.run_time =
+        traits.time_100ms > 0 ? base::milliseconds(100 * traits.time_100ms) : short_task_time;
+    out.fails = always_fails(job);
+    out.gang_size = static_cast<std::size_t>(traits.gang_size);
+    return out;
+}
+
 void answer_checker::add_job_violation(const fleet::job_id& job, const std::string& what) {
     add_violation("job " + job.str() + ": " + what);
 }
@@ -251,8 +282,8 @@
 }
 
 clients::clients(answer_checker& checker, std::vector<net::endpoint> daemons, int count,
-                 std::uint32_t seed)
-    : checker_(checker), daemons_(std::move(daemons)), seed_(seed) {
+                 std::uint32_t seed, job_mix mix)
+    : checker_(checker), daemons_(std::move(daemons)), seed_(seed), mix_(mix) {
     for (int i = 0; i < count; ++i) {
         threads_.emplace_back([this, i] { run(i); });
     }
@@ -334,9 +365,11 @@
     constexpr std::uint32_t unknown_job_queries = 33;
     for (int n = 0; !stopping_; ++n) {
         while (const auto extra = stopping_ ? std::nullopt : take_overload_job()) {
-            const fleet::job_id job(job_text('b', number, ++overload_count));
+            constexpr int site_overload_100ms = 20;
+            const task_traits traits{mix_ == job_mix::site ? site_overload_100ms : 0, 0};
+            const fleet::job_id job(job_text('b', number, ++overload_count, traits));
             checker_.record_job(job, 1);
-            submit(client, job, job_body(1, false, extra->cores), home);
+            submit(client, job, job_body(1, false, extra->cores, traits), home);
         }
         const std::uint32_t query_draw = more_random() % 100U;
         if (query_draw < queue_queries) {
@@ -348,18 +381,25 @@
                 client.call(daemons_[target], net::http_method::get, queue_path, "", key());
             checker_.check_queue(static_cast<int>(target), response, sent);
         } else if (query_draw < unknown_job_queries) {
-            const fleet::job_id job(job_text('e', number, n));
+            const fleet::job_id job(job_text('e', number, n, {}));
             checker_.check_unknown(job, client.call(daemons_[home], net::http_method::get,
                                                     queue_path + job.str(), "", key()));
         }
         const int action_draw = draw(0, 99);
         if (own_jobs.empty() || action_draw < 30) {
             constexpr int jobs_per_failing_job = 12;
-            const fleet::job_id job(
-                job_text(draw(1, jobs_per_failing_job) == 1 ? 'f' : '0', number, n));
+            const char kind = draw(1, jobs_per_failing_job) == 1 ? 'f' : '0';
             const bool chained = draw(0, 3) == 0;
-            const int tasks = draw(1, 4);
-            const std::string body = job_body(tasks, chained, 1);
+            int tasks = draw(1, 4);
+            task_traits traits;
+            constexpr int max_wide_tasks = 12;
+            if (mix_ == job_mix::site && kind != 'f' && draw(0, 2) == 0) {
+                tasks = draw(2, max_wide_tasks);
+                traits.time_100ms = draw(10, 60);
+                traits.gang_size = draw(0, 2) == 0 ? tasks : 0;
+            }
+            const fleet::job_id job(job_text(kind, number, n, traits));
+            const std::string body = job_body(tasks, chained, 1, traits);
             checker_.record_job(job, chained ? 2 * tasks : tasks);
             submit(client, job, body, home);
             own_jobs.push_back(job);
--- a/test/soak/clients.hpp
+++ b/test/soak/clients.hpp
@@ -101,11 +101,16 @@
     int cores = 1;
 };
 
+enum class job_mix {
+    small,  // up to two steps of up to four short tasks
+    site,   // also steps of a dozen tasks of several seconds, and gangs
+};
+
 // Callers on threads of their own, from the constructor until stop().
 class clients {
 public:
     clients(answer_checker& checker, std::vector<net::endpoint> daemons, int count,
-            std::uint32_t seed);
+            std::uint32_t seed, job_mix mix);
     ~clients();
     clients(const clients&) = delete;
     clients& operator=(const clients&) = delete;
@@ -127,6 +132,7 @@
     answer_checker& checker_;
     const std::vector<net::endpoint> daemons_;
     const std::uint32_t seed_;
+    const job_mix mix_;
     std::atomic<bool> stopping_{false};
     mutable std::mutex mutex_;
     std::string key_ = "k";
@@ -137,5 +143,7 @@
 // True if every run of the job's tasks is to fail. The id encodes it, so that the VMs' stand-ins
 // can apply it too.
 bool always_fails(const fleet::job_id& job);
+// How the job's tasks behave: the id encodes their time and the size of their gang.
+standins::task_behavior behavior_of(const fleet::job_id& job);
 
 }  // namespace cranberrydock::soak
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -28,8 +28,25 @@
     {fault_kind::link, 8, "link"},
 }};
 
-constexpr std::array<const char*, 5> link_faults{"delay", "reset", "silence", "black_hole",
-                                                 "one_way"};
+constexpr std::array<weighted_kind, 12> site_kinds{{
+    {fault_kind::vm_silent, 3, "vm_silent"},
+    {fault_kind::vm_unlisted, 2, "vm_unlisted"},
+    {fault_kind::vm_late_commands, 3, "vm_late_commands"},
+    {fault_kind::vm_restarts_unseen, 2, "vm_restarts_unseen"},
+    {fault_kind::vm_refuses, 4, "vm_refuses"},
+    {fault_kind::kill_many, 1, "kill_many"},
+    {fault_kind::reset_many, 1, "reset_many"},
+    {fault_kind::store_refuses_some, 2, "store_refuses_some"},
+    {fault_kind::kill_owner, 2, "kill_owner"},
+    {fault_kind::stop_owner, 1, "stop_owner"},
+    {fault_kind::pause_owner, 2, "pause_owner"},
+    {fault_kind::cut_owner, 3, "cut_owner"},
+}};
+
+// Faults of single links are drawn from these; `refuse` is part of site faults only.
+constexpr int drawn_link_faults = 5;
+constexpr std::array<const char*, 6> link_faults{"delay",      "reset",   "silence",
+                                                 "black_hole", "one_way", "refuse"};
 
 // One fault in this many has the kind of the fault before it.
 constexpr int faults_per_repetition = 4;
@@ -37,6 +54,14 @@
 constexpr int max_fault_ms = 7'000;  // longer than an owner's commands are valid
 constexpr int max_link_delay_ms = 400;
 constexpr int max_lost_answers = 4;
+// One fault hits at most one VM in this many.
+constexpr int max_vm_fraction = 6;
+
+bool is_vm_fault(fault_kind kind) {
+    return kind == fault_kind::vm_silent || kind == fault_kind::vm_unlisted ||
+           kind == fault_kind::vm_late_commands || kind == fault_kind::vm_restarts_unseen ||
+           kind == fault_kind::vm_refuses;
+}
 
 }  // namespace
 
@@ -67,8 +92,7 @@
         switch (drawn.kind) {
             case fault_kind::link:
                 drawn.target = draw(0, plan.links - 1);
-                drawn.link_effect =
-                    static_cast<link_fault>(draw(0, static_cast<int>(link_faults.size()) - 1));
+                drawn.link_effect = static_cast<link_fault>(draw(0, drawn_link_faults - 1));
                 drawn.delay = base::milliseconds(draw(1, max_link_delay_ms));
                 break;
             case fault_kind::crash_vm:
@@ -84,11 +108,46 @@
     }
 }
 
+std::vector<fault> draw_site_faults(const fault_plan& plan) {
+    std::seed_seq mix{plan.seed, 3U};
+    std::mt19937 random(mix);
+    const auto draw = [&random](int from, int to) {
+        return std::uniform_int_distribution<int>(from, to)(random);
+    };
+    std::vector<double> weights;
+    weights.reserve(site_kinds.size());
+    for (const auto& it : site_kinds) {
+        weights.push_back(it.weight);
+    }
+    std::discrete_distribution<std::size_t> kind(weights.begin(), weights.end());
+    std::vector<fault> out;
+    for (base::milliseconds start{draw(1, 2 * mean_pause_ms)}; start < plan.time;
+         start += base::milliseconds(draw(1, 2 * mean_pause_ms))) {
+        fault drawn;
+        drawn.kind = site_kinds[kind(random)].kind;
+        drawn.start_time = start;
+        const auto remaining_ms = static_cast<int>((plan.time - start).count());
+        drawn.duration = base::milliseconds(draw(1, std::min(remaining_ms, max_fault_ms)));
+        const bool of_vms = is_vm_fault(drawn.kind);
+        const int size = of_vms ? plan.vms : plan.daemons;
+        drawn.target = draw(0, size - 1);
+        drawn.count = draw(1, std::max(size / (of_vms ? max_vm_fraction : 2), 1));
+        out.push_back(drawn);
+    }
+    return out;
+}
+
 std::string to_string(const fault& injected) {
-    const auto entry = std::find_if(kinds.begin(), kinds.end(),
-                                    [&](const auto& it) { return it.kind == injected.kind; });
+    const auto has_kind = [&](const auto& it) { return it.kind == injected.kind; };
+    const auto* entry = std::find_if(kinds.begin(), kinds.end(), has_kind);
+    if (entry == kinds.end()) {
+        entry = std::find_if(site_kinds.begin(), site_kinds.end(), has_kind);
+    }
     std::string out = std::to_string(injected.start_time.count()) + " ms: " + entry->name + " " +
                       std::to_string(injected.target);
+    if (injected.count > 1) {
+        out += " and " + std::to_string(injected.count - 1) + " more";
+    }
     if (injected.kind == fault_kind::link) {
         out += std::string(" ") + link_faults[static_cast<std::size_t>(injected.link_effect)];
         if (injected.link_effect == link_fault::delay) {
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -26,6 +26,19 @@
     forget_history,  // the store's feeds lose their past changes
     change_key,      // a new version of the configuration with another key
     link,            // a fault of one network link
+    // Faults of sites, each of `count` daemons or VMs from `target` on.
+    vm_silent,           // accepts calls and answers none, until the fault ends
+    vm_unlisted,         // its entry is missing while it runs on, until the fault ends
+    vm_late_commands,    // carries out every other command when the fault ends
+    vm_restarts_unseen,  // answers nothing; restarts and carries out its commands at the end
+    vm_refuses,          // refuses connections while it runs on, until the fault ends
+    kill_many,           // SIGKILL; started again when the fault ends
+    reset_many,          // all connections of the daemons to the store and to callers are closed
+    store_refuses_some,  // the store refuses the daemons' connections, until the fault ends
+    kill_owner,
+    stop_owner,
+    pause_owner,
+    cut_owner,  // the owner's link to the store
 };
 
 struct fault {
@@ -33,6 +46,7 @@
     base::milliseconds duration{0};
     fault_kind kind = fault_kind::link;
     int target = 0;  // index of a daemon, VM or link, or a number of answers
+    int count = 1;
     link_fault link_effect = link_fault::delay;
     base::milliseconds delay{0};
 };
@@ -48,6 +62,9 @@
 // Ordered by start time. Faults overlap, and faults of the same kind may follow each other.
 std::vector<fault> draw_faults(const fault_plan& plan);
 
+// Faults that sites of many VMs show, from a generator of their own. Ordered by start time.
+std::vector<fault> draw_site_faults(const fault_plan& plan);
+
 std::string to_string(const fault& injected);
 
 // Records what is disturbed now, and when each earlier disturbance ended. Thread-safe.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -15,6 +15,7 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <filesystem>
@@ -27,9 +28,12 @@
 DEFINE_uint32(seed, 1, "seed of the faults and of the callers' requests");
 DEFINE_uint32(seeds, 1, "number of seeds to run one after the other, starting with --seed");
 DEFINE_int32(seconds, 12, "time in which faults are injected, in seconds");
-DEFINE_int32(daemons, 3, "processes");
-DEFINE_int32(vms, 6, "worker VMs");
-DEFINE_int32(clients, 8, "number of callers, each with its own connections");
+DEFINE_string(site, "small",
+              "small, chbench-grid or chbench-grid-grown: sets the sizes, and all but small have "
+              "zones, longer tasks, gangs and the faults of sites");
+DEFINE_int32(daemons, 0, "processes; 0: as the site has");
+DEFINE_int32(vms, 0, "worker VMs; 0: as the site has. From 400 on the daemons use relays");
+DEFINE_int32(clients, 0, "number of callers, each with its own connections; 0: as the site has");
 DEFINE_string(logs, "", "folder for the daemons' logs of runs with a breach");
 
 namespace {
@@ -45,16 +49,65 @@
 // backlog.
 constexpr base::milliseconds settle_time{5'000};
 constexpr base::milliseconds owner_fault_phase_time{4'000};
+constexpr int vms_per_overload = 48;
 constexpr int status_ok = 200;
 
+struct site_shape {
+    std::string name;
+    int daemons = 0;
+    int vms = 0;
+    int clients = 0;
+    std::vector<standins::site_zone> zones;
+    int vms_per_rack = 0;
+    std::int64_t vm_millicores = 0;
+    job_mix mix = job_mix::small;
+};
+
+// The users' sites by their sheets; the first is the project's own.
+const std::vector<site_shape> sites{
+    {"small", 3, 6, 8, {{"z", "r"}}, 0, 8'000, job_mix::small},
+    {"chbench-grid",
+     7,
+     48,
+     12,
+     {{"a-1", "a"}, {"b-1", "b"}, {"a-2", "a"}},
+     8,
+     32'000,
+     job_mix::site},
+    {"chbench-grid-grown",
+     42,
+     350,
+     24,
+     {{"a-1", "a"}, {"b-1", "b"}, {"a-2", "a"}, {"b-2", "b"}, {"a-3", "a"}, {"b-3", "b"}},
+     8,
+     32'000,
+     job_mix::site},
+};
+
+// The shape that the flags choose; set before the first run.
+site_shape shape;
+
+bool choose_shape() {
+    const auto it = std::find_if(sites.begin(), sites.end(),
+                                 [](const auto& one) { return one.name == FLAGS_site; });
+    if (it == sites.end()) {
+        return false;
+    }
+    shape = *it;
+    shape.daemons = FLAGS_daemons > 0 ? FLAGS_daemons : shape.daemons;
+    shape.vms = FLAGS_vms > 0 ? FLAGS_vms : shape.vms;
+    shape.clients = FLAGS_clients > 0 ? FLAGS_clients : shape.clients;
+    return true;
+}
+
 class soak_run {
 public:
     explicit soak_run(std::uint32_t seed)
-        : seed_(seed), cluster_(FLAGS_daemons, site_plan()), checker_(make_evidence_sources()) {
-        for (int i = 0; i < FLAGS_daemons; ++i) {
+        : seed_(seed), cluster_(shape.daemons, site_plan()), checker_(make_evidence_sources()) {
+        for (int i = 0; i < shape.daemons; ++i) {
             entry_addresses_.push_back(network_.add(cluster_.caller_address(i)));
         }
-        stopping_.assign(static_cast<std::size_t>(FLAGS_daemons), false);
+        stopping_.assign(static_cast<std::size_t>(shape.daemons), false);
     }
 
     // Runs the soak of this seed and returns a description of each breach.
@@ -62,24 +115,37 @@
         if (!wait_until_all_ready()) {
             return {"the daemons do not become ready"};
         }
-        const auto faults = draw_faults({seed_, std::chrono::seconds(FLAGS_seconds), FLAGS_daemons,
-                                         FLAGS_vms, static_cast<int>(network_.size())});
+        print_phase("ready");
+        const fault_plan plan{seed_, std::chrono::seconds(FLAGS_seconds), shape.daemons, shape.vms,
+                              static_cast<int>(network_.size())};
+        auto faults = draw_faults(plan);
+        if (shape.mix == job_mix::site) {
+            const auto more = draw_site_faults(plan);
+            faults.insert(faults.end(), more.begin(), more.end());
+            std::stable_sort(faults.begin(), faults.end(), [](const auto& a, const auto& b) {
+                return a.start_time < b.start_time;
+            });
+        }
         for (const auto& it : faults) {
             std::cout << "  " << to_string(it) << "\n";
         }
-        clients callers(checker_, entry_addresses_, FLAGS_clients, seed_);
+        clients callers(checker_, entry_addresses_, shape.clients, seed_, shape.mix);
         callers_ = &callers;
         const auto overloads = draw_overloads();
         inject(faults, overloads);
         end_all_faults();
+        print_phase("faults have ended");
         if (!wait_until_all_ready()) {
             violations_.push_back("a daemon is not ready after the faults");
         }
         disturb_owner_of_backlog(overloads);
         callers.stop();
         callers_ = nullptr;
+        print_phase("callers have ended");
         check_completions();
+        print_phase("jobs checked");
         check_without_faults();
+        print_phase("daemons checked");
         for (const auto& it : checker_.breaches()) {
             violations_.push_back(it);
         }
@@ -91,7 +157,7 @@
 
     void keep_logs(const std::string& folder) const {
         std::filesystem::create_directories(folder);
-        for (int i = 0; i < FLAGS_daemons; ++i) {
+        for (int i = 0; i < shape.daemons; ++i) {
             std::ofstream(folder + "/seed-" + std::to_string(seed_) + "-daemon-" +
                           std::to_string(i) + ".log")
                 << cluster_.log_text(i);
@@ -104,11 +170,21 @@
         std::function<void()> act;
     };
 
+    void print_phase(const std::string& what) const {
+        const auto passed = std::chrono::duration_cast<base::milliseconds>(clock_.now() - started_);
+        std::cout << "  " << passed.count() << " ms after the start: " << what << ", "
+                  << checker_.jobs().size() << " jobs" << std::endl;
+    }
+
     standins::platform_site_options site_plan() {
         standins::platform_site_options out;
-        out.vms = FLAGS_vms;
+        out.vms = shape.vms;
+        out.zones = shape.zones;
+        out.vms_per_rack = shape.vms_per_rack;
+        out.vm_millicores = shape.vm_millicores;
+        out.keep_vm_addresses = shape.mix == job_mix::site;
         out.route = [this](const net::endpoint& to) { return network_.add(to); };
-        out.task_fails = [](const fleet::task_ref& task) { return always_fails(task.job); };
+        out.behavior = [](const fleet::task_ref& task) { return behavior_of(task.job); };
         out.clock_rates = {1.0, 0.98, 1.02};
         return out;
     }
@@ -119,8 +195,8 @@
     }
 
     // The links of a daemon: to the store, and from its callers. A delay does not disturb them.
-    static int store_link(int daemon) { return FLAGS_vms + daemon; }
-    static int caller_link(int daemon) { return FLAGS_vms + FLAGS_daemons + daemon; }
+    static int store_link(int daemon) { return shape.vms + daemon; }
+    static int caller_link(int daemon) { return shape.vms + shape.daemons + daemon; }
 
     bool in_touch(int daemon, base::time_point since) const {
         return disturbances_.none_since(fault_kind::kill_daemon, daemon, since) &&
@@ -170,7 +246,10 @@
     // checked. So jobs wait here without faults until every daemon must report their count, then
     // only the owner is disturbed.
     void disturb_owner_of_backlog(const drawn_overloads& overloads) {
-        callers_->add_overload(overloads.last);
+        // In proportion to the capacity of a fleet that is larger than the first site.
+        overload last = overloads.last;
+        last.jobs *= std::max(shape.vms / vms_per_overload, 1);
+        callers_->add_overload(last);
         standins::wait_until([this] { return callers_->has_submitted_overload(); },
                              completion_timeout);
         constexpr base::milliseconds time_to_answer{500};
@@ -193,7 +272,7 @@
     bool wait_until_all_ready() {
         return standins::wait_until(
             [this] {
-                for (int i = 0; i < FLAGS_daemons; ++i) {
+                for (int i = 0; i < shape.daemons; ++i) {
                     if (cluster_.exit_status_if_ended(i) || !cluster_.ready(i)) {
                         return false;
                     }
@@ -207,8 +286,16 @@
         const auto begin = clock_.now();
         std::multimap<base::time_point, std::function<void()>> changes;
         for (const auto& it : faults) {
-            changes.emplace(begin + it.start_time, [this, it] { begin_fault(it); });
-            changes.emplace(begin + it.start_time + it.duration, [this, it] { end_fault(it); });
+            const auto parts = std::make_shared<std::vector<fault>>();
+            changes.emplace(begin + it.start_time, [this, it, parts] {
+                *parts = resolve(it);
+                std::for_each(parts->begin(), parts->end(),
+                              [this](const auto& part) { begin_fault(part); });
+            });
+            changes.emplace(begin + it.start_time + it.duration, [this, parts] {
+                std::for_each(parts->begin(), parts->end(),
+                              [this](const auto& part) { end_fault(part); });
+            });
         }
         if (overloads.first.jobs > 0) {
             changes.emplace(begin + overloads.first_time,
@@ -225,7 +312,7 @@
 
     // Restarts each daemon that ended after SIGTERM. A daemon that ends by itself is a breach.
     void restart_ended_daemons() {
-        for (int i = 0; i < FLAGS_daemons; ++i) {
+        for (int i = 0; i < shape.daemons; ++i) {
             const auto index = static_cast<std::size_t>(i);
             const auto status = cluster_.exit_status_if_ended(i);
             if (!status || killed_[i]) {
@@ -244,6 +331,59 @@
         }
     }
 
+    // The single faults that a fault of a site consists of, when it begins.
+    std::vector<fault> resolve(const fault& drawn) {
+        std::vector<fault> out;
+        const auto add = [&](fault_kind kind, int target, link_fault effect) {
+            fault part = drawn;
+            part.kind = kind;
+            part.target = target;
+            part.link_effect = effect;
+            out.push_back(part);
+        };
+        const auto owner = [this] { return std::max(cluster_.owner_index(), 0); };
+        for (int i = 0; i < drawn.count; ++i) {
+            const int daemon = (drawn.target + i) % shape.daemons;
+            const int vm = (drawn.target + i) % shape.vms;
+            switch (drawn.kind) {
+                case fault_kind::vm_refuses:
+                    add(fault_kind::link, vm, link_fault::refuse);
+                    break;
+                case fault_kind::vm_silent:
+                case fault_kind::vm_unlisted:
+                case fault_kind::vm_late_commands:
+                case fault_kind::vm_restarts_unseen:
+                    add(drawn.kind, vm, drawn.link_effect);
+                    break;
+                case fault_kind::kill_many:
+                    add(fault_kind::kill_daemon, daemon, drawn.link_effect);
+                    break;
+                case fault_kind::reset_many:
+                    add(fault_kind::link, store_link(daemon), link_fault::reset);
+                    add(fault_kind::link, caller_link(daemon), link_fault::reset);
+                    break;
+                case fault_kind::store_refuses_some:
+                    add(fault_kind::link, store_link(daemon), link_fault::refuse);
+                    break;
+                case fault_kind::kill_owner:
+                    add(fault_kind::kill_daemon, owner(), drawn.link_effect);
+                    return out;
+                case fault_kind::stop_owner:
+                    add(fault_kind::stop_daemon, owner(), drawn.link_effect);
+                    return out;
+                case fault_kind::pause_owner:
+                    add(fault_kind::pause_daemon, owner(), drawn.link_effect);
+                    return out;
+                case fault_kind::cut_owner:
+                    add(fault_kind::link, store_link(owner()), link_fault::black_hole);
+                    return out;
+                default:
+                    return {drawn};
+            }
+        }
+        return out;
+    }
+
     void begin_fault(const fault& injected) {
         const int i = injected.target;
         switch (injected.kind) {
@@ -297,6 +437,20 @@
                     disturbances_.set(fault_kind::link, i, true);
                 }
                 break;
+            case fault_kind::vm_silent:
+                cluster_.site().make_vm_unresponsive(i);
+                break;
+            case fault_kind::vm_unlisted:
+                cluster_.site().set_vm_listed(i, false);
+                break;
+            case fault_kind::vm_late_commands:
+                cluster_.site().set_vm_command_delay(i, standins::command_delay::some);
+                break;
+            case fault_kind::vm_restarts_unseen:
+                cluster_.site().set_vm_command_delay(i, standins::command_delay::all);
+                break;
+            default:
+                break;  // resolved into other faults
         }
     }
 
@@ -329,13 +483,27 @@
                     disturbances_.set(fault_kind::link, i, false);
                 }
                 break;
+            case fault_kind::vm_silent:
+                cluster_.site().make_vm_responsive(i);
+                break;
+            case fault_kind::vm_unlisted:
+                cluster_.site().set_vm_listed(i, true);
+                break;
+            case fault_kind::vm_late_commands:
+                cluster_.site().set_vm_command_delay(i, standins::command_delay::none);
+                break;
+            case fault_kind::vm_restarts_unseen:
+                cluster_.site().restart_vm_unlisted(i);
+                cluster_.site().set_vm_command_delay(i, standins::command_delay::none);
+                cluster_.site().set_vm_listed(i, true);
+                break;
             default:
                 break;
         }
     }
 
     void end_all_faults() {
-        for (int i = 0; i < FLAGS_daemons; ++i) {
+        for (int i = 0; i < shape.daemons; ++i) {
             cluster_.signal(i, SIGCONT);
             if (killed_[i]) {
                 killed_[i] = false;
@@ -348,7 +516,7 @@
         cluster_.site().lose_answers(0);
         cluster_.site().set_store_mode(standins::store_mode::serves);
         disturbances_.end_all();
-        for (int i = 0; i < FLAGS_daemons; ++i) {
+        for (int i = 0; i < shape.daemons; ++i) {
             if (stopping_[static_cast<std::size_t>(i)]) {
                 record_process_state(i, false);
             }
@@ -438,7 +606,7 @@
                                key_);
         };
         const auto check = [&](const std::string& what, const std::function<bool(int)>& holds) {
-            for (int i = 0; i < FLAGS_daemons; ++i) {
+            for (int i = 0; i < shape.daemons; ++i) {
                 if (!standins::wait_until([&] { return holds(i); }, calm_timeout)) {
                     violations_.push_back("daemon " + std::to_string(i) + what);
                 }
@@ -458,6 +626,7 @@
 
     std::uint32_t seed_;
     base::monotonic_clock clock_;
+    const base::time_point started_ = clock_.now();
     network network_;
     fleet_cluster cluster_;
     std::vector<net::endpoint> entry_addresses_;  // by daemon; the addresses that callers use
@@ -477,6 +646,11 @@
     gflags::SetUsageMessage("soaks a fleet in drawn faults; see the head of test/soak/main.cpp");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
+    if (!choose_shape()) {
+        std::cerr << "--site: expected small, chbench-grid or chbench-grid-grown, found "
+                  << FLAGS_site << "\n";
+        return 2;
+    }
     int bad_seeds = 0;
     for (std::uint32_t i = 0; i < FLAGS_seeds; ++i) {
         const std::uint32_t seed = FLAGS_seed + i;
--- a/test/soak/network.cpp
+++ b/test/soak/network.cpp
@@ -57,6 +57,9 @@
             case link_fault::one_way:
                 faulty_link.swallow_answers();
                 break;
+            case link_fault::refuse:
+                faulty_link.cut();
+                break;
         }
     });
 }
--- a/test/soak/network.hpp
+++ b/test/soak/network.hpp
@@ -20,6 +20,7 @@
     silence,     // open connections drop all bytes for good
     black_hole,  // new connections drop all bytes too, until the fault ends
     one_way,     // answers are dropped, until the fault ends
+    refuse,      // open connections are closed and new ones refused, until the fault ends
 };
 
 class network {
--- a/test/standins/fleet_cluster.cpp
+++ b/test/standins/fleet_cluster.cpp
@@ -80,6 +80,10 @@
 fleet_cluster::fleet_cluster(int daemons, const platform_site_options& plan)
     : site_(std::make_unique<platform_site>(plan)) {
     site_->put_row("op", "config", configuration(1, false));
+    json zones = json::object();  // the region of each zone
+    for (const auto& it : plan.zones) {
+        zones[it.name] = it.region;
+    }
     for (int i = 0; i < daemons; ++i) {
         auto entry = std::make_unique<daemon_process>();
         const std::string address = address_of_daemon(i);
@@ -89,10 +93,12 @@
         entry->peer_address = {address, free_port(address)};
         entry->settings_file = (entry->folder.path() / "node.json").string();
         entry->log_file = (entry->folder.path() / "log").string();
+        const auto& zone = plan.zones[static_cast<std::size_t>(i) % plan.zones.size()];
         const json settings = {
             {"nodeName", entry->name},
-            {"zone", "z"},
-            {"region", "r"},
+            {"zone", zone.name},
+            {"region", zone.region},
+            {"zones", zones},
             {"ip", address},
             {"listenAddrs",
              {{"frontend", entry->caller_address.text()},
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -5,8 +5,6 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/net/http_server.hpp>
 
-#include "fleet_vm.hpp"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -22,6 +20,7 @@
 using nlohmann::json;
 
 constexpr base::milliseconds vm_step{10};
+constexpr base::milliseconds gang_timeout{3'000};  // the daemons' default of gangTimeoutMs
 constexpr int status_ok = 200;
 constexpr int status_refused = 409;
 constexpr int status_conflict = 412;
@@ -162,7 +161,7 @@
 
     // Serves the calls to one VM on its own port.
     struct vm_request_handler final : net::http_handler {
-        vm_request_handler(state& owner, int number) : site(owner) {
+        vm_request_handler(state& owner, int number) : site(owner), index(number) {
             server = std::make_unique<net::http_server>(loop(), net::endpoint{"127.0.0.1", 0},
                                                         net::http_server_limits{}, *this);
             fleet::vm_info facts;
@@ -170,25 +169,39 @@
             facts.boot = fleet::boot_time(1'000 + number);
             vm = std::make_unique<fleet_vm>(facts, [this](const auto& task, const auto&) {
                 task_behavior out;
-                out.run_time = site.plan.task_time;
-                out.fails = site.plan.task_fails && site.plan.task_fails(task);
+                if (site.plan.behavior) {
+                    out = site.plan.behavior(task);
+                } else {
+                    out.run_time = site.plan.task_time;
+                    out.fails = site.plan.task_fails && site.plan.task_fails(task);
+                }
                 out.need.cores = base::millicores(1'000);
                 return out;
             });
         }
         net::event_loop& loop() const { return site.loop; }
 
-        void write_entry() const {
+        void write_entry() {
             constexpr int memory_mb = 65'536;
+            if (entry_address.empty() || !site.plan.keep_vm_addresses) {
+                entry_address = site.routed_address(server->listen_endpoint()).text();
+            }
+            const auto& zones = site.plan.zones;
+            const std::size_t zone = static_cast<std::size_t>(index) % zones.size();
+            const int rack = site.plan.vms_per_rack > 0
+                                 ? index / static_cast<int>(zones.size()) / site.plan.vms_per_rack
+                                 : 0;
+            const std::string rack_label =
+                "r" + std::to_string(zone + 1) + "-" + std::to_string(rack + 1);
             const json row = {
                 {"service", "svc"},
-                {"address", site.routed_address(server->listen_endpoint()).text()},
-                {"zone", "z"},
+                {"address", entry_address},
+                {"zone", zones[zone].name},
                 {"version", "v1"},
                 {"slots", 8},
                 {"state", "ready"},
                 {"capacity", {{"cpu", site.plan.vm_millicores}, {"memMb", memory_mb}, {"gpu", 0}}},
-                {"labels", {"a", "r1-1"}},
+                {"labels", {"a", rack_label}},
                 {"born", vm->facts().boot.value()},
                 {"seq", 1}};
             site.write({"servers", "", vm->facts().id.str()}, row.dump());
@@ -199,11 +212,22 @@
                 unanswered.push_back(std::move(respond));
                 return;
             }
+            const bool is_hold = request.path == "/cranberrydock/hold";
+            if (delay == command_delay::all ||
+                (delay == command_delay::some && !is_hold && ++delayable % 2 == 0)) {
+                held_up.push_back(std::move(request));
+                unanswered.push_back(std::move(respond));
+                return;
+            }
+            carry_out(request, respond);
+        }
+
+        void carry_out(const net::http_request& request, const net::http_responder& respond) {
             const json body = json::parse(request.body);
             const fleet::fencing_token owner(body.at("fencingToken").get<std::int64_t>());
             if (request.path == "/cranberrydock/hold") {
                 ++site.watch_count;
-                pending_watch pending{fleet::fencing_token(owner), std::move(respond),
+                pending_watch pending{fleet::fencing_token(owner), respond,
                                       clock.now() + base::milliseconds(body.value("waitMs", 0))};
                 fleet::watch_command order;
                 order.lease_until = fleet::vm_time(body.value("deadlineMs", std::int64_t{0}));
@@ -232,6 +256,7 @@
             const auto started = vm->start(owner, order);
             if (started && !already_running) {
                 site.check_start(*this, task);
+                site.add_gang_member(*this, task, run);
             }
             answer(respond, started);
         }
@@ -297,7 +322,12 @@
         net::endpoint address;  // while the server is closed
         std::unique_ptr<fleet_vm> vm;
         std::deque<pending_watch> waiting;
+        const int index;
+        std::string entry_address;  // as last written to the member list
         bool silent = false;
+        command_delay delay = command_delay::none;
+        int delayable = 0;
+        std::vector<net::http_request> held_up;
         std::vector<net::http_responder> unanswered;
     };
 
@@ -441,7 +471,7 @@
         answer_feeds();
     }
 
-    void set_listed(const vm_request_handler& handler, bool listed) {
+    void set_listed(vm_request_handler& handler, bool listed) {
         if (listed) {
             handler.write_entry();
             return;
@@ -451,6 +481,13 @@
         answer_feeds();
     }
 
+    static std::string describe_run(const vm_request_handler& handler,
+                                    const fleet::task_ref& task) {
+        return handler.vm->facts().id.str() + " (run " +
+               std::to_string(handler.vm->running().at(task).number.value()) + ", fence " +
+               std::to_string(handler.vm->fencing_token().value()) + ")";
+    }
+
     void check_start(const vm_request_handler& started_on, const fleet::task_ref& task) {
         ++start_count;
         ++starts_per_job[task.job];
@@ -466,7 +503,9 @@
         }
         for (const auto& it : vms) {
             if (it.get() != &started_on && it->vm->running().count(task) > 0) {
-                breaches.push_back("runs in two places: " + task_name(task));
+                breaches.push_back("runs in two places: " + task_name(task) + " on " +
+                                   describe_run(*it, task) + " and on " +
+                                   describe_run(started_on, task));
             }
         }
     }
@@ -479,13 +518,79 @@
         }
     }
 
+    // The runs of one gang. The members make progress while all of them run, and end together.
+    struct gang_key {
+        fleet::task_ref first;
+        fleet::run_number run;
+        bool operator<(const gang_key& other) const {
+            return first < other.first || (!(other.first < first) && run < other.run);
+        }
+    };
+
+    struct gang {
+        std::map<fleet::task_ref, vm_request_handler*> members;
+        base::milliseconds worked{0};
+        base::milliseconds waited{0};
+    };
+
+    void add_gang_member(vm_request_handler& handler, const fleet::task_ref& task,
+                         fleet::run_number run) {
+        if (handler.vm->running().at(task).behavior.gang_size > 0) {
+            auto first = task;
+            first.index = 0;
+            gangs[{first, run}].members[task] = &handler;
+        }
+    }
+
+    void advance_gangs() {
+        for (auto it = gangs.begin(); it != gangs.end();) {
+            auto& gang = it->second;
+            task_behavior behavior;
+            for (auto member = gang.members.begin(); member != gang.members.end();) {
+                const auto& running = member->second->vm->running();
+                const auto run = running.find(member->first);
+                if (run == running.end() || run->second.number != it->first.run) {
+                    member = gang.members.erase(member);
+                    continue;
+                }
+                behavior = run->second.behavior;
+                ++member;
+            }
+            const bool complete = gang.members.size() == behavior.gang_size;
+            if (gang.members.empty()) {
+                it = gangs.erase(it);
+                continue;
+            }
+            (complete ? gang.worked : gang.waited) += vm_step;
+            if (complete && gang.worked >= behavior.run_time) {
+                end_gang(gang, fleet::completion_kind::done);
+            } else if (!complete && gang.worked.count() > 0) {
+                end_gang(gang, fleet::completion_kind::gang_broken);
+            } else if (!complete && gang.waited >= gang_timeout) {
+                end_gang(gang, fleet::completion_kind::gang_incomplete);
+            }
+            ++it;
+        }
+    }
+
+    void end_gang(const gang& ended, fleet::completion_kind kind) {
+        for (const auto& it : ended.members) {
+            const std::size_t before = it.second->vm->unacknowledged().size();
+            it.second->vm->end_run(it.first, kind);
+            record_done(*it.second->vm, before);
+        }
+    }
+
     // Records the tasks that ended as done; `first` is the number of completions before that.
     void record_done(const fleet_vm& vm, std::size_t first) {
         for (std::size_t i = first; i < vm.unacknowledged().size(); ++i) {
             const auto& completion = vm.unacknowledged()[i];
             if (completion.kind == fleet::completion_kind::done) {
-                done.insert(completion.task);
                 ever_done_tasks.insert(completion.task);
+                // A gang's completion at one VM stands for all, so a lost one proves nothing.
+                if (!plan.behavior || plan.behavior(completion.task).gang_size == 0) {
+                    done.insert(completion.task);
+                }
             }
         }
     }
@@ -504,7 +609,10 @@
             if (handler.vm->leases_expired()) {
                 discard_unacknowledged(handler);
             }
-            handler.answer_watches();
+        }
+        advance_gangs();
+        for (const auto& it : vms) {
+            it->answer_watches();
         }
         answer_feeds();
     }
@@ -531,6 +639,7 @@
     std::set<fleet::task_ref> done;             // tasks that must not start again
     std::set<fleet::task_ref> ever_done_tasks;  // also tasks whose completion was lost
     std::vector<std::string> breaches;
+    std::map<gang_key, gang> gangs;
     std::map<fleet::job_id, int> starts_per_job;
     int start_count = 0;
     int call_count = 0;
@@ -630,6 +739,26 @@
     });
 }
 
+void platform_site::set_vm_command_delay(int index, command_delay delay) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        handler.delay = delay;
+        if (delay == command_delay::none) {
+            for (const auto& it : std::exchange(handler.held_up, {})) {
+                handler.carry_out(it, [](const net::http_response&) {});
+            }
+        }
+    });
+}
+
+void platform_site::restart_vm_unlisted(int index) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        state_->discard_unacknowledged(handler);
+        handler.vm->crash();
+    });
+}
+
 void platform_site::set_vms_listed(bool listed) {
     on_loop([&] {
         for (std::size_t i = 1; i < state_->vms.size(); ++i) {
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -7,6 +7,8 @@
 #include <cranberrydock/net/event_loop.hpp>
 #include <cranberrydock/net/http.hpp>
 
+#include "fleet_vm.hpp"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,8 +18,16 @@
 
 namespace cranberrydock::standins {
 
+struct site_zone {
+    std::string name;
+    std::string region;
+};
+
 struct platform_site_options {
     int vms = 6;
+    // The VMs and the daemons are assigned to the zones in turn.
+    std::vector<site_zone> zones{{"z", "r"}};
+    int vms_per_rack = 0;  // 0: all VMs are on one rack
     std::int64_t vm_millicores = 8'000;
     base::milliseconds task_time{300};
     // Returns the address through which the daemons reach a listener of the platform; empty: the
@@ -25,10 +35,21 @@
     std::function<net::endpoint(const net::endpoint&)> route;
     // True if every run of the task is to fail; empty: no run fails.
     std::function<bool(const fleet::task_ref&)> task_fails;
+    // How the runs of a task behave; empty: as task_time and task_fails say.
+    std::function<task_behavior(const fleet::task_ref&)> behavior;
+    // A VM keeps the address that `route` returned when it restarts.
+    bool keep_vm_addresses = false;
     // The rates of the VMs' clocks, assigned to the VMs in turn. Empty: 1 for all VMs.
     std::vector<double> clock_rates;
 };
 
+// Which of its commands a VM holds up. They are carried out later and never answered.
+enum class command_delay {
+    none,
+    some,  // every other start and stop
+    all,
+};
+
 enum class store_mode {
     serves,
     refuses,       // answers 503 and applies nothing
@@ -62,6 +83,10 @@
     void set_vm_refuses_connections(int index, bool refuses);
     // Removes the VM's entry from the member list, or adds it again.
     void set_vm_listed(int index, bool listed);
+    // Holds up commands to the VM, or carries out in order those that were held up.
+    void set_vm_command_delay(int index, command_delay delay);
+    // The VM loses its state and restarts, and its entry in the member list stays as it was.
+    void restart_vm_unlisted(int index);
     // Whether the VM runs any task.
     bool vm_is_busy(int index);
     // The feeds lose all changes so far: followers of older versions get 410.
