test: VMs of the stand-in keep time when its thread is late

The stand-in moved the clocks of its VMs by 10 ms a tick, and under load ticks are late or left out, so leases lasted too long.

The clocks follow the time that has passed, also before each command and before a run counts as running elsewhere.

--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -223,6 +223,7 @@
         }
 
         void carry_out(const net::http_request& request, const net::http_responder& respond) {
+            site.advance_clock(*this);
             const json body = json::parse(request.body);
             const fleet::fencing_token owner(body.at("fencingToken").get<std::int64_t>());
             if (request.path == "/cranberrydock/hold") {
@@ -315,9 +316,10 @@
             base::time_point deadline;
         };
 
+        base::monotonic_clock clock;
+        base::time_point advanced_at = clock.now();
         double fractional_ms = 0;  // time of the VM's clock that is not yet a full millisecond
         state& site;
-        base::monotonic_clock clock;
         std::unique_ptr<net::http_server> server;
         net::endpoint address;  // while the server is closed
         std::unique_ptr<fleet_vm> vm;
@@ -491,6 +493,12 @@
     void check_start(const vm_request_handler& started_on, const fleet::task_ref& task) {
         ++start_count;
         ++starts_per_job[task.job];
+        if (done.count(task) > 0) {
+            // The completion may have been lost with a lease that has expired since.
+            for (const auto& it : vms) {
+                advance_clock(*it);
+            }
+        }
         if (done.count(task) > 0) {
             breaches.push_back("started again after it was done: " + task_name(task));
         }
@@ -502,7 +510,11 @@
             breaches.push_back("overcommitted: " + started_on.vm->facts().id.str());
         }
         for (const auto& it : vms) {
-            if (it.get() != &started_on && it->vm->running().count(task) > 0) {
+            if (it.get() == &started_on || it->vm->running().count(task) == 0) {
+                continue;
+            }
+            advance_clock(*it);
+            if (it->vm->running().count(task) > 0) {
                 breaches.push_back("runs in two places: " + task_name(task) + " on " +
                                    describe_run(*it, task) + " and on " +
                                    describe_run(started_on, task));
@@ -543,6 +555,9 @@
     }
 
     void advance_gangs() {
+        const auto now = clock.now();
+        const auto passed = std::chrono::duration_cast<base::milliseconds>(now - gangs_advanced_at);
+        gangs_advanced_at += passed;
         for (auto it = gangs.begin(); it != gangs.end();) {
             auto& gang = it->second;
             task_behavior behavior;
@@ -561,7 +576,7 @@
                 it = gangs.erase(it);
                 continue;
             }
-            (complete ? gang.worked : gang.waited) += vm_step;
+            (complete ? gang.worked : gang.waited) += passed;
             if (complete && gang.worked >= behavior.run_time) {
                 end_gang(gang, fleet::completion_kind::done);
             } else if (!complete && gang.worked.count() > 0) {
@@ -595,20 +610,29 @@
         }
     }
 
+    // Moves the VM's clock on by the time that has passed, also when the platform's thread is late.
+    void advance_clock(vm_request_handler& handler) {
+        const auto now = clock.now();
+        const double rate = plan.clock_rates.empty()
+                                ? 1.0
+                                : plan.clock_rates[static_cast<std::size_t>(handler.index) %
+                                                   plan.clock_rates.size()];
+        const std::chrono::duration<double, std::milli> passed = now - handler.advanced_at;
+        handler.advanced_at = now;
+        handler.fractional_ms += passed.count() * rate;
+        const base::milliseconds step(static_cast<std::int64_t>(handler.fractional_ms));
+        handler.fractional_ms -= static_cast<double>(step.count());
+        const std::size_t completions_before = handler.vm->unacknowledged().size();
+        handler.vm->advance(step);
+        record_done(*handler.vm, completions_before);
+        if (handler.vm->leases_expired()) {
+            discard_unacknowledged(handler);
+        }
+    }
+
     void advance() {
-        for (std::size_t i = 0; i < vms.size(); ++i) {
-            vm_request_handler& handler = *vms[i];
-            const double rate =
-                plan.clock_rates.empty() ? 1.0 : plan.clock_rates[i % plan.clock_rates.size()];
-            handler.fractional_ms += static_cast<double>(vm_step.count()) * rate;
-            const base::milliseconds step(static_cast<std::int64_t>(handler.fractional_ms));
-            handler.fractional_ms -= static_cast<double>(step.count());
-            const std::size_t completions_before = handler.vm->unacknowledged().size();
-            handler.vm->advance(step);
-            record_done(*handler.vm, completions_before);
-            if (handler.vm->leases_expired()) {
-                discard_unacknowledged(handler);
-            }
+        for (const auto& it : vms) {
+            advance_clock(*it);
         }
         advance_gangs();
         for (const auto& it : vms) {
@@ -640,6 +664,7 @@
     std::set<fleet::task_ref> ever_done_tasks;  // also tasks whose completion was lost
     std::vector<std::string> breaches;
     std::map<gang_key, gang> gangs;
+    base::time_point gangs_advanced_at = clock.now();
     std::map<fleet::job_id, int> starts_per_job;
     int start_count = 0;
     int call_count = 0;
