--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -5,8 +5,6 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/net/http_server.hpp>
 
-#include "fleet_vm.hpp"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -22,6 +20,7 @@
 using nlohmann::json;
 
 constexpr base::milliseconds vm_step{10};
+constexpr base::milliseconds gang_timeout{3'000};  // the daemons' default of gangTimeoutMs
 constexpr int status_ok = 200;
 constexpr int status_refused = 409;
 constexpr int status_conflict = 412;
@@ -57,17 +56,37 @@
 
     void put(const row_id& id, const std::string& value) {
         rows[id] = {value, version};
-        changes.push_back({version, id, false});
+        changes[std::get<0>(id)].push_back({version, id, false});
     }
 
     void remove(const row_id& id) {
         if (rows.erase(id) > 0) {
-            changes.push_back({version, id, true});
+            changes[std::get<0>(id)].push_back({version, id, true});
+        }
+    }
+
+    // The changes of the table after a version, as the feed sends them.
+    json changes_after(const std::string& table, std::int64_t after) const {
+        json out = json::array();
+        const auto found = changes.find(table);
+        if (found == changes.end()) {
+            return out;
+        }
+        auto it = std::upper_bound(
+            found->second.begin(), found->second.end(), after,
+            [](std::int64_t known, const change& one) { return known < one.version; });
+        for (; it != found->second.end(); ++it) {
+            json row = row_json(it->row);
+            if (it->removed) {
+                row["deleted"] = true;
+            }
+            out.push_back(std::move(row));
         }
+        return out;
     }
 
     std::map<row_id, site_row> rows;
-    std::vector<change> changes;
+    std::map<std::string, std::vector<change>> changes;  // by table, ordered by version
     std::int64_t version = 1;
     std::int64_t history_from = 0;
 };
@@ -142,7 +161,7 @@
 
     // Serves the calls to one VM on its own port.
     struct vm_request_handler final : net::http_handler {
-        vm_request_handler(state& owner, int number) : site(owner) {
+        vm_request_handler(state& owner, int number) : site(owner), index(number) {
             server = std::make_unique<net::http_server>(loop(), net::endpoint{"127.0.0.1", 0},
                                                         net::http_server_limits{}, *this);
             fleet::vm_info facts;
@@ -150,25 +169,39 @@
             facts.boot = fleet::boot_time(1'000 + number);
             vm = std::make_unique<fleet_vm>(facts, [this](const auto& task, const auto&) {
                 task_behavior out;
-                out.run_time = site.plan.task_time;
-                out.fails = site.plan.task_fails && site.plan.task_fails(task);
+                if (site.plan.behavior) {
+                    out = site.plan.behavior(task);
+                } else {
+                    out.run_time = site.plan.task_time;
+                    out.fails = site.plan.task_fails && site.plan.task_fails(task);
+                }
                 out.need.cores = base::millicores(1'000);
                 return out;
             });
         }
         net::event_loop& loop() const { return site.loop; }
 
-        void write_entry() const {
+        void write_entry() {
             constexpr int memory_mb = 65'536;
+            if (entry_address.empty() || !site.plan.keep_vm_addresses) {
+                entry_address = site.routed_address(server->listen_endpoint()).text();
+            }
+            const auto& zones = site.plan.zones;
+            const std::size_t zone = static_cast<std::size_t>(index) % zones.size();
+            const int rack = site.plan.vms_per_rack > 0
+                                 ? index / static_cast<int>(zones.size()) / site.plan.vms_per_rack
+                                 : 0;
+            const std::string rack_label =
+                "r" + std::to_string(zone + 1) + "-" + std::to_string(rack + 1);
             const json row = {
                 {"service", "svc"},
-                {"address", site.routed_address(server->listen_endpoint()).text()},
-                {"zone", "z"},
+                {"address", entry_address},
+                {"zone", zones[zone].name},
                 {"version", "v1"},
                 {"slots", 8},
                 {"state", "ready"},
                 {"capacity", {{"cpu", site.plan.vm_millicores}, {"memMb", memory_mb}, {"gpu", 0}}},
-                {"labels", {"a", "r1-1"}},
+                {"labels", {"a", rack_label}},
                 {"born", vm->facts().boot.value()},
                 {"seq", 1}};
             site.write({"servers", "", vm->facts().id.str()}, row.dump());
@@ -179,12 +212,23 @@
                 unanswered.push_back(std::move(respond));
                 return;
             }
-            site.advance();
+            const bool is_hold = request.path == "/cranberrydock/hold";
+            if (delay == command_delay::all ||
+                (delay == command_delay::some && !is_hold && ++delayable % 2 == 0)) {
+                held_up.push_back(std::move(request));
+                unanswered.push_back(std::move(respond));
+                return;
+            }
+            carry_out(request, respond);
+        }
+
+        void carry_out(const net::http_request& request, const net::http_responder& respond) {
+            site.advance_clock(*this);
             const json body = json::parse(request.body);
             const fleet::fencing_token owner(body.at("fencingToken").get<std::int64_t>());
             if (request.path == "/cranberrydock/hold") {
                 ++site.watch_count;
-                pending_watch pending{fleet::fencing_token(owner), std::move(respond),
+                pending_watch pending{fleet::fencing_token(owner), respond,
                                       clock.now() + base::milliseconds(body.value("waitMs", 0))};
                 fleet::watch_command order;
                 order.lease_until = fleet::vm_time(body.value("deadlineMs", std::int64_t{0}));
@@ -213,6 +257,7 @@
             const auto started = vm->start(owner, order);
             if (started && !already_running) {
                 site.check_start(*this, task);
+                site.add_gang_member(*this, task, run);
             }
             answer(respond, started);
         }
@@ -234,12 +279,14 @@
         // report.
         void answer_watches() {
             for (auto it = waiting.begin(); it != waiting.end();) {
+                const bool superseded = it->owner < vm->fencing_token();
+                if (!superseded && vm->unacknowledged().empty() && clock.now() < it->deadline) {
+                    ++it;
+                    continue;
+                }
                 const auto report = vm->watch(it->owner, {});
                 if (!report) {
                     refuse(it->respond, report.error());
-                } else if (report->completions.empty() && clock.now() < it->deadline) {
-                    ++it;
-                    continue;
                 } else {
                     it->respond(net::json_response(status_ok, report_json(*report).dump()));
                 }
@@ -269,14 +316,20 @@
             base::time_point deadline;
         };
 
+        base::monotonic_clock clock;
+        base::time_point advanced_at = clock.now();
         double fractional_ms = 0;  // time of the VM's clock that is not yet a full millisecond
         state& site;
-        base::monotonic_clock clock;
         std::unique_ptr<net::http_server> server;
         net::endpoint address;  // while the server is closed
         std::unique_ptr<fleet_vm> vm;
         std::deque<pending_watch> waiting;
+        const int index;
+        std::string entry_address;  // as last written to the member list
         bool silent = false;
+        command_delay delay = command_delay::none;
+        int delayable = 0;
+        std::vector<net::http_request> held_up;
         std::vector<net::http_responder> unanswered;
     };
 
@@ -376,7 +429,13 @@
             status_ok, json{{"rows", found}, {"hasMore", more}, {"ver", rows.version}}.dump()));
     }
 
+    struct feed_answer {
+        bool empty = true;
+        std::string body;
+    };
+
     void answer_feeds() {
+        std::map<std::pair<std::string, std::int64_t>, feed_answer> answers;
         for (auto it = feeds.begin(); it != feeds.end();) {
             if (suspended_feeds.count(it->table) > 0) {
                 ++it;
@@ -387,22 +446,19 @@
                 it = feeds.erase(it);
                 continue;
             }
-            json found = json::array();
-            for (const auto& change : rows.changes) {
-                if (change.version > it->after && std::get<0>(change.row) == it->table) {
-                    json row = rows.row_json(change.row);
-                    if (change.removed) {
-                        row["deleted"] = true;
-                    }
-                    found.push_back(row);
-                }
+            // Many daemons follow a table from the same version.
+            const auto key = std::make_pair(it->table, it->after);
+            auto known = answers.find(key);
+            if (known == answers.end()) {
+                const json found = rows.changes_after(it->table, it->after);
+                known = answers.emplace(key, feed_answer{found.empty(), {}}).first;
+                known->second.body = json{{"rows", found}, {"ver", rows.version}}.dump();
             }
-            if (found.empty() && clock.now() < it->deadline) {
+            if (known->second.empty && clock.now() < it->deadline) {
                 ++it;
                 continue;
             }
-            it->respond(
-                net::json_response(status_ok, json{{"rows", found}, {"ver", rows.version}}.dump()));
+            it->respond(net::json_response(status_ok, known->second.body));
             it = feeds.erase(it);
         }
     }
@@ -417,7 +473,7 @@
         answer_feeds();
     }
 
-    void set_listed(const vm_request_handler& handler, bool listed) {
+    void set_listed(vm_request_handler& handler, bool listed) {
         if (listed) {
             handler.write_entry();
             return;
@@ -427,9 +483,22 @@
         answer_feeds();
     }
 
+    static std::string describe_run(const vm_request_handler& handler,
+                                    const fleet::task_ref& task) {
+        return handler.vm->facts().id.str() + " (run " +
+               std::to_string(handler.vm->running().at(task).number.value()) + ", fence " +
+               std::to_string(handler.vm->fencing_token().value()) + ")";
+    }
+
     void check_start(const vm_request_handler& started_on, const fleet::task_ref& task) {
         ++start_count;
         ++starts_per_job[task.job];
+        if (done.count(task) > 0) {
+            // The completion may have been lost with a lease that has expired since.
+            for (const auto& it : vms) {
+                advance_clock(*it);
+            }
+        }
         if (done.count(task) > 0) {
             breaches.push_back("started again after it was done: " + task_name(task));
         }
@@ -441,8 +510,14 @@
             breaches.push_back("overcommitted: " + started_on.vm->facts().id.str());
         }
         for (const auto& it : vms) {
-            if (it.get() != &started_on && it->vm->running().count(task) > 0) {
-                breaches.push_back("runs in two places: " + task_name(task));
+            if (it.get() == &started_on || it->vm->running().count(task) == 0) {
+                continue;
+            }
+            advance_clock(*it);
+            if (it->vm->running().count(task) > 0) {
+                breaches.push_back("runs in two places: " + task_name(task) + " on " +
+                                   describe_run(*it, task) + " and on " +
+                                   describe_run(started_on, task));
             }
         }
     }
@@ -455,39 +530,117 @@
         }
     }
 
-    // Moves the VMs' clocks on to the present, however late the timer is: a slower clock would
-    // break the platform's promise about leases.
-    void advance() {
-        for (; advanced_until + vm_step <= clock.now(); advanced_until += vm_step) {
-            step_vms();
+    // The runs of one gang. The members make progress while all of them run, and end together.
+    struct gang_key {
+        fleet::task_ref first;
+        fleet::run_number run;
+        bool operator<(const gang_key& other) const {
+            return first < other.first || (!(other.first < first) && run < other.run);
+        }
+    };
+
+    struct gang {
+        std::map<fleet::task_ref, vm_request_handler*> members;
+        base::milliseconds worked{0};
+        base::milliseconds waited{0};
+    };
+
+    void add_gang_member(vm_request_handler& handler, const fleet::task_ref& task,
+                         fleet::run_number run) {
+        if (handler.vm->running().at(task).behavior.gang_size > 0) {
+            auto first = task;
+            first.index = 0;
+            gangs[{first, run}].members[task] = &handler;
         }
-        answer_feeds();
     }
 
-    void step_vms() {
-        for (std::size_t i = 0; i < vms.size(); ++i) {
-            vm_request_handler& handler = *vms[i];
-            const double rate =
-                plan.clock_rates.empty() ? 1.0 : plan.clock_rates[i % plan.clock_rates.size()];
-            handler.fractional_ms += static_cast<double>(vm_step.count()) * rate;
-            const base::milliseconds step(static_cast<std::int64_t>(handler.fractional_ms));
-            handler.fractional_ms -= static_cast<double>(step.count());
-            const auto running_before = handler.vm->running();
-            handler.vm->advance(step);
-            for (const auto& run : running_before) {
-                const bool ended = handler.vm->running().count(run.first) == 0;
-                if (ended && run.second.remaining <= step && !run.second.behavior.fails) {
-                    done.insert(run.first);
-                    ever_done_tasks.insert(run.first);
+    void advance_gangs() {
+        const auto now = clock.now();
+        const auto passed = std::chrono::duration_cast<base::milliseconds>(now - gangs_advanced_at);
+        gangs_advanced_at += passed;
+        for (auto it = gangs.begin(); it != gangs.end();) {
+            auto& gang = it->second;
+            task_behavior behavior;
+            for (auto member = gang.members.begin(); member != gang.members.end();) {
+                const auto& running = member->second->vm->running();
+                const auto run = running.find(member->first);
+                if (run == running.end() || run->second.number != it->first.run) {
+                    member = gang.members.erase(member);
+                    continue;
                 }
+                behavior = run->second.behavior;
+                ++member;
             }
-            if (handler.vm->leases_expired()) {
-                discard_unacknowledged(handler);
+            const bool complete = gang.members.size() == behavior.gang_size;
+            if (gang.members.empty()) {
+                it = gangs.erase(it);
+                continue;
+            }
+            (complete ? gang.worked : gang.waited) += passed;
+            if (complete && gang.worked >= behavior.run_time) {
+                end_gang(gang, fleet::completion_kind::done);
+            } else if (!complete && gang.worked.count() > 0) {
+                end_gang(gang, fleet::completion_kind::gang_broken);
+            } else if (!complete && gang.waited >= gang_timeout) {
+                end_gang(gang, fleet::completion_kind::gang_incomplete);
+            }
+            ++it;
+        }
+    }
+
+    void end_gang(const gang& ended, fleet::completion_kind kind) {
+        for (const auto& it : ended.members) {
+            const std::size_t before = it.second->vm->unacknowledged().size();
+            it.second->vm->end_run(it.first, kind);
+            record_done(*it.second->vm, before);
+        }
+    }
+
+    // Records the tasks that ended as done; `first` is the number of completions before that.
+    void record_done(const fleet_vm& vm, std::size_t first) {
+        for (std::size_t i = first; i < vm.unacknowledged().size(); ++i) {
+            const auto& completion = vm.unacknowledged()[i];
+            if (completion.kind == fleet::completion_kind::done) {
+                ever_done_tasks.insert(completion.task);
+                // A gang's completion at one VM stands for all, so a lost one proves nothing.
+                if (!plan.behavior || plan.behavior(completion.task).gang_size == 0) {
+                    done.insert(completion.task);
+                }
             }
-            handler.answer_watches();
         }
     }
 
+    // Moves the VM's clock on by the time that has passed, also when the platform's thread is late.
+    void advance_clock(vm_request_handler& handler) {
+        const auto now = clock.now();
+        const double rate = plan.clock_rates.empty()
+                                ? 1.0
+                                : plan.clock_rates[static_cast<std::size_t>(handler.index) %
+                                                   plan.clock_rates.size()];
+        const std::chrono::duration<double, std::milli> passed = now - handler.advanced_at;
+        handler.advanced_at = now;
+        handler.fractional_ms += passed.count() * rate;
+        const base::milliseconds step(static_cast<std::int64_t>(handler.fractional_ms));
+        handler.fractional_ms -= static_cast<double>(step.count());
+        const std::size_t completions_before = handler.vm->unacknowledged().size();
+        handler.vm->advance(step);
+        record_done(*handler.vm, completions_before);
+        if (handler.vm->leases_expired()) {
+            discard_unacknowledged(handler);
+        }
+    }
+
+    void advance() {
+        for (const auto& it : vms) {
+            advance_clock(*it);
+        }
+        advance_gangs();
+        for (const auto& it : vms) {
+            it->answer_watches();
+        }
+        answer_feeds();
+    }
+
     struct feed {
         std::string table;
         std::int64_t after;
@@ -510,11 +663,12 @@
     std::set<fleet::task_ref> done;             // tasks that must not start again
     std::set<fleet::task_ref> ever_done_tasks;  // also tasks whose completion was lost
     std::vector<std::string> breaches;
+    std::map<gang_key, gang> gangs;
+    base::time_point gangs_advanced_at = clock.now();
     std::map<fleet::job_id, int> starts_per_job;
     int start_count = 0;
     int call_count = 0;
     int watch_count = 0;
-    base::time_point advanced_until = clock.now();  // by the VMs' clocks
     std::unique_ptr<net::timer> step_timer;
 };
 
@@ -610,6 +764,26 @@
     });
 }
 
+void platform_site::set_vm_command_delay(int index, command_delay delay) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        handler.delay = delay;
+        if (delay == command_delay::none) {
+            for (const auto& it : std::exchange(handler.held_up, {})) {
+                handler.carry_out(it, [](const net::http_response&) {});
+            }
+        }
+    });
+}
+
+void platform_site::restart_vm_unlisted(int index) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        state_->discard_unacknowledged(handler);
+        handler.vm->crash();
+    });
+}
+
 void platform_site::set_vms_listed(bool listed) {
     on_loop([&] {
         for (std::size_t i = 1; i < state_->vms.size(); ++i) {
@@ -679,13 +853,18 @@
 platform_site::job_counts platform_site::counts_of(const fleet::job_id& job) {
     job_counts out;
     on_loop([&] {
-        for (const auto& it : state_->ever_done_tasks) {
-            out.done += it.job == job ? 1 : 0;
-        }
-        for (const auto& vm : state_->vms) {
-            for (const auto& it : vm->vm->running()) {
-                out.running += it.first.job == job ? 1 : 0;
+        const fleet::task_ref first{job, 0, 0, 0};
+        const auto count = [&](const auto& tasks, const auto& task_of_entry) {
+            int n = 0;
+            for (auto it = tasks.lower_bound(first);
+                 it != tasks.end() && task_of_entry(*it).job == job; ++it) {
+                ++n;
             }
+            return n;
+        };
+        out.done = count(state_->ever_done_tasks, [](const auto& it) { return it; });
+        for (const auto& vm : state_->vms) {
+            out.running += count(vm->vm->running(), [](const auto& it) { return it.first; });
         }
         const auto starts = state_->starts_per_job.find(job);
         out.starts = starts == state_->starts_per_job.end() ? 0 : starts->second;
