fleet: the progress row of a job stays bounded

Its progress row grows by two bytes with each failed run; past rowBytes the store rejects every transaction that contains it, no end of that part is saved, and the runners' lists of ends fill. The row grows by 10 bytes with each finished occurrence of a timed submission too.

Cause: task_failed saved the number of each failed run also for long-running steps, whose failures nothing counts; progress listed every occurrence since the first.

Change: failures of long-running steps are not saved. Finished occurrences in a row are one number in the row; a new owner does not restore them.

--- a/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
@@ -14,7 +14,8 @@
 // The progress of one step of one occurrence, with one entry per task.
 struct step_progress {
     std::vector<bool> done;
-    // The failed runs of each task. A completion that is reported twice counts once.
+    // The failed runs of each task. A completion that is reported twice counts once. Empty for
+    // long-running tasks, whose failures are not limited.
     std::vector<std::vector<run_number>> failed_runs;
 };
 
@@ -22,9 +23,12 @@
     customer_name customer;
     queue_name queue;
     job_state state = job_state::queued;
-    unix_time ended;                                      // set in a final state
-    bool withdrawn = false;                               // see job_row_kind::withdrawn
-    std::vector<std::vector<step_progress>> occurrences;  // empty for a final state
+    unix_time ended;          // set in a final state
+    bool withdrawn = false;   // see job_row_kind::withdrawn
+    int finished_before = 0;  // all occurrences before this one are finished
+    // The occurrences from `finished_before` on; one without steps is finished. Empty for a final
+    // state.
+    std::vector<std::vector<step_progress>> occurrences;
 };
 
 // What the row of a cancelled job keeps: the names that requests about the job are checked against.
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace cranberrydock::fleet {
 namespace {
 
@@ -107,6 +109,61 @@
     return out;
 }
 
+// Occurrences are encoded as an array. A number in it stands for that many finished occurrences in
+// a row, an array of steps for one that is not finished.
+json encode_occurrences(const job_progress& progress) {
+    json out = json::array();
+    int finished = progress.finished_before;
+    const auto add_finished = [&out, &finished] {
+        if (finished > 0) {
+            out.push_back(finished);
+            finished = 0;
+        }
+    };
+    for (const auto& it : progress.occurrences) {
+        if (it.empty()) {
+            ++finished;
+            continue;
+        }
+        add_finished();
+        json steps = json::array();
+        for (const auto& step : it) {
+            steps.push_back(encode_tasks(step));
+        }
+        out.push_back(std::move(steps));
+    }
+    add_finished();
+    return out;
+}
+
+void decode_occurrences(const json& encoded, job_progress& out) {
+    constexpr std::int64_t max_finished = 10'000'000;  // after an occurrence that is not finished
+    for (const auto& it : encoded) {
+        if (it.is_array()) {
+            std::vector<step_progress> steps;
+            for (const auto& marks : it) {
+                steps.push_back(decode_tasks(marks));
+            }
+            out.occurrences.push_back(std::move(steps));
+            continue;
+        }
+        const auto count = it.get<std::int64_t>();
+        const bool leads = out.occurrences.empty() && out.finished_before == 0;
+        const std::int64_t limit =
+            leads ? std::numeric_limits<std::int32_t>::max()
+                  : max_finished - static_cast<std::int64_t>(out.occurrences.size());
+        if (count < 1 || count > limit) {
+            throw std::invalid_argument("expected a number of finished occurrences, found " +
+                                        std::to_string(count));
+        }
+        if (leads) {
+            out.finished_before = static_cast<int>(count);
+        } else {
+            out.occurrences.resize(out.occurrences.size() + static_cast<std::size_t>(count));
+        }
+    }
+}
+
 json decode_map(const std::string& value) {
     json out = json::from_cbor(value);
     if (!out.is_object()) {
@@ -160,15 +217,7 @@
         }
         return to_bytes(out);
     }
-    json occurrences = json::array();
-    for (const auto& it : progress.occurrences) {
-        json steps = json::array();
-        for (const auto& step : it) {
-            steps.push_back(encode_tasks(step));
-        }
-        occurrences.push_back(std::move(steps));
-    }
-    out["occurrences"] = std::move(occurrences);
+    out["occurrences"] = encode_occurrences(progress);
     return to_bytes(out);
 }
 
@@ -219,13 +268,7 @@
         out.ended = unix_time(fields.value("ended", std::int64_t{0}));
         out.withdrawn = fields.value("withdrawn", false);
         if (fields.contains("occurrences")) {
-            for (const auto& it : fields.at("occurrences")) {
-                std::vector<step_progress> steps;
-                for (const auto& marks : it) {
-                    steps.push_back(decode_tasks(marks));
-                }
-                out.occurrences.push_back(std::move(steps));
-            }
+            decode_occurrences(fields.at("occurrences"), out);
         }
         return out;
     } catch (const std::exception& error) {
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -16,7 +16,9 @@
     const auto n = std::min(step.tasks.size(), saved.done.size());
     for (std::size_t i = 0; i < n; ++i) {
         step.tasks[i].done = saved.done[i];
-        step.tasks[i].failed_runs = saved.failed_runs[i];
+        if (!step.spec->long_running) {
+            step.tasks[i].failed_runs = saved.failed_runs[i];
+        }
         step.done_count += saved.done[i] ? 1 : 0;
     }
 }
@@ -34,6 +36,29 @@
     return std::all_of(steps.begin(), steps.end(), [](const auto& it) { return it.finished(); });
 }
 
+// Progress of the occurrences that are not finished, and marks of those that are.
+void add_occurrences(job_record& job, job_progress& out) {
+    const auto unfinished = [&job](int occurrence) {
+        const auto it = job.occurrences.find(occurrence);
+        return it != job.occurrences.end() && !all_finished(it->second);
+    };
+    while (job.finished_before < job.next_occurrence && !unfinished(job.finished_before)) {
+        ++job.finished_before;
+    }
+    out.finished_before = job.finished_before;
+    out.occurrences.resize(static_cast<std::size_t>(job.next_occurrence - job.finished_before));
+    for (auto it = job.occurrences.lower_bound(job.finished_before); it != job.occurrences.end();
+         ++it) {
+        if (all_finished(it->second)) {
+            continue;
+        }
+        auto& steps = out.occurrences[static_cast<std::size_t>(it->first - job.finished_before)];
+        for (const auto& step : it->second) {
+            steps.push_back(progress_of(step));
+        }
+    }
+}
+
 }  // namespace
 
 void scheduler::state::mark_changed(job_record& job) {
@@ -154,17 +179,23 @@
         state_->timed_jobs.insert(spec.id);
     }
     if (progress != nullptr) {
+        int restored = 0;
         job.started = progress->state != job_state::queued;
         job.state = progress->state;
-        for (std::size_t k = 0; k < progress->occurrences.size(); ++k) {
-            const int occurrence = static_cast<int>(k);
+        job.finished_before = progress->finished_before;
+        job.next_occurrence = std::max(job.next_occurrence, progress->finished_before);
+        for (const auto& saved : progress->occurrences) {
+            const int occurrence = job.finished_before + restored++;
+            job.next_occurrence = std::max(job.next_occurrence, occurrence + 1);
+            if (saved.empty()) {
+                continue;
+            }
             state_->add_occurrence(job, occurrence);
             auto& steps = job.occurrences[occurrence];
-            const auto n = std::min(steps.size(), progress->occurrences[k].size());
+            const auto n = std::min(steps.size(), saved.size());
             for (std::size_t i = 0; i < n; ++i) {
-                restore(steps[i], progress->occurrences[k][i]);
+                restore(steps[i], saved[i]);
             }
-            job.next_occurrence = std::max(job.next_occurrence, occurrence + 1);
         }
     }
     for (auto& it : job.occurrences) {
@@ -218,6 +249,11 @@
 void scheduler::state::task_failed(job_record& job, const task_ref& task, step_state& step,
                                    run_number run, const clock_reading& now) {
     auto& failed_task = step.tasks[static_cast<std::size_t>(task.index)];
+    if (step.spec->long_running) {
+        // Restarted however often it fails, so there is nothing to save.
+        metrics->count("cranberrydock_task_failures_total", "");
+        return;
+    }
     const bool counted = std::find(failed_task.failed_runs.begin(), failed_task.failed_runs.end(),
                                    run) != failed_task.failed_runs.end();
     if (failed_task.done || counted) {
@@ -232,8 +268,7 @@
     }
     mark_changed(job);
     metrics->count("cranberrydock_task_failures_total", "");
-    if (!step.spec->long_running &&
-        static_cast<int>(failed_task.failed_runs.size()) >= job.terms().max_attempts) {
+    if (static_cast<int>(failed_task.failed_runs.size()) >= job.terms().max_attempts) {
         finish_job(job, job_state::failed, now);
     }
 }
@@ -301,13 +336,7 @@
         unsaved.progress.ended = job.ended;
         if (!is_final(job.state)) {
             unsaved.progress.state = job.started ? job_state::active : job_state::queued;
-            for (const auto& occurrence : job.occurrences) {
-                std::vector<step_progress> steps;
-                for (const auto& step : occurrence.second) {
-                    steps.push_back(progress_of(step));
-                }
-                unsaved.progress.occurrences.push_back(std::move(steps));
-            }
+            add_occurrences(job, unsaved.progress);
         }
         out.push_back(std::move(unsaved));
     }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -121,7 +121,7 @@
 
 struct task_state {
     bool done = false;
-    std::vector<run_number> failed_runs;
+    std::vector<run_number> failed_runs;  // empty for a long-running task
     run_number last_run;
     vm_record* vm = nullptr;  // where its run is placed; null: it has no run
     checkpoint saved;
@@ -151,8 +151,10 @@
     bool over_share = false;  // exceeds its customer's entitlement in jobs per second
     bool started = false;     // at least one task has started
     unix_time ended;
-    std::map<int, std::vector<step_state>> occurrences;  // occurrences whose due time has passed
-    int next_occurrence = 0;                             // the first occurrence that is not due yet
+    // Occurrences whose due time has passed. Those that a previous owner has finished are missing.
+    std::map<int, std::vector<step_state>> occurrences;
+    int next_occurrence = 0;              // the first occurrence that is not due yet
+    int finished_before = 0;              // all occurrences before this one are finished
     std::uint64_t change = 0;             // incremented by every change that has to be saved
     std::uint64_t last_taken_change = 0;  // at the last take_unsaved_jobs()
     std::uint64_t saved = 0;              // the last saved change
