fleet_daemon: a row that the store rejects concerns its own job only

Cause: a transaction that the store rejects for good (400) counted as one whose answer was lost, and was repeated unchanged with the rows of all other jobs in it. Nothing compared rows with rowBytes, nor a transaction (98 rows of up to 64 KiB) with the store's 1 MB.

Change: 400, 403 and 413 are a failure of their own, 'rejected'. The owner knows rowBytes (platform/rowBytes, 65,536 if missing). A progress row that is larger is written without its failed runs; if it still does not fit, it is not written, and its ends are acknowledged, as a runner returns 500 ends at a time and unacknowledged ones would hold back all other jobs. A new owner repeats what such a row does not show. Row values of a transaction are held under 700,000 bytes.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -80,6 +80,10 @@
     out.owner.scheduler.gang_start_timeout = share_of(site.gang_timeout, gang_start_share);
     out.owner.max_job_feed_age =
         std::max(base::milliseconds{0}, site.cancel_deadline - max_start_delay);
+    if (site.max_row_bytes > 0) {
+        out.owner.limits.row_bytes =
+            std::min(site.max_row_bytes, out.owner.limits.transaction_bytes);
+    }
     out.owner.ended_job_retention = site.ended_job_retention + ended_job_margin;
     return out;
 }
--- a/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
@@ -42,6 +42,12 @@
 std::string encode_cancelled(const cancelled_job& job);
 std::string encode_progress(const job_progress& progress);
 
+// Upper bound of the size of the job's first progress row, with one occurrence and no failed run.
+std::size_t initial_progress_bytes(const job_spec& job);
+// Removes the failed runs, which are the only part of the progress that may exceed the space that
+// the job's size implies.
+void drop_failed_runs(job_progress& progress);
+
 enum class job_row_kind {
     submitted,
     cancelled,
--- a/packages/fleet/include/cranberrydock/fleet/row_store.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/row_store.hpp
@@ -32,6 +32,12 @@
     bool removed = false;  // only in change feeds
 };
 
+// Largest sizes that the store accepts, in bytes of row values.
+struct store_limits {
+    std::size_t row_bytes = 65'536;
+    std::size_t transaction_bytes = 700'000;  // all rows of a transaction together
+};
+
 struct row_condition {
     row_address address;
     store_version version;
@@ -56,6 +62,7 @@
     answer_lost,        // outcome unknown: may be applied already, or later if its conditions hold
     history_truncated,  // change feeds only: the table has to be read again
     stale_peer,         // change feeds through a peer only: the peer's own feed is not up to date
+    rejected,           // transactions only: not applied, and never will be as it is
 };
 
 const char* to_string(store_failure failure);
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace cranberrydock::fleet {
@@ -221,6 +222,26 @@
     return to_bytes(out);
 }
 
+std::size_t initial_progress_bytes(const job_spec& job) {
+    constexpr std::size_t fields_bytes = 100;  // names of the fields and the state
+    constexpr std::size_t step_bytes = 16;     // a map with one text, without the text itself
+    std::size_t out = fields_bytes + job.customer.str().size() + job.queue.str().size();
+    for (const auto& it : job.steps) {
+        out += step_bytes + static_cast<std::size_t>(std::max(0, it.task_count));
+    }
+    return out;
+}
+
+void drop_failed_runs(job_progress& progress) {
+    for (auto& occurrence : progress.occurrences) {
+        for (auto& step : occurrence) {
+            for (auto& runs : step.failed_runs) {
+                runs.clear();
+            }
+        }
+    }
+}
+
 tl::expected<job_row, std::string> decode_job(const job_id& id, const std::string& value) {
     try {
         const json fields = decode_map(value);
--- a/packages/fleet/src/row_store.cpp
+++ b/packages/fleet/src/row_store.cpp
@@ -15,6 +15,8 @@
             return "history_gone";
         case store_failure::stale_peer:
             return "behind";
+        case store_failure::rejected:
+            return "rejected";
     }
     return "unknown";
 }
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -28,6 +28,7 @@
 struct owner_settings {
     fleet::scheduler_settings scheduler;
     session_settings session;
+    fleet::store_limits limits;
     // The longest time for which a previous owner may continue to issue commands to VMs that this
     // owner can't reach.
     base::milliseconds previous_owner_validity{0};
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -77,13 +77,28 @@
     void log_load();
     fleet::clock_reading now() const;
 
+    // A job whose row is written alone, after a pause that grows with each rejection.
+    struct rejected_job {
+        fleet::scheduler::unsaved_job progress;
+        base::time_point retry_at;
+        int rejections = 0;  // of this progress
+        base::milliseconds pause{0};
+    };
+
+    static constexpr std::size_t max_jobs_per_write = 100;
+
     struct partition_state {
         fleet::store_version fencing_token_row_version;
         // The newest unsaved progress of each job.
         std::map<fleet::job_id, fleet::scheduler::unsaved_job> waiting;
         std::vector<fleet::scheduler::unsaved_job> sent;
         std::vector<fleet::job_id> removed;  // ended jobs whose rows are to be removed
-        bool busy = false;                   // a write is in flight
+        // Most jobs of the next transaction. Halved while the store rejects transactions, until the
+        // job whose row it rejects is found.
+        std::size_t max_jobs = max_jobs_per_write;
+        // Jobs whose rows the store has rejected, with their newest unsaved progress.
+        std::map<fleet::job_id, rejected_job> rejected;
+        bool busy = false;  // a write is in flight
         base::time_point sent_at;
         base::duration typical_write_time{0};  // smoothed
         std::unique_ptr<net::timer> next_write;
@@ -94,6 +109,14 @@
     void send_progress(const fleet::partition_name& partition);
     void on_progress_written(const fleet::partition_name& partition,
                              const tl::expected<fleet::store_version, fleet::store_error>& answer);
+    // Adds the rows that save the job's progress. False if they can never be saved because a row is
+    // too large.
+    bool add_progress(fleet::row_transaction& transaction, fleet::scheduler::unsaved_job& unsaved);
+    void log_large_row(const fleet::job_id& job, std::size_t bytes, const char* action);
+    // Queues the jobs of a transaction that was not applied once more.
+    void put_back_sent(partition_state& partition);
+    // Separates the job whose row the store rejects from the others.
+    void on_write_rejected(const fleet::partition_name& name);
     // Handles a conflict in which a job was cancelled just before its end was to be saved.
     void apply_cancellations(partition_state& partition, const std::vector<fleet::job_id>& sent,
                              const std::vector<fleet::stored_row>& found);
@@ -156,6 +179,8 @@
     std::map<fleet::partition_name, partition_state> partitions;
     // Versions of the jobs' rows as submitted, where known.
     std::unordered_map<fleet::job_id, fleet::store_version> submitted_versions;
+    // Jobs with a progress row that was too large, for the log.
+    std::unordered_set<fleet::job_id> jobs_with_large_row;
     // Jobs that may have a progress row in the store.
     std::unordered_set<fleet::job_id> progress_rows;
     // Final states of the jobs that have ended under this owner and whose end is durable.
--- a/packages/fleet_daemon/src/peer_codec.cpp
+++ b/packages/fleet_daemon/src/peer_codec.cpp
@@ -57,7 +57,7 @@
 
 fleet::store_error decode_error(const json& from) {
     const int failure = from.at("failure").get<int>();
-    if (failure < 0 || failure > static_cast<int>(fleet::store_failure::stale_peer)) {
+    if (failure < 0 || failure > static_cast<int>(fleet::store_failure::rejected)) {
         throw std::invalid_argument("expected the number of a store failure, found " +
                                     std::to_string(failure));
     }
