fleet_daemon: a submission that the store can't hold is refused at once

Callers saw: a submission whose row exceeds rowBytes, or whose tasks alone fill a progress row, was tried again until its caller's time ran out, with the submissions of other callers that were written by the same transactions; one with 70,000 tasks was accepted and its progress could never be saved. (Seen in tests only.)

Cause: nothing compared a submission with rowBytes. A rejected transaction, or one over the store's 1 MB (33 rows of up to 64 KiB), counted as one with a lost answer.

Change: such a submission is refused with can_never_fit (429). The jobs of a rejected transaction are written alone, and the one that is rejected again is refused. The owner's row leaves out its counts, then its labels, if it is too large (by reading; no test).

Test submission_that_does_not_fit_is_refused with the change taken out (a mutated build): 200 for 429 in both cases of oversized_submission; rejected_row_concerns_its_own_job: outcome 'undetermined' for the other jobs. With it all four pass.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
@@ -76,7 +76,7 @@
 class job_api {
 public:
     job_api(net::event_loop& loop, fleet::row_store& store, const job_layout& layout,
-            fleet_view& view, base::metrics& metrics);
+            fleet_view& view, base::metrics& metrics, const fleet::store_limits& limits = {});
 
     // Accepts the job once it is durable. `draft` is an error if the request could not be parsed.
     void submit(const caller& requester, tl::expected<job_draft, std::string> draft,
@@ -132,6 +132,7 @@
     fleet_view& view_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
+    fleet::store_limits limits_;
     submission_writer writer_;
     static constexpr std::int64_t accept_lines_per_second = 100;
     base::log_rate_limiter accepted_log_limiter_{"job_accepted", accept_lines_per_second};
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -67,7 +67,8 @@
 class submission_writer {
 public:
     submission_writer(net::event_loop& loop, fleet::row_store& store, const job_layout& layout,
-                      owner_writer& owner, base::metrics& metrics);
+                      owner_writer& owner, base::metrics& metrics,
+                      const fleet::store_limits& limits = {});
 
     // Makes the job durable, directly or through the owner. Calls `done` once, at `until` at the
     // latest. A call for a job that is being written already joins the write in progress.
@@ -93,6 +94,7 @@
         bool may_delegate = true;     // the owner may be asked to write it
         int writes_in_flight = 0;     // transactions and delegations that may still write it
         bool may_be_written = false;  // a write with unknown outcome was sent
+        bool alone = false;           // the store has rejected a transaction that contained it
     };
     using submission_ptr = std::shared_ptr<submission>;
 
@@ -131,6 +133,8 @@
     void retry_later(const submission_ptr& pending);
     void record_write_time(base::duration elapsed);
     void settle(submission& pending, const write_result& result);
+    // Writes each job of the rejected transaction alone, or refuses the only one.
+    void on_rejected(const fleet::partition_name& partition, const transaction& batch);
     static write_result failure_of(const submission& pending);
 
     net::event_loop& loop_;
@@ -138,6 +142,7 @@
     job_layout layout_;
     owner_writer& owner_;
     base::metrics& metrics_;
+    fleet::store_limits limits_;
     base::suspend_aware_clock clock_;
     std::map<fleet::partition_name, partition_queue> partitions_;
     std::unordered_map<fleet::job_id, submission_ptr> open_;     // submissions with waiters
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -85,7 +85,7 @@
           ownership(initial_settings.vm_name, initial_settings.run, initial_settings.ownership),
           layout(initial_settings.job_parts),
           advisors(placement, metrics),
-          callers(loop, store, layout, *this, metrics),
+          callers(loop, store, layout, *this, metrics, initial_settings.owner.limits),
           configuration_rows([this](const auto& all) { on_configuration(all); },
                              [this](const auto& changed) { on_configuration(changed); }),
           fleet_rows([this](const auto& all) { on_fleet_table(all); },
@@ -481,11 +481,34 @@
         write_owner(record);
     }
 
+    // Figures that do not fit into a row are omitted: without its row, no daemon owns the fleet.
+    std::string owner_row_value(const fleet::owner_record& record) {
+        const std::size_t limit = settings.owner.limits.row_bytes;
+        std::string value = encode_owner(record);
+        if (value.size() <= limit) {
+            return value;
+        }
+        metrics.count("cranberrydock_rows_too_large_total", "table=\"fleet\"");
+        if (large_row_log_limiter.allows(clock.now())) {
+            spdlog::error("event=row_too_large table=fleet row=owner bytes={} limit={}",
+                          value.size(), limit);
+        }
+        fleet::owner_record reduced = record;
+        reduced.waiting_jobs.reset();
+        value = encode_owner(reduced);
+        if (value.size() > limit) {
+            reduced.overloaded.clear();
+            reduced.labels.clear();
+            value = encode_owner(reduced);
+        }
+        return value;
+    }
+
     void write_owner(const fleet::owner_record& record) {
         const auto sent = clock.now();
         fleet::row_transaction transaction;
         transaction.conditions.push_back({owner_row(), ownership.condition()});
-        transaction.puts.push_back({owner_row(), encode_owner(record)});
+        transaction.puts.push_back({owner_row(), owner_row_value(record)});
         store.commit(
             transaction, owner_write_timeout, alive.guard([this, record, sent](const auto& answer) {
                 if (answer) {
@@ -564,7 +587,7 @@
             fleet::owner_record free = ownership.record();
             free.holder.clear();
             transaction.conditions.push_back({owner_row(), ownership.condition()});
-            transaction.puts.push_back({owner_row(), encode_owner(free)});
+            transaction.puts.push_back({owner_row(), owner_row_value(free)});
             ownership.step_down();
         }
         stop_ownership();
@@ -634,6 +657,7 @@
     std::optional<fleet::vm_set_digest> previous_vm_set;
     fleet::fencing_token last_owner_token;  // of the latest owner's task of this process
     std::int64_t last_count = 0;            // number of the last count of waiting jobs
+    base::log_rate_limiter large_row_log_limiter{"row_too_large", 1};  // lines per second
     std::unique_ptr<owner_task> local_owner;
     base::time_point store_answered_at{};
     bool store_unreachable = false;  // reads have failed since then
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -51,12 +51,13 @@
 }  // namespace
 
 job_api::job_api(net::event_loop& loop, fleet::row_store& store, const job_layout& layout,
-                 fleet_view& view, base::metrics& metrics)
+                 fleet_view& view, base::metrics& metrics, const fleet::store_limits& limits)
     : store_(store),
       layout_(layout),
       view_(view),
       metrics_(metrics),
-      writer_(loop, store, layout, view, metrics) {}
+      limits_(limits),
+      writer_(loop, store, layout, view, metrics, limits) {}
 
 tl::expected<job_api::admitted_request, refusal> job_api::admit(const caller& requester) const {
     const auto configuration = view_.configuration();
@@ -153,6 +154,17 @@
     const auto caller_timeout = requester.timeout.count() > 0 ? requester.timeout : default_timeout;
     const auto received = clock_.now();
     const std::string row = encode_job(job);
+    const std::size_t largest_row = std::max(row.size(), fleet::initial_progress_bytes(job));
+    if (largest_row > limits_.row_bytes) {
+        spdlog::info("event=job_refused job={} queue={} reason={} bytes={} limit={}", job.id.str(),
+                     job.queue.str(), to_string(refusal_reason::can_never_fit), largest_row,
+                     limits_.row_bytes);
+        refuse(done, not_run(refusal_reason::can_never_fit,
+                             "expected a job that fits into " + std::to_string(limits_.row_bytes) +
+                                 " bytes of the store, found " + std::to_string(largest_row) +
+                                 "; submit it in smaller parts"));
+        return;
+    }
     const auto on_written = lifetime_.guard([this, done, row, id = job.id, queue = job.queue,
                                              received](const write_result& result) {
         const write_outcome outcome = result.outcome;
--- a/packages/fleet_daemon/src/submission_writer.cpp
+++ b/packages/fleet_daemon/src/submission_writer.cpp
@@ -59,8 +59,13 @@
 
 submission_writer::submission_writer(net::event_loop& loop, fleet::row_store& store,
                                      const job_layout& layout, owner_writer& owner,
-                                     base::metrics& metrics)
-    : loop_(loop), store_(store), layout_(layout), owner_(owner), metrics_(metrics) {}
+                                     base::metrics& metrics, const fleet::store_limits& limits)
+    : loop_(loop),
+      store_(store),
+      layout_(layout),
+      owner_(owner),
+      metrics_(metrics),
+      limits_(limits) {}
 
 void submission_writer::write(const fleet::job_id& job, std::string row, base::time_point until,
                               write_callback done) {
@@ -240,6 +245,7 @@
     auto out = std::make_shared<transaction>();
     const bool delegate = should_delegate();
     std::deque<submission_ptr> postponed;
+    std::size_t bytes = 0;
     while (!queue.waiting.empty() && out->jobs.size() < max_jobs) {
         const submission_ptr pending = std::move(queue.waiting.front());
         queue.waiting.pop_front();
@@ -256,14 +262,18 @@
         }
         // One existing job makes the whole transaction fail, so jobs that may have been written
         // already are not mixed with new ones.
+        const bool is_full =
+            !out->jobs.empty() && bytes + pending->row.size() > limits_.transaction_bytes;
         const bool must_split =
-            std::any_of(out->jobs.begin(), out->jobs.end(), [&](const auto& it) {
-                return it->job == pending->job || it->may_be_written != pending->may_be_written;
+            is_full || std::any_of(out->jobs.begin(), out->jobs.end(), [&](const auto& it) {
+                return it->job == pending->job || it->may_be_written != pending->may_be_written ||
+                       it->alone || pending->alone;
             });
         if (must_split) {
             postponed.push_back(pending);
         } else {
             out->jobs.push_back(pending);
+            bytes += pending->row.size();
         }
     }
     queue.waiting.insert(queue.waiting.begin(), postponed.begin(), postponed.end());
@@ -328,6 +338,24 @@
     send(partition);
 }
 
+void submission_writer::on_rejected(const fleet::partition_name& partition,
+                                    const transaction& batch) {
+    metrics_.count("cranberrydock_writes_rejected_total", "table=\"jobs\"");
+    if (batch.jobs.size() > 1) {
+        for (const auto& it : batch.jobs) {
+            it->alone = true;
+            if (it->open && it->writes_in_flight == 0) {
+                partitions_[partition].waiting.push_back(it);
+            }
+        }
+        return;
+    }
+    submission& rejected = *batch.jobs.front();
+    spdlog::error("event=row_rejected table=jobs row={} bytes={}", rejected.job.str(),
+                  rejected.row.size());
+    settle(rejected, failure_of(rejected));
+}
+
 void submission_writer::on_answer(
     const fleet::partition_name& partition, const transaction_ptr& batch,
     const tl::expected<fleet::store_version, fleet::store_error>& answer) {
@@ -354,6 +382,11 @@
         metrics_.count("cranberrydock_submission_write_failures_total",
                        refused ? "reason=\"refused\"" : "reason=\"answer_lost\"");
     }
+    if (!answer && answer.error().failure == fleet::store_failure::rejected) {
+        on_rejected(partition, *batch);
+        send(partition);
+        return;
+    }
     for (const auto& it : batch->jobs) {
         if (answer) {
             settle(*it, {write_outcome::written, *answer});
