--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -5,6 +5,7 @@
 // owner.
 //
 //     soak --seed=7 --seconds=15       one run; the faults and breaches are printed
+//     soak --seed=7 --site=chbench-grid   the size, the work and the faults of a users' site
 //     soak --seeds=50 --seed=100       50 seeds, one after the other
 #include "clients.hpp"
 #include "faults.hpp"
