--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -260,8 +260,7 @@
         if (injected.kind == fault_kind::link) {
             injected.target = store_link(injected.target);
         }
-        std::cout << "  with " << overloads.last.jobs << " jobs more: " << to_string(injected)
-                  << "\n";
+        std::cout << "  with " << last.jobs << " jobs more: " << to_string(injected) << "\n";
         inject({injected}, {});
         std::this_thread::sleep_for(owner_fault_phase_time - injected.duration);
         end_all_faults();
