--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -5,6 +5,7 @@
 // owner.
 //
 //     soak --seed=7 --seconds=15       one run; the faults and breaches are printed
+//     soak --seed=7 --site=chbench-grid   the size, the work and the faults of a users' site
 //     soak --seeds=50 --seed=100       50 seeds, one after the other
 #include "clients.hpp"
 #include "faults.hpp"
@@ -259,8 +260,7 @@
         if (injected.kind == fault_kind::link) {
             injected.target = store_link(injected.target);
         }
-        std::cout << "  with " << overloads.last.jobs << " jobs more: " << to_string(injected)
-                  << "\n";
+        std::cout << "  with " << last.jobs << " jobs more: " << to_string(injected) << "\n";
         inject({injected}, {});
         std::this_thread::sleep_for(owner_fault_phase_time - injected.duration);
         end_all_faults();
