--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -26,6 +26,7 @@
 constexpr int status_refused = 409;
 constexpr int status_conflict = 412;
 constexpr int status_gone = 410;
+constexpr int status_invalid = 400;
 constexpr int status_unavailable = 503;
 
 using row_id = std::tuple<std::string, std::string, std::string>;  // table, partition, key
@@ -326,6 +327,14 @@
 
     void transact(const net::http_request& request, const net::http_responder& respond) {
         const json body = json::parse(request.body);
+        const auto& puts = body.at("puts");
+        if (std::any_of(puts.begin(), puts.end(), [this](const auto& it) {
+                const auto value = base::from_base64(it.at("value").template get<std::string>());
+                return !value || value->size() > plan.max_row_bytes;
+            })) {
+            respond(net::json_response(status_invalid, R"({"error":"row too large"})"));
+            return;
+        }
         json existing_rows = json::array();
         bool holds = true;
         for (const auto& it : body.at("precondition")) {
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -27,6 +27,7 @@
     std::function<bool(const fleet::task_ref&)> task_fails;
     // The rates of the VMs' clocks, assigned to the VMs in turn. Empty: 1 for all VMs.
     std::vector<double> clock_rates;
+    std::size_t max_row_bytes = 65'536;  // the store rejects transactions with a larger row
 };
 
 enum class store_mode {
