--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -41,6 +41,7 @@
     bool keep_vm_addresses = false;
     // The rates of the VMs' clocks, assigned to the VMs in turn. Empty: 1 for all VMs.
     std::vector<double> clock_rates;
+    std::size_t max_row_bytes = 65'536;  // the store rejects transactions with a larger row
 };
 
 // Which of its commands a VM holds up. They are carried out later and never answered.
