fleet: the next incarnation stops runs that may have been started twice

Callers could see a task run twice after a VM had restarted under its name.

A run that was adopted from a previous owner counted as started by one command. The answer to a stop of the earlier incarnation that came in after the restart was known counted as the next one's. The stop is now repeated at the next incarnation. assign_unknown_runs() had dropped what was known of a late start as well.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -36,10 +36,13 @@
     std::optional<time_point> confirmed_at;  // when the VM first confirmed the run
     bool listed = false;                     // in a report of the VM's current incarnation
     int start_attempts = 1;
+    bool adopted = false;  // a previous owner started it, perhaps with several commands
     // An unanswered start command for an earlier incarnation may still reach the current one.
     bool may_start_late = false;
     bool start_pending = true;  // a start command is unanswered
     bool stop_pending = false;  // a stop command is unanswered
+    // The unanswered stop command was issued to an earlier incarnation.
+    bool stop_outdated = false;
     // When a stop command was answered. A report that was requested later and does not show the run
     // proves that it never will run.
     std::optional<time_point> stop_answered;
@@ -48,6 +51,9 @@
     int percent = 0;
     time_point progressed_at{};  // when `percent` or the checkpoint last changed
     checkpoint saved;
+
+    // Whether a start command may be unanswered although the run is confirmed.
+    bool start_repeated() const { return adopted || start_attempts > 1; }
 };
 
 // A completion that the VM may not forget before its effect on the job is saved.
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberrydock::fleet {
 
@@ -60,12 +61,13 @@
     std::vector<task_ref> ended;
     for (auto& it : vm->runs) {
         placed_run& run = it.second;
-        if (run.listed && !run.start_pending && run.start_attempts == 1) {
+        if (run.listed && !run.start_pending && !run.start_repeated()) {
             ended.push_back(it.first);
         }
         run.listed = false;
-        run.may_start_late = run.start_attempts > 1;
+        run.may_start_late = run.start_repeated();
         run.stop_answered.reset();  // by the earlier incarnation
+        run.stop_outdated = run.stop_pending;
     }
     spdlog::info("event=vm_reborn vm={} runs={} ended={}", id.str(), vm->runs.size(), ended.size());
     state_->drop_lost_runs(*vm, ended, "vm_reborn");
@@ -324,7 +326,8 @@
         return;
     }
     run->stop_pending = false;
-    if (answer) {
+    const bool outdated = std::exchange(run->stop_outdated, false);
+    if (answer && !outdated) {
         run->stop_answered = now.steady;
     } else {
         run->stop_retry_at = now.steady + stop_retry_pause;
@@ -407,6 +410,7 @@
         unknown_run.start_pending = false;
         unknown_run.confirmed_at = now.steady;
         unknown_run.listed = true;
+        unknown_run.adopted = true;
         auto& placed = vm.runs.emplace(found.task, unknown_run).first->second;
         unknown_runs.insert({found.task, vm.facts.id});
         request_stop(vm, placed, "job_unknown");
@@ -418,6 +422,7 @@
     placed.start_pending = false;
     placed.confirmed_at = now.steady;
     placed.listed = true;
+    placed.adopted = true;
     placed.phase = run_phase::running;
     placed.saved = found.last_checkpoint;
     placed.percent = found.percent;
@@ -454,8 +459,11 @@
         run.start_pending = false;
         run.confirmed_at = previous.confirmed_at;
         run.listed = previous.listed;
+        run.adopted = previous.adopted;
+        run.may_start_late = previous.may_start_late;
         run.saved = previous.saved;
         run.stop_pending = previous.stop_pending;
+        run.stop_outdated = previous.stop_outdated;
         run.stop_answered = previous.stop_answered;
         run.stop_retry_at = previous.stop_retry_at;
         request_stop(*vm, run, previous.stop_reason);
--- a/test/correctness/runs_are_given_up_only_after_proof.cpp
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -174,4 +174,57 @@
     EXPECT_EQ(new_starts(), 1U);
 }
 
+// The previous owner may have sent the start twice.
+TEST_F(placed_task, adopted_run_is_stopped_at_next_incarnation) {
+    const fleet::vm_id holder = start.vm == first ? second : first;
+    fleet::scheduler next{fleet::fencing_token(2), {}, metrics};
+    next.configure(std::make_shared<const fleet::fleet_configuration>(two_queue_configuration()));
+    next.add_job(make_job("job", "urgent", {make_step(1, 1'000)}), nullptr, true, now);
+    for (const auto& it : {first, second}) {
+        fleet::vm_info facts;
+        facts.id = it;
+        facts.service = fleet::service_name("svc");
+        facts.capacity = vm_capacity_of(4'000);
+        next.vm_listed(facts);
+        fleet::vm_report found;
+        if (it == holder) {
+            found.running = {{start.task, start.run, {}, 0}};
+        }
+        next.vm_reported(it, found, now.steady, now);
+    }
+    next.inherited_runs_reported(now);
+    pass(10);
+    next.vm_restarted(holder);
+    EXPECT_TRUE(next.decide(now, {}).starts.empty());
+    pass(10);
+    next.vm_reported(holder, {}, now.steady, now);
+    const auto decided = next.decide(now, {});
+    EXPECT_TRUE(decided.starts.empty());
+    ASSERT_EQ(decided.stops.size(), 1U);
+    next.stop_answered(holder, start.task, start.run, fleet::vm_time(2), now);
+    pass(10);
+    next.vm_reported(holder, {}, now.steady, now);
+    pass(10);
+    EXPECT_EQ(next.decide(now, {}).starts.size(), 1U);
+}
+
+// The answer is the earlier incarnation's; the next one may still carry out the first start.
+TEST_F(placed_task, stop_of_earlier_incarnation_is_repeated_at_next_one) {
+    owner.start_answered(start.vm, start.task, start.run,
+                         tl::make_unexpected(fleet::command_failure::answer_lost), now);
+    EXPECT_EQ(new_starts(), 1U);  // the second attempt
+    owner.start_answered(start.vm, start.task, start.run, fleet::vm_time(1), now);
+    owner.cancel_job(start.task.job, now);
+    EXPECT_EQ(owner.decide(now, {}).stops.size(), 1U);
+    owner.vm_restarted(start.vm);
+    pass(10);
+    report({});
+    owner.stop_answered(start.vm, start.task, start.run, fleet::vm_time(2), now);
+    pass(10);
+    report({});
+    EXPECT_EQ(owner.run_count(), 1U);
+    pass(500);
+    EXPECT_EQ(owner.decide(now, {}).stops.size(), 1U);
+}
+
 }  // namespace
