fleet_daemon: the end of one owner says nothing of those before it

Two conclusions from the previous owner's end or time:

When the previous owner's process had ended, the new owner took the commands of all earlier owners for ended. One of those may have lost the store and still renew leases and start tasks on a VM that it alone reaches, for 6.5 s. An owner's row now says whether all owners before it have ended; without that word the end of its process shortens no wait. 2. A job that names an earlier owner and is read after that owner's rights have passed counted as not started, while its leases run for 4.9 s more. It is now inherited until the inherited runs are known.

Cost: of two changes of owner within 6.5 s, where the first one's owner is not known to have ended, the second waits as long as if its predecessor had not ended, and only for VMs that don't answer.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -66,6 +66,9 @@
     // rejected immediately.
     resources largest_vm;
     std::set<vm_label> labels;
+    // Whether no owner before this one issues commands any more. The end of one owner says nothing
+    // of those before it.
+    bool earlier_owners_ended = false;
     // The number of VMs on record at the owner.
     std::size_t vm_count = 0;
     // The VMs on which an owner may have started tasks: it starts none on a VM before this row
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -48,6 +48,7 @@
                 {"vms", record.vm_count},
                 {"run", record.process_run},
                 {"fence", record.token.value()},
+                {"earlier_ended", record.earlier_owners_ended},
                 {"overloaded_ms", std::move(overloaded)},
                 {"largest_cores", record.largest_vm.cores.value()},
                 {"largest_memory", record.largest_vm.memory.value()},
@@ -83,6 +84,7 @@
         for (const auto& it : fields.at("overloaded_ms").items()) {
             out.overloaded[queue_name(it.key())] = milliseconds(it.value().get<std::int64_t>());
         }
+        out.earlier_owners_ended = fields.value("earlier_ended", false);
         out.vm_count = fields.value("vms", std::size_t{0});
         // Earlier versions do not write the set.
         if (fields.contains("vm_set")) {
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -32,6 +32,8 @@
     // The longest time for which a previous owner may continue to issue commands to VMs that this
     // owner can't reach.
     base::milliseconds previous_owner_validity{0};
+    // Whether no owner before the previous one issues commands any more.
+    bool earlier_owners_ended = false;
     // The VMs that the previous owner had on record. Until all of them are listed, tasks that it
     // may have started are not started again before its leases have expired.
     std::size_t expected_vms = 0;
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -466,6 +466,8 @@
             previous_run = ownership.record().process_run;
             previous_vm_count = ownership.record().vm_count;
             previous_vm_set = ownership.record().vm_set;
+            const bool is_first_owner = ownership.record().token == fleet::fencing_token(0);
+            earlier_owners_ended = is_first_owner || ownership.record().earlier_owners_ended;
         }
         // The figures of the previous record are kept until this owner has its own.
         fleet::owner_record record = ownership.record();
@@ -473,6 +475,7 @@
         record.process_run = settings.run;
         if (step == fleet::ownership::step::acquire) {
             record.token = ownership.next_fencing_token();
+            record.earlier_owners_ended = earlier_owners_ended && ownership.previous_owner_ended();
         }
         if (local_owner) {
             local_owner->describe(record, ++last_count);
@@ -534,6 +537,7 @@
         lag.reset();
         owner_settings task_settings = settings.owner;
         task_settings.previous_owner_validity = settings.ownership.validity;
+        task_settings.earlier_owners_ended = earlier_owners_ended;
         task_settings.expected_vms = previous_vm_count;
         task_settings.expected_vm_set = previous_vm_set;
         task_settings.members_complete_from = members_complete_from;
@@ -655,6 +659,7 @@
     std::string previous_run;
     std::size_t previous_vm_count = 0;
     std::optional<fleet::vm_set_digest> previous_vm_set;
+    bool earlier_owners_ended = false;      // those before the owner of that row
     fleet::fencing_token last_owner_token;  // of the latest owner's task of this process
     std::int64_t last_count = 0;            // number of the last count of waiting jobs
     base::log_rate_limiter large_row_log_limiter{"row_too_large", 1};  // lines per second
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -121,7 +121,7 @@
         rights.on_superseded("job " + id.str());
         return;
     }
-    const bool inherited = accepted_under < owner && (loaded || !may_start_known);
+    const bool inherited = accepted_under < owner && (loaded || !inherited_known);
     if (!inherited_known && job_log_limiter.allows(clock.now())) {
         spdlog::info("event=job_found job={} accepted_under={} fence={} inherited={}", id.str(),
                      accepted_under.value(), owner.value(), inherited);
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -179,7 +179,9 @@
 }
 
 void owner_task::on_previous_owner_ended() {
-    state_->inherited.on_previous_owner_ended(state_->clock.now());
+    if (state_->settings.earlier_owners_ended) {
+        state_->inherited.on_previous_owner_ended(state_->clock.now());
+    }
 }
 
 void owner_task::job_written(const fleet::job_id& job, const std::string& row,
@@ -230,6 +232,7 @@
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
     }
+    record.earlier_owners_ended = state_->inherited.commands_ended(state_->clock.now());
     const std::size_t vms = state_->sessions.size();
     record.vm_count = state_->inherited_known ? vms : std::max(vms, state_->settings.expected_vms);
     // A VM that is missing here may still run tasks of a previous owner.
--- a/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
+++ b/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
@@ -111,17 +111,18 @@
 
 struct owner {
     owner(net::event_loop& loop, two_vm_store& store, fleet::fencing_token token,
-          const std::string& reachable_vm)
+          const std::string& reachable_vm, bool earlier_owners_ended = false)
         : vms(loop, reachable_vm),
-          task(loop, store, vms, *store.rows, store.layout, advisors, rights, token, settings(),
-               metrics) {
+          task(loop, store, vms, *store.rows, store.layout, advisors, rights, token,
+               settings(earlier_owners_ended), metrics) {
         task.configure(std::make_shared<const fleet::fleet_configuration>(
             standins::two_queue_configuration()));
     }
 
-    static fleet_daemon::owner_settings settings() {
+    static fleet_daemon::owner_settings settings(bool earlier_owners_ended) {
         fleet_daemon::owner_settings out;
         out.previous_owner_validity = fleet::ownership_settings{}.validity;
+        out.earlier_owners_ended = earlier_owners_ended;
         out.expected_vms = 2;
         out.expected_vm_set.emplace();
         for (const auto& it : {old_owners_vm, new_owners_vm}) {
@@ -163,7 +164,7 @@
 
     net::event_loop loop;
     two_vm_store store{loop};
-    owner previous{loop, store, fleet::fencing_token(1), old_owners_vm};
+    owner previous{loop, store, fleet::fencing_token(1), old_owners_vm, true};
     std::unique_ptr<owner> next;
     fleet::job_spec job = standins::make_job("job", "urgent", {standins::make_step(1, 1'000)});
 };
@@ -182,4 +183,28 @@
     EXPECT_EQ(next->vms.started_on, std::vector<std::string>{new_owners_vm});
 }
 
+// The previous owner starts the job within its validity; the next one reads it late.
+TEST_F(two_owners, do_not_both_start_job_that_is_read_after_commands_have_ended) {
+    run_for(base::milliseconds{3'600});  // 4.8 s after the takeover
+    previous.task.job_written(job.id, fleet::encode_job(job), written);
+    run_for(base::milliseconds{2'000});
+    ASSERT_EQ(previous.vms.started_on, std::vector<std::string>{old_owners_vm});
+    next->task.job_written(job.id, fleet::encode_job(job), written);
+    run_for(base::milliseconds{1'000});
+    EXPECT_EQ(next->vms.started_on, std::vector<std::string>{});
+}
+
+// The owner between the two has ended, which says nothing of the one before it.
+TEST_F(two_owners, do_not_both_start_job_after_end_of_owner_between_them) {
+    next = std::make_unique<owner>(loop, store, fleet::fencing_token(3), new_owners_vm);
+    next->task.on_previous_owner_ended();
+    run_for(base::milliseconds{1'200});
+    job.accepted_under = fleet::fencing_token(1);
+    accept(job);
+    EXPECT_EQ(previous.vms.started_on, std::vector<std::string>{old_owners_vm});
+    // The first owner renews the leases of its VM for 6.5 s, whoever has ended since.
+    run_for(base::milliseconds{4'500});
+    EXPECT_EQ(next->vms.started_on, std::vector<std::string>{});
+}
+
 }  // namespace
