fleet: the cost of a decision does not grow with the backlog

Each decision ranked every open step, and each query of the advisor looked at every VM.

A step's rank depends on the time only through its tier, so the order is kept between decisions and a step moves when its tier ends. A query finds VMs with room in a list that is sorted once a decision, and names fewer VMs that are full: it named 100 of them for a step of four tasks.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -363,10 +363,14 @@
     }
     round.lookahead_cores = free.cores.value() + lookahead_of(total.cores.value());
     int reserving_gangs = 0;
-    for (auto& work : ranked_steps(now)) {
+    for (detail::open_step_entry* const entry : next_open_steps(now)) {
+        open_step work = make_open_step(*entry);
         if (has_valid_ticket(work, now)) {
             const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
                                                       : place_tasks(work, round, now, out);
+            if (!has_waiting_tasks(*entry)) {
+                open.close(*entry->step);
+            }
             if (placed) {
                 continue;
             }
@@ -411,8 +415,11 @@
     for (const auto& it : steps_to_move) {
         job_record* job = nullptr;
         step_state* const step = find_step({it.job, it.occurrence, it.step, 0}, &job);
-        open_step work = rank({it, job, step}, now);
-        work.ref = &it;
+        detail::open_step_entry entry;
+        entry.ref = it;
+        entry.job = job;
+        entry.step = step;
+        open_step work = make_open_step(entry);
         move_tasks(work, round, now, out);
     }
 }
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -20,6 +20,8 @@
 constexpr double spare_factor = 1.5;
 constexpr double gang_spare_factor = 2.5;
 constexpr milliseconds min_query_interval{300};
+// A VM without room now may have some when its ticket is used.
+constexpr double tasks_expected_on_full_vm = 0.25;
 
 std::int64_t times_fitting(std::int64_t need, std::int64_t room) {
     return need <= 0 ? max_vms_per_query : std::max<std::int64_t>(room, 0) / need;
@@ -34,9 +36,7 @@
 
 struct candidate {
     vm_record* vm;
-    std::int64_t tasks;   // how many fit now
-    bool granted_before;  // and therefore expected to be granted again
-    std::int64_t free;    // millicores
+    std::int64_t tasks;  // how many fit now
 };
 
 }  // namespace
@@ -46,8 +46,22 @@
     return detail::cost_of(cost, min_vms_per_query) > shortest_query * long_query_factor;
 }
 
-std::optional<placement_query> scheduler::state::make_query(open_step& work,
-                                                            const placement_round& round,
+// The usable VMs in the order of the free cores that a query may count on.
+const std::vector<detail::vm_with_free_cores>& scheduler::state::vms_by_free_cores(
+    placement_round& round, bool is_long) {
+    auto& out = round.by_free_cores[is_long ? 1 : 0];
+    if (out.empty()) {
+        out.reserve(round.usable.size());
+        for (vm_record* const vm : round.usable) {
+            out.push_back({vm->free_for_query(is_long).cores, vm});
+        }
+        std::sort(out.begin(), out.end(),
+                  [](const auto& a, const auto& b) { return a.free < b.free; });
+    }
+    return out;
+}
+
+std::optional<placement_query> scheduler::state::make_query(open_step& work, placement_round& round,
                                                             const clock_reading& now) {
     detail::step_state& step = *work.step;
     if (step.query_open || now.steady - step.last_query_at < min_query_interval) {
@@ -58,53 +72,69 @@
         return !it.done && (it.vm == nullptr || it.vm->facts.leaving);
     });
     const bool is_long = is_long_query(*work.advice);
-    std::vector<candidate> candidates;
-    for (vm_record* const vm : round.usable) {
-        const auto granted = step.grants.find(vm->number);
-        const bool granted_before = granted != step.grants.end();
-        if ((granted_before && now.steady < granted->second.until) ||
-            step.not_granted.count(vm->number) > 0 || !may_run(*vm, work)) {
-            continue;
+    const double granted_share = history[work.job->spec.queue].granted_share();
+    const double wanted_tasks =
+        static_cast<double>(waiting) * (spec.gang ? gang_spare_factor : spare_factor);
+    double expected_tasks = 0;     // that the granted VMs are expected to hold
+    std::int64_t named_tasks = 0;  // that the named VMs can hold
+    std::vector<candidate> named;
+    const auto has_enough = [&] {
+        return named.size() >= max_vms_per_query ||
+               (expected_tasks >= wanted_tasks && named.size() >= min_vms_per_query);
+    };
+    // Names the VM if it has room, or if it has none.
+    const auto consider_vm = [&](vm_record& vm, bool granted_before, bool with_room) {
+        if (!may_run(vm, work)) {
+            return;
         }
         std::int64_t n =
-            std::min<std::int64_t>(tasks_fitting(spec.need, vm->free_for_query(is_long)), waiting);
+            std::min<std::int64_t>(tasks_fitting(spec.need, vm.free_for_query(is_long)), waiting);
         if (spec.max_per_vm > 0) {
             n = std::min<std::int64_t>(n, spec.max_per_vm);
         }
-        candidates.push_back({vm, n, granted_before, vm->free_for_query(is_long).cores.value()});
-    }
-    // VMs that were granted before come first, then those with free capacity. Wide steps prefer the
-    // VMs with the most free capacity. Small steps prefer the fullest ones, which leaves the others
-    // to wide gangs.
+        if ((n > 0) != with_room) {
+            return;
+        }
+        expected_tasks += (with_room ? static_cast<double>(n) : tasks_expected_on_full_vm) *
+                          (granted_before ? 1.0 : granted_share);
+        named_tasks += n;
+        named.push_back({&vm, n});
+    };
+    // VMs with room come first, and among those the ones that were granted before. Wide steps
+    // prefer the VMs with the most free capacity. Small steps prefer the fullest ones, which leaves
+    // the others to wide gangs.
     const bool wide = spec.gang || waiting > static_cast<std::ptrdiff_t>(min_vms_per_query);
-    const auto better = [wide](const candidate& a, const candidate& b) {
-        if (a.granted_before != b.granted_before) {
-            return a.granted_before;
+    const auto& by_free = vms_by_free_cores(round, is_long);
+    // No VM has gained room since the round began.
+    const auto first_with_room =
+        std::lower_bound(by_free.begin(), by_free.end(), spec.need.cores,
+                         [](const auto& it, base::millicores need) { return it.free < need; });
+    for (const bool with_room : {true, false}) {
+        for (auto it = step.grants.begin(); it != step.grants.end() && !has_enough(); ++it) {
+            vm_record* const vm = vms_by_number[it->first];
+            if (vm != nullptr && usable(*vm, now) && now.steady >= it->second.until) {
+                consider_vm(*vm, true, with_room);
+            }
         }
-        if ((a.tasks > 0) != (b.tasks > 0)) {
-            return a.tasks > 0;
+        const auto consider_new = [&](vm_record& vm) {
+            if (step.grants.count(vm.number) == 0 && step.not_granted.count(vm.number) == 0) {
+                consider_vm(vm, false, with_room);
+            }
+        };
+        if (with_room && !wide) {
+            for (auto it = first_with_room; it != by_free.end() && !has_enough(); ++it) {
+                consider_new(*it->vm);
+            }
+        } else {
+            const auto last = with_room ? first_with_room : by_free.begin();
+            for (auto it = by_free.end(); it != last && !has_enough();) {
+                consider_new(*(--it)->vm);
+            }
         }
-        return wide ? a.free > b.free : a.free < b.free;
-    };
-    const auto last = candidates.begin() +
-                      static_cast<std::ptrdiff_t>(std::min(candidates.size(), max_vms_per_query));
-    std::partial_sort(candidates.begin(), last, candidates.end(), better);
-    candidates.erase(last, candidates.end());
-    const double expected_share = history[work.job->spec.queue].granted_share();
-    const double wanted_tasks =
-        static_cast<double>(waiting) * (spec.gang ? gang_spare_factor : spare_factor);
-    double expected_tasks = 0;     // that the granted VMs are expected to hold
-    std::int64_t named_tasks = 0;  // that the named VMs can hold
+    }
     placement_query out;
     out.step = *work.ref;
-    for (const auto& it : candidates) {
-        if (out.vms.size() >= max_vms_per_query ||
-            (expected_tasks >= wanted_tasks && out.vms.size() >= min_vms_per_query)) {
-            break;
-        }
-        expected_tasks +=
-            static_cast<double>(it.tasks) * (it.granted_before ? 1.0 : expected_share);
-        named_tasks += it.tasks;
+    for (const auto& it : named) {
         out.vms.push_back(it.vm->facts.id);
     }
     if (out.vms.empty()) {
@@ -112,15 +142,15 @@
     }
     for (std::size_t i = 0; i < out.vms.size() && named_tasks > 0; ++i) {
         const double tasks =
-            static_cast<double>(waiting * candidates[i].tasks) / static_cast<double>(named_tasks);
+            static_cast<double>(waiting * named[i].tasks) / static_cast<double>(named_tasks);
         const resources needed{base::millicores(static_cast<std::int64_t>(
                                    tasks * static_cast<double>(spec.need.cores.value()))),
                                base::mebibytes(static_cast<std::int64_t>(
                                    tasks * static_cast<double>(spec.need.memory.value()))),
                                {},
                                {}};
-        candidates[i].vm->expected_use(is_long) += needed;
-        expectations[out.step].push_back({candidates[i].vm->number, needed, is_long});
+        named[i].vm->expected_use(is_long) += needed;
+        expectations[out.step].push_back({named[i].vm->number, needed, is_long});
     }
     return out;
 }
@@ -156,17 +186,19 @@
         return;
     }
     const auto until = now.steady + answer->ticket_lifetime - state_->settings.ticket_margin;
-    std::set<vm_id> granted;
+    std::vector<std::size_t> granted;  // numbers of VMs
+    granted.reserve(answer->grants.size());
     for (const auto& it : answer->grants) {
-        granted.insert(it.vm);
         const vm_record* const vm = state_->find_vm(it.vm);
         if (vm != nullptr) {
+            granted.push_back(vm->number);
             step->grants[vm->number] = {it.ticket, until, vm->facts.boot};
         }
     }
+    std::sort(granted.begin(), granted.end());
     for (const auto& it : query.vms) {
         const vm_record* const vm = state_->find_vm(it);
-        if (vm != nullptr && granted.count(it) == 0) {
+        if (vm != nullptr && !std::binary_search(granted.begin(), granted.end(), vm->number)) {
             step->not_granted.insert(vm->number);
             step->grants.erase(vm->number);
         }
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -27,6 +27,7 @@
     for (const auto& it : state_->jobs) {
         it.second->queue = state_->find_queue(it.second->spec.queue);
     }
+    state_->open.rank_all_again();
 }
 
 void scheduler::reserve_for_unlisted_vms(const resources& capacity) {
@@ -35,6 +36,7 @@
 
 void scheduler::inherited_runs_reported(const clock_reading& /*now*/) {
     state_->inherited_known = true;
+    state_->open.rank_put_off_steps();
     // A gang that is incomplete now cannot become complete, so its members are stopped.
     for (auto& it : state_->jobs) {
         for (auto& occurrence : it.second->occurrences) {
@@ -59,7 +61,6 @@
 
 decisions scheduler::decide(const clock_reading& now, const query_budget& budget) {
     decisions out;
-    state_->drop_closed_steps();  // before their jobs are forgotten
     state_->forget_ended_jobs();
     state_->open_due_occurrences(now);
     if (!state_->starts_held) {
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -72,16 +72,13 @@
 }
 
 void scheduler::state::mark_open(const step_ref& ref, job_record& job, step_state& step) {
-    if (!step.open) {
-        step.open = true;
-        open.push_back({ref, &job, &step});
-    }
+    open.open(ref, job, step);
 }
 
 void scheduler::state::add_occurrence(job_record& job, int occurrence) {
     auto& steps = job.occurrences[occurrence];
     if (!steps.empty()) {
-        return;
+        return;  // the addresses of open steps are in use
     }
     steps.resize(job.spec.steps.size());
     for (std::size_t i = 0; i < steps.size(); ++i) {
@@ -363,6 +360,11 @@
         if (it == jobs.end()) {
             id = jobs_to_forget.erase(id);
         } else if (it->second->saved >= it->second->change && it->second->placed_runs == 0) {
+            for (const auto& occurrence : it->second->occurrences) {
+                for (const auto& step : occurrence.second) {
+                    open.close(step);
+                }
+            }
             jobs.erase(it);
             id = jobs_to_forget.erase(id);
         } else {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/fleet/scheduler.hpp>
 
 #include "queue_history.hpp"
+#include "step_order.hpp"
 
 #include <deque>
 #include <map>
@@ -143,7 +144,6 @@
     std::set<std::size_t> not_granted;
     bool query_open = false;
     time_point last_query_at{};
-    bool open = false;  // in the scheduler's list of open steps
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
@@ -172,24 +172,20 @@
     const queue_terms& terms() const { return queue == nullptr ? spec.terms : queue->terms; }
 };
 
-// A step that may have tasks to start. Its job is not removed while the step is open.
-struct open_step_entry {
-    step_ref ref;
-    job_record* job = nullptr;
-    step_state* step = nullptr;
-};
-
-// An open step with its rank in one decision.
+// An open step in one decision.
 struct open_step {
     const step_ref* ref = nullptr;
     job_record* job = nullptr;
     step_state* step = nullptr;
     const queue_terms* terms = nullptr;
     const placement_query_cost* advice = nullptr;  // null: the step needs no placement grants
-    // The rank, in this order of significance. Lower values go first.
     int tier = 0;
-    int urgency = 0;
-    time_point start_by{};
+};
+
+// A usable VM with the free cores that a query could count on when the round began.
+struct vm_with_free_cores {
+    base::millicores free;
+    vm_record* vm = nullptr;
 };
 
 // The state of one round of placement, shared by all open steps.
@@ -200,6 +196,8 @@
     std::int64_t lookahead_cores = 0;  // millicores for which queries may still be sent
     // The same for each customer whose steps have been considered so far.
     std::map<customer_name, resources> customer_lookahead;
+    // The usable VMs by their free cores, for long and for other queries. Made for the first query.
+    std::vector<vm_with_free_cores> by_free_cores[2];
 
     bool is_reserved(const vm_record& vm) const {
         return vm.number < reserved.size() && reserved[vm.number];
@@ -231,10 +229,8 @@
     std::unordered_map<vm_id, std::unique_ptr<detail::vm_record>> vms;
     std::vector<detail::vm_record*> vms_by_number;  // indexed by VM number; null: the VM is gone
     std::unordered_map<job_id, std::unique_ptr<detail::job_record>> jobs;
-    // Steps that may have tasks to start, without duplicates. The next decision drops the steps
-    // that have none.
-    std::vector<detail::open_step_entry> open;
-    std::size_t next_sample_offset = 0;  // into the steps beyond the most urgent ones
+    // A step without tasks to start is dropped when a decision considers it.
+    detail::step_order open;
     std::map<step_ref, std::vector<detail::expectation>> expectations;  // of open queries
     std::set<step_ref> forming_gangs;               // gangs with members that are being started
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
@@ -316,9 +312,12 @@
     void release_held_completions(const vm_id& vm, const job_id& job, std::uint64_t change);
 
     // step_ranking.cpp
-    std::vector<detail::open_step> ranked_steps(const clock_reading& now);
-    detail::open_step rank(const detail::open_step_entry& entry, const clock_reading& now);
-    void drop_closed_steps();
+    // The steps to consider in one decision, in the order of their ranks.
+    std::vector<detail::open_step_entry*> next_open_steps(const clock_reading& now);
+    detail::step_rank rank_of(const detail::open_step_entry& entry, const clock_reading& now);
+    static detail::open_step make_open_step(const detail::open_step_entry& entry);
+    // Whether the step has tasks that are neither done nor placed, and its job has not ended.
+    static bool has_waiting_tasks(const detail::open_step_entry& entry);
 
     // placement.cpp
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
@@ -348,8 +347,10 @@
                                                 const clock_reading& now) const;
 
     // placement_queries.cpp
+    static const std::vector<detail::vm_with_free_cores>& vms_by_free_cores(
+        detail::placement_round& round, bool is_long);
     std::optional<placement_query> make_query(detail::open_step& work,
-                                              const detail::placement_round& round,
+                                              detail::placement_round& round,
                                               const clock_reading& now);
     void drop_expectations(const step_ref& ref);
 
--- /dev/null
+++ b/packages/fleet/src/step_order.cpp
@@ -0,0 +1,105 @@
+// Maintains the order of the open steps.
+#include "step_order.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace cranberrydock::fleet::detail {
+
+bool step_order::goes_before::operator()(const open_step_entry* a, const open_step_entry* b) const {
+    const auto key = [](const open_step_entry& it) {
+        return std::make_tuple(it.rank.tier, it.rank.urgency, it.rank.start_by.value(), it.number);
+    };
+    return key(*a) < key(*b);
+}
+
+void step_order::open(const step_ref& ref, job_record& job, step_state& step) {
+    auto& entry = entries_[&step];
+    if (!entry) {
+        entry = std::make_unique<open_step_entry>();
+        entry->ref = ref;
+        entry->job = &job;
+        entry->step = &step;
+        entry->number = ++last_number_;
+        unranked_.insert(entry.get());
+    }
+}
+
+void step_order::close(const step_state& step) {
+    const auto it = entries_.find(&step);
+    if (it == entries_.end()) {
+        return;
+    }
+    open_step_entry* const entry = it->second.get();
+    if (unranked_.erase(entry) + put_off_.erase(entry) == 0) {
+        remove_rank(*entry);
+    }
+    entries_.erase(it);
+}
+
+void step_order::remove_rank(open_step_entry& entry) {
+    ranked_.erase(&entry);
+    tier_ends_.erase({entry.rank.tier_until, &entry});
+}
+
+std::vector<open_step_entry*> step_order::take_unranked(unix_time now) {
+    while (!tier_ends_.empty() && tier_ends_.begin()->first < now) {
+        open_step_entry* const entry = tier_ends_.begin()->second;
+        remove_rank(*entry);
+        unranked_.insert(entry);
+    }
+    const auto unranked = std::exchange(unranked_, {});
+    return {unranked.begin(), unranked.end()};
+}
+
+void step_order::rank(open_step_entry& entry, const step_rank& rank, base::time_point now) {
+    remove_rank(entry);
+    entry.rank = rank;
+    entry.ranked_at = now;
+    ranked_.insert(&entry);
+    tier_ends_.insert({rank.tier_until, &entry});
+}
+
+void step_order::rank_put_off_steps() {
+    unranked_.insert(put_off_.begin(), put_off_.end());
+    put_off_.clear();
+}
+
+void step_order::rank_all_again() {
+    unranked_.insert(ranked_.begin(), ranked_.end());
+    ranked_.clear();
+    tier_ends_.clear();
+}
+
+std::vector<open_step_entry*> step_order::next_steps(std::size_t most_urgent, std::size_t sampled) {
+    std::vector<open_step_entry*> out;
+    auto it = ranked_.begin();
+    while (it != ranked_.end() && out.size() < most_urgent) {
+        out.push_back(*it++);
+    }
+    const auto rest = it;
+    if (rest == ranked_.end()) {
+        return out;
+    }
+    const auto first_sampled =
+        goes_before()(*rest, &sample_from_) ? ranked_.lower_bound(&sample_from_) : rest;
+    it = first_sampled;
+    std::size_t n = 0;
+    for (; it != ranked_.end() && n < sampled; ++n) {
+        out.push_back(*it++);
+    }
+    // Wraps around; the steps stay in their order.
+    const auto wrapped = out.begin() + static_cast<std::ptrdiff_t>(most_urgent);
+    if (it == ranked_.end()) {
+        std::vector<open_step_entry*> front;
+        for (it = rest; it != first_sampled && n < sampled; ++n) {
+            front.push_back(*it++);
+        }
+        out.insert(wrapped, front.begin(), front.end());
+    }
+    sample_from_.rank = it == ranked_.end() ? step_rank{} : (*it)->rank;
+    sample_from_.number = it == ranked_.end() ? 0 : (*it)->number;
+    return out;
+}
+
+}  // namespace cranberrydock::fleet::detail
--- a/packages/fleet/src/step_ranking.cpp
+++ b/packages/fleet/src/step_ranking.cpp
@@ -5,11 +5,13 @@
 #include "scheduler_state.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace cranberrydock::fleet {
 
 using detail::job_record;
 using detail::open_step;
+using detail::step_rank;
 
 namespace {
 
@@ -50,20 +52,14 @@
     return job.critical_paths;
 }
 
-// Drops the steps that have no tasks to start. The loss of a run opens its step again.
-void scheduler::state::drop_closed_steps() {
-    const auto closed = [](detail::open_step_entry& it) {
-        const auto& tasks = it.step->tasks;
-        it.step->open = !is_final(it.job->state) &&
-                        std::any_of(tasks.begin(), tasks.end(),
-                                    [](const auto& t) { return !t.done && t.vm == nullptr; });
-        return !it.step->open;
-    };
-    open.erase(std::remove_if(open.begin(), open.end(), closed), open.end());
+bool scheduler::state::has_waiting_tasks(const detail::open_step_entry& entry) {
+    const auto& tasks = entry.step->tasks;
+    return !is_final(entry.job->state) &&
+           std::any_of(tasks.begin(), tasks.end(),
+                       [](const auto& it) { return !it.done && it.vm == nullptr; });
 }
 
-// Determines the step's tier, its urgency and its latest start.
-open_step scheduler::state::rank(const detail::open_step_entry& entry, const clock_reading& now) {
+open_step scheduler::state::make_open_step(const detail::open_step_entry& entry) {
     open_step out;
     job_record& job = *entry.job;
     out.ref = &entry.ref;
@@ -71,7 +67,15 @@
     out.step = entry.step;
     out.terms = &job.terms();
     out.advice = job.queue == nullptr || !job.queue->query_cost ? nullptr : &*job.queue->query_cost;
-    const queue_terms& terms = *out.terms;
+    out.tier = entry.rank.tier;
+    return out;
+}
+
+// Determines the step's tier, its urgency and its latest start.
+step_rank scheduler::state::rank_of(const detail::open_step_entry& entry,
+                                    const clock_reading& now) {
+    job_record& job = *entry.job;
+    const queue_terms& terms = job.terms();
     const auto& path_times = critical_paths_of(job, now);
     const auto remaining = path_times[static_cast<std::size_t>(entry.ref.step)];
     const auto total_time = *std::max_element(path_times.begin(), path_times.end());
@@ -79,51 +83,55 @@
         job.spec.occurrences == 0
             ? job.spec.accepted.value()
             : job.spec.first_start.value() + entry.ref.occurrence * job.spec.period.count();
-    const milliseconds age(now.wall.value() - nominal_start);
     const milliseconds objective =
         terms.target_latency + milliseconds(static_cast<milliseconds::rep>(
                                    terms.slack_factor * static_cast<double>(total_time.count())));
+    const auto late_limit = milliseconds(static_cast<milliseconds::rep>(
+        settings.late_factor * static_cast<double>(objective.count())));
     // A long-running job that has started serves its users, who are without it now.
     const bool interrupted = entry.step->spec->long_running && job.started;
+    const auto no_end = unix_time(std::numeric_limits<std::int64_t>::max());
+    step_rank out;
     out.urgency = interrupted ? interrupted_urgency : terms.urgency;
-    out.start_by = now.steady + (objective - age - remaining);
-    const auto late_limit = milliseconds(static_cast<milliseconds::rep>(
-        settings.late_factor * static_cast<double>(objective.count())));
-    if (entry.step->spec->long_running || age + remaining <= objective) {
+    out.start_by = unix_time(nominal_start + (objective - remaining).count());
+    const unix_time late_until(nominal_start + (late_limit - remaining).count());
+    if (entry.step->spec->long_running || now.wall <= out.start_by) {
         out.tier = job.over_share && !interrupted ? tier_late : tier_in_time;
+        out.tier_until = entry.step->spec->long_running ? no_end : out.start_by;
+    } else if (now.wall <= late_until && !job.over_share) {
+        out.tier = tier_late;
+        out.tier_until = late_until;
     } else {
-        out.tier = age + remaining <= late_limit && !job.over_share ? tier_late : tier_worthless;
+        out.tier = tier_worthless;
+        out.tier_until = no_end;
     }
     return out;
 }
 
 // Returns the most urgent steps, and a sample of the remaining ones if the backlog is long. Without
 // the sample, steps that wait for their customer's limit or for particular VMs could block others.
-std::vector<open_step> scheduler::state::ranked_steps(const clock_reading& now) {
-    const auto goes_before = [](const open_step& a, const open_step& b) {
-        if (a.tier != b.tier) {
-            return a.tier < b.tier;
-        }
-        return a.urgency != b.urgency ? a.urgency < b.urgency : a.start_by < b.start_by;
-    };
-    std::vector<open_step> out;
-    out.reserve(open.size());
-    for (const auto& it : open) {
-        if (!it.job->inherited || inherited_known) {
-            out.push_back(rank(it, now));
+std::vector<detail::open_step_entry*> scheduler::state::next_open_steps(const clock_reading& now) {
+    for (detail::open_step_entry* const it : open.take_unranked(now.wall)) {
+        if (!has_waiting_tasks(*it)) {
+            open.close(*it->step);
+        } else if (it->job->inherited && !inherited_known) {
+            open.put_off(*it);
+        } else {
+            open.rank(*it, rank_of(*it, now), now.steady);
         }
     }
-    if (out.size() > max_most_urgent + max_sampled) {
-        const auto first_sampled = out.begin() + max_most_urgent;
-        std::nth_element(out.begin(), first_sampled, out.end(), goes_before);
-        const std::size_t less_urgent_count = out.size() - max_most_urgent;
-        next_sample_offset %= less_urgent_count;
-        std::rotate(first_sampled, first_sampled + static_cast<std::ptrdiff_t>(next_sample_offset),
-                    out.end());
-        next_sample_offset += max_sampled;
-        out.resize(max_most_urgent + max_sampled);
-    }
-    std::sort(out.begin(), out.end(), goes_before);
+    auto out = open.next_steps(max_most_urgent, max_sampled);
+    const auto is_closed = [&](detail::open_step_entry* it) {
+        if (!has_waiting_tasks(*it)) {
+            open.close(*it->step);
+            return true;
+        }
+        if (now.steady - it->ranked_at > critical_path_lifetime) {
+            open.rank(*it, rank_of(*it, now), now.steady);
+        }
+        return false;
+    };
+    out.erase(std::remove_if(out.begin(), out.end(), is_closed), out.end());
     return out;
 }
 
