fleet: steps that found no room leave the free capacity to others

Cause: queries are sent only while the lookahead lasts, from which each waiting step took its full need, including tasks that were running. Gangs that fit on none of the VMs granted to them used it up, for the fleet and for their customers, so that no less urgent step could ask where it may run.

A step takes the need of its waiting tasks only. After an answer without a start it leaves the capacity that is free now to the steps behind it for 2.5 to 10 s, and takes only from what becomes free soon. A gang that is in time still claims it.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -12,6 +12,7 @@
 using detail::job_record;
 using detail::open_step;
 using detail::placement_round;
+using detail::query_lookahead;
 using detail::run_phase;
 using detail::step_state;
 using detail::vm_record;
@@ -22,18 +23,56 @@
 // fraction of the total.
 constexpr double lookahead_fraction = 0.25;
 
-std::int64_t lookahead_of(std::int64_t amount) {
-    return static_cast<std::int64_t>(static_cast<double>(amount) * lookahead_fraction);
+resources share_of(const resources& amount, double fraction) {
+    const auto part = [fraction](std::int64_t n) {
+        return static_cast<std::int64_t>(static_cast<double>(n) * fraction);
+    };
+    return {base::millicores(part(amount.cores.value())),
+            base::mebibytes(part(amount.memory.value())),
+            base::accelerator_count(part(amount.accelerators.value())), base::slot_count(0)};
 }
 
-resources total_need(const open_step& work) {
-    const resources& need = work.step->spec->need;
-    const auto count = static_cast<std::int64_t>(work.step->tasks.size());
+resources times(const resources& need, std::int64_t count) {
     return {base::millicores(need.cores.value() * count),
             base::mebibytes(need.memory.value() * count),
             base::accelerator_count(need.accelerators.value() * count), base::slot_count(0)};
 }
 
+resources total_need(const open_step& work) {
+    return times(work.step->spec->need, static_cast<std::int64_t>(work.step->tasks.size()));
+}
+
+// The need of the tasks that wait to be placed.
+resources waiting_need(const open_step& work) {
+    const auto& tasks = work.step->tasks;
+    return times(work.step->spec->need,
+                 std::count_if(tasks.begin(), tasks.end(),
+                               [](const auto& it) { return !it.done && it.vm == nullptr; }));
+}
+
+bool is_positive(const resources& amount) {
+    return amount.cores.value() > 0 && amount.memory.value() > 0;
+}
+
+bool is_used_up(const query_lookahead& lookahead, bool claims_free_now) {
+    return !is_positive(lookahead.free_soon) &&
+           !(claims_free_now && is_positive(lookahead.free_now));
+}
+
+// Whether the advisor's last answers led to no start, and the next attempt is not due yet.
+bool found_no_room_lately(const open_step& work, const clock_reading& now) {
+    constexpr milliseconds first_pause{2'500};
+    constexpr int max_doublings = 2;
+    const int answers = work.step->answers_without_start;
+    return answers > 0 && now.steady - work.step->last_query_at <
+                              first_pause * (1 << std::min(answers - 1, max_doublings));
+}
+
+void take(query_lookahead& lookahead, const resources& need, bool claims_free_now) {
+    (claims_free_now && is_positive(lookahead.free_now) ? lookahead.free_now
+                                                        : lookahead.free_soon) -= need;
+}
+
 }  // namespace
 
 bool scheduler::state::usable(const vm_record& vm, const clock_reading& now) const {
@@ -100,6 +139,7 @@
 void scheduler::state::start(open_step& work, int index, vm_record& vm, run_number run,
                              const clock_reading& now, decisions& out) {
     const task_ref task{work.ref->job, work.ref->occurrence, work.ref->step, index};
+    work.step->answers_without_start = 0;
     place_run(vm, *work.job, *work.step, task, run, now);
     out.starts.push_back(make_start_decision(vm, *work.job, *work.step, task, run));
 }
@@ -302,35 +342,29 @@
            });
 }
 
-// Whether the step cannot start soon because its customer is near its limit. The backlog of such a
-// customer must not use up the queries of other customers. If it returns false, it deducts the
-// step's need from what the customer may start.
-bool scheduler::state::waits_for_limit(const open_step& work, placement_round& round) const {
-    const customer_name& customer = work.job->spec.customer;
+// What the customer may still start, now and while queries are being answered.
+query_lookahead& scheduler::state::customer_lookahead(const customer_name& customer,
+                                                      placement_round& round) const {
     const auto found = round.customer_lookahead.find(customer);
-    if (found == round.customer_lookahead.end()) {
-        resources lookahead = customer_headroom(customer);
-        const auto limits = configuration->customers.find(customer);
-        if (limits != configuration->customers.end()) {
-            const resources& limit = limits->second.upper_limit;
-            lookahead.cores += base::millicores(lookahead_of(limit.cores.value()));
-            lookahead.memory += base::mebibytes(lookahead_of(limit.memory.value()));
-        }
-        round.customer_lookahead.emplace(customer, lookahead);
+    if (found != round.customer_lookahead.end()) {
+        return found->second;
     }
-    resources& lookahead = round.customer_lookahead.at(customer);
-    if (lookahead.cores.value() <= 0 || lookahead.memory.value() <= 0) {
-        return true;
-    }
-    lookahead -= total_need(work);
-    return false;
+    query_lookahead out;
+    out.free_now = customer_headroom(customer);
+    const auto limits = configuration->customers.find(customer);
+    const bool limited = limits != configuration->customers.end();
+    const resources limit = limited ? limits->second.upper_limit : resources{};
+    out.free_soon = share_of(limit, lookahead_fraction);
+    out.free_soon.cores = limit.cores.value() > 0 ? out.free_soon.cores : out.free_now.cores;
+    out.free_soon.memory = limit.memory.value() > 0 ? out.free_soon.memory : out.free_now.memory;
+    return round.customer_lookahead.emplace(customer, out).first->second;
 }
 
 void scheduler::state::query_advisor(open_step& work, placement_round& round,
                                      const clock_reading& now, decisions& out) {
     const bool is_long = is_long_query(*work.advice);
     int& queries_left = is_long ? round.budget.long_queries : round.budget.queries;
-    if (queries_left <= 0 || round.lookahead_cores <= 0 || work.step->query_open) {
+    if (queries_left <= 0 || work.step->query_open) {
         return;
     }
     if (auto query = make_query(work, round, now)) {
@@ -344,11 +378,39 @@
     }
 }
 
+// Places the step's tasks or, if some have to wait, queries the advisor on their behalf. Returns
+// whether the step waits for capacity of the VMs, and not for its customer's limit.
+bool scheduler::state::consider(open_step& work, placement_round& round, const clock_reading& now,
+                                decisions& out) {
+    if (has_valid_ticket(work, now)) {
+        const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
+                                                  : place_tasks(work, round, now, out);
+        if (placed) {
+            return false;
+        }
+    }
+    // A step that found no room on the VMs granted to it leaves the capacity that is free now to
+    // less urgent steps for a while. Otherwise, wide steps that can't be placed would keep it idle.
+    // A gang that is in time still claims it, since small tasks would take it bit by bit.
+    const bool claims_free_now =
+        !found_no_room_lately(work, now) || (work.step->spec->gang && work.tier == 0);
+    const resources need = waiting_need(work);
+    query_lookahead& customer = customer_lookahead(work.job->spec.customer, round);
+    if (is_used_up(customer, claims_free_now)) {
+        return false;
+    }
+    take(customer, need, claims_free_now);
+    if (work.advice != nullptr && !is_used_up(round.lookahead, claims_free_now)) {
+        query_advisor(work, round, now, out);
+    }
+    take(round.lookahead, need, claims_free_now);
+    return true;
+}
+
 void scheduler::state::place_open_steps(const clock_reading& now, const query_budget& budget,
                                         decisions& out) {
     placement_round round;
     round.budget = budget;
-    resources free;
     resources total;
     unreported_use = inherited_known ? resources{} : unlisted_use;
     for (vm_record* const vm : vms_by_number) {
@@ -357,33 +419,19 @@
         }
         if (vm != nullptr && usable(*vm, now)) {
             round.usable.push_back(vm);
-            free += vm->free();
+            round.lookahead.free_now += vm->free();
             total += vm->facts.capacity;
         }
     }
-    round.lookahead_cores = free.cores.value() + lookahead_of(total.cores.value());
+    round.lookahead.free_soon = share_of(total, lookahead_fraction);
     int reserving_gangs = 0;
     for (detail::open_step_entry* const entry : next_open_steps(now)) {
         open_step work = make_open_step(*entry);
-        if (has_valid_ticket(work, now)) {
-            const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
-                                                      : place_tasks(work, round, now, out);
-            if (!has_waiting_tasks(*entry)) {
-                open.close(*entry->step);
-            }
-            if (placed) {
-                continue;
-            }
-        }
-        if (waits_for_limit(work, round)) {
-            continue;
-        }
-        if (work.advice != nullptr) {
-            query_advisor(work, round, now, out);
-        }
-        round.lookahead_cores -= total_need(work).cores.value();
-        if (work.step->spec->gang && work.tier == 0 &&
-            reserving_gangs < settings.max_reserving_gangs) {
+        const bool waits_for_capacity = consider(work, round, now, out);
+        if (!has_waiting_tasks(*entry)) {
+            open.close(*entry->step);
+        } else if (waits_for_capacity && work.step->spec->gang && work.tier == 0 &&
+                   reserving_gangs < settings.max_reserving_gangs) {
             round.reserved.resize(vms_by_number.size(), false);
             for (const vm_record* const vm : allowed_vms(work, round, now)) {
                 round.reserved[vm->number] = true;
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -179,6 +179,9 @@
         return;
     }
     step->query_open = false;
+    if (answer) {
+        ++step->answers_without_start;
+    }
     if (!answer) {
         state_->metrics->count("cranberrydock_advice_failures_total",
                                std::string("reason=\"") + to_string(answer.error()) + "\"");
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -144,6 +144,9 @@
     std::set<std::size_t> not_granted;
     bool query_open = false;
     time_point last_query_at{};
+    // Answers of the advisor since a task was last started. With at least one, the step can't use
+    // the capacity that is free now: none of the VMs granted to it has room.
+    int answers_without_start = 0;
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
@@ -182,6 +185,13 @@
     int tier = 0;
 };
 
+// Limits the queries of one decision to the work that can be placed soon. Each waiting step takes
+// its need from the lookahead of all less urgent ones.
+struct query_lookahead {
+    resources free_now;
+    resources free_soon;  // expected to become free while the queries are being answered
+};
+
 // A usable VM with the free cores that a query could count on when the round began.
 struct vm_with_free_cores {
     base::millicores free;
@@ -191,11 +201,11 @@
 // The state of one round of placement, shared by all open steps.
 struct placement_round {
     std::vector<vm_record*> usable;
-    std::vector<bool> reserved;        // indexed by VM number: reserved for waiting gangs
-    query_budget budget;               // queries that may still be sent
-    std::int64_t lookahead_cores = 0;  // millicores for which queries may still be sent
-    // The same for each customer whose steps have been considered so far.
-    std::map<customer_name, resources> customer_lookahead;
+    std::vector<bool> reserved;  // indexed by VM number: reserved for waiting gangs
+    query_budget budget;         // queries that may still be sent
+    query_lookahead lookahead;   // of the fleet
+    // Of each customer whose steps have been considered so far.
+    std::map<customer_name, query_lookahead> customer_lookahead;
     // The usable VMs by their free cores, for long and for other queries. Made for the first query.
     std::vector<vm_with_free_cores> by_free_cores[2];
 
@@ -333,7 +343,10 @@
     void move_tasks(detail::open_step& work, detail::placement_round& round,
                     const clock_reading& now, decisions& out);
     bool has_valid_ticket(const detail::open_step& work, const clock_reading& now) const;
-    bool waits_for_limit(const detail::open_step& work, detail::placement_round& round) const;
+    detail::query_lookahead& customer_lookahead(const customer_name& customer,
+                                                detail::placement_round& round) const;
+    bool consider(detail::open_step& work, detail::placement_round& round, const clock_reading& now,
+                  decisions& out);
     void query_advisor(detail::open_step& work, detail::placement_round& round,
                        const clock_reading& now, decisions& out);
     static start_decision make_start_decision(const detail::vm_record& vm,
