fleet_daemon: the row of a job is decoded once

The owner receives each job twice, from the daemon that accepted it and from the change feed, and decoded the row both times. The second time it is recognized by its version.

--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -109,6 +109,10 @@
 
 void owner_task::state::add_job(const fleet::stored_row& row, bool loaded) {
     const fleet::job_id id(row.address.name.str());
+    const auto known = submitted_versions.find(id);
+    if (known != submitted_versions.end() && known->second == row.version) {
+        return;  // both a notification and the change feed deliver the row
+    }
     const auto decoded = fleet::decode_job(id, row.value);
     if (!decoded) {
         spdlog::error("event=row_unreadable table=jobs row={} error=\"{}\"", id.str(),
