fleet: a step's VMs that may take no more of its tasks are not queried first

Callers saw a task of a step of 50 that failed and was not started again, although most of the fleet was free. In a step with a limit of tasks per VM, each VM that already runs one of the step's tasks still counted as having room for the waiting one. Such VMs had been granted before, so a query named them first, and 6 of them were enough for it. Their tickets expire after 2.5 s, and naming all of them takes 8 queries at 300 ms: the first ones had expired again before another VM was named, so no other VM ever was.

A query now counts, for each VM, only the tasks that the step's limit leaves.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -121,10 +121,7 @@
     return out;
 }
 
-namespace {
-
-// The number of the step's tasks on the VM, for steps that limit it.
-int running_on(const vm_record& vm, const step_ref& ref) {
+int detail::running_on(const vm_record& vm, const step_ref& ref) {
     const task_ref first{ref.job, ref.occurrence, ref.step, 0};
     int out = 0;
     for (auto it = vm.runs.lower_bound(first);
@@ -136,6 +133,8 @@
     return out;
 }
 
+namespace {
+
 // The number of a step's tasks on each VM, on each rack and in each zone.
 struct step_spread {
     explicit step_spread(const step_state& step) {
@@ -202,7 +201,7 @@
         if (fits(spec.need, room)) {
             for (vm_record* const vm : allowed) {
                 const bool full =
-                    spec.max_per_vm > 0 && running_on(*vm, *work.ref) >= spec.max_per_vm;
+                    spec.max_per_vm > 0 && detail::running_on(*vm, *work.ref) >= spec.max_per_vm;
                 if (fits(spec.need, vm->free()) && !full &&
                     (best == nullptr || better(*vm, *best))) {
                     best = vm;
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -69,7 +69,8 @@
         std::int64_t n =
             std::min<std::int64_t>(tasks_fitting(spec.need, vm->free_for_query(is_long)), waiting);
         if (spec.max_per_vm > 0) {
-            n = std::min<std::int64_t>(n, spec.max_per_vm);
+            n = std::clamp<std::int64_t>(spec.max_per_vm - detail::running_on(*vm, *work.ref), 0,
+                                         n);
         }
         candidates.push_back({vm, n, granted_before, vm->free_for_query(is_long).cores.value()});
     }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -206,6 +206,9 @@
     }
 };
 
+// The number of the step's tasks on the VM, for steps that limit it.
+int running_on(const vm_record& vm, const step_ref& ref);
+
 // A token bucket for a customer's entitlement in jobs per second. Its size is that of one second.
 struct entitlement {
     double tokens = 0;
