fleet: queries name VMs with room before full ones that were granted

Callers saw wide steps and gangs wait beside empty VMs. A query named all VMs that had been granted to the step before, also full ones, before any VM with room. Their tickets expire after 2.5 s, so a step with some hundred grants named 100 full VMs in each of its queries, for as long as they stayed full, and each such query takes the advisor the time of 100 VMs.

VMs with room for a task of the step now come first; among these, those that were granted before still do.

Evidence: a step of 1,000 tasks on 1,000 empty VMs that the advisor grants, each task filling one. Before the change 800 started in 10 s of simulated time and the others never did (started_on_.size(): 800, expected 1000); now all start.

--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -74,17 +74,17 @@
         }
         candidates.push_back({vm, n, granted_before, vm->free_for_query(is_long).cores.value()});
     }
-    // VMs that were granted before come first, then those with free capacity. Wide steps prefer the
-    // VMs with the most free capacity. Small steps prefer the fullest ones, which leaves the others
-    // to wide gangs.
+    // VMs with room for a task come first, and among them those that were granted before. Wide
+    // steps prefer the VMs with the most free capacity. Small steps prefer the fullest ones, which
+    // leaves the others to wide gangs.
     const bool wide = spec.gang || waiting > static_cast<std::ptrdiff_t>(min_vms_per_query);
     const auto better = [wide](const candidate& a, const candidate& b) {
-        if (a.granted_before != b.granted_before) {
-            return a.granted_before;
-        }
         if ((a.tasks > 0) != (b.tasks > 0)) {
             return a.tasks > 0;
         }
+        if (a.granted_before != b.granted_before) {
+            return a.granted_before;
+        }
         return wide ? a.free > b.free : a.free < b.free;
     };
     const auto last = candidates.begin() +
--- a/test/correctness/placement_queries_name_vms_with_room.cpp
+++ b/test/correctness/placement_queries_name_vms_with_room.cpp
@@ -120,4 +120,14 @@
     EXPECT_EQ(started_on_.count(49), 1U);
 }
 
+// Full VMs whose tickets had expired were named before empty ones, 100 in each query.
+TEST_F(query_test, wide_step_starts_on_empty_vms_if_granted_vms_are_full) {
+    constexpr int vms = 1'000;
+    add_vms(0, vms);
+    scheduler_.add_job(make_job("job", "urgent", {make_step(vms, vm_cores)}), nullptr, false,
+                       now());
+    run_for(base::seconds(10));
+    EXPECT_EQ(started_on_.size(), std::size_t{vms});
+}
+
 }  // namespace
