--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -90,7 +90,11 @@
         std::int64_t n =
             std::min<std::int64_t>(tasks_fitting(spec.need, vm.free_for_query(is_long)), waiting);
         if (spec.max_per_vm > 0) {
-            n = std::min<std::int64_t>(n, spec.max_per_vm);
+            const std::int64_t left = spec.max_per_vm - detail::running_on(vm, *work.ref);
+            if (left <= 0) {
+                return;
+            }
+            n = std::min(n, left);
         }
         if ((n > 0) != with_room) {
             return;
