fleet: the owner logs why a task waits beside room

A task of the users waited for 65 s beside a mostly free fleet, and nothing on record said why it was not started: the owner logs starts and their failures, but not what it decides against.

The scheduler now records, for each step with waiting tasks, when it was last considered and why it was not placed (a byte and two times), and since when no task of it has started. Every 2 s the owner examines up to 200 open steps, in turn, and logs up to 20 whose tasks have waited for over 3 s although two of them fit the free capacity of usable VMs: event=task_waits with reason, grants, denials, the customer's headroom and the free capacity, at most 20 lines a second, and a counter by reason.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -17,6 +17,7 @@
 #include <cranberrydock/fleet/job_rows.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -53,6 +54,37 @@
     std::vector<placement_query> queries;
 };
 
+// Why a step with tasks to start was not placed when it was last considered.
+enum class wait_reason : std::uint8_t {
+    not_considered,   // in no decision since its task waits
+    inherited_runs,   // runs of previous owners are not known yet
+    gang_ending,      // members of the gang's previous run have not ended
+    customer_limit,   // the customer's limit, or its share of the steps that are considered
+    no_room,          // on the VMs that may run it; further VMs cannot be queried now
+    lookahead,        // steps ahead of it take the capacity for which queries are sent
+    no_free_advisor,  // no daemon can send another query
+    query_open,
+    query_sent,
+};
+
+const char* to_string(wait_reason reason);
+
+// A step of which a task has waited for a long time although there is room for it.
+struct overdue_step {
+    step_ref step;
+    queue_name queue;
+    customer_name customer;
+    int first_task = 0;  // index of the first task that waits
+    milliseconds waited{0};
+    wait_reason reason = wait_reason::not_considered;
+    milliseconds considered_before{0};  // time since `reason` was recorded
+    std::size_t valid_grants = 0;
+    std::size_t expired_grants = 0;
+    std::size_t denied = 0;  // VMs that the placement advisor did not grant
+    resources need;          // of each task
+    resources headroom;      // of the customer
+};
+
 struct scheduler_settings {
     // How often a start is sent without an answer before the VM is commanded to stop the run.
     int max_start_attempts = 3;
@@ -166,6 +198,11 @@
     std::size_t run_count() const;
     // The capacity of all VMs that have reported and are not leaving.
     resources capacity() const;
+    // Steps of which no task has started for `min_wait` although their needs fit twice over into
+    // the free capacity of usable VMs. Examines at most `max_examined` steps, which differ between
+    // calls, and returns at most `max_count`.
+    std::vector<overdue_step> overdue_steps(const clock_reading& now, milliseconds min_wait,
+                                            std::size_t max_examined, std::size_t max_count);
     // The capacity that runs take on all VMs.
     resources in_use() const;
 
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -101,6 +101,7 @@
                              const clock_reading& now, decisions& out) {
     const task_ref task{work.ref->job, work.ref->occurrence, work.ref->step, index};
     place_run(vm, *work.job, *work.step, task, run, now);
+    work.step->waits_since = now.steady;
     out.starts.push_back(make_start_decision(vm, *work.job, *work.step, task, run));
 }
 
@@ -325,12 +326,18 @@
     return false;
 }
 
-void scheduler::state::query_advisor(open_step& work, placement_round& round,
-                                     const clock_reading& now, decisions& out) {
+wait_reason scheduler::state::query_advisor(open_step& work, placement_round& round,
+                                            const clock_reading& now, decisions& out) {
     const bool is_long = is_long_query(*work.advice);
     int& queries_left = is_long ? round.budget.long_queries : round.budget.queries;
-    if (queries_left <= 0 || round.lookahead_cores <= 0 || work.step->query_open) {
-        return;
+    if (work.step->query_open) {
+        return wait_reason::query_open;
+    }
+    if (queries_left <= 0) {
+        return wait_reason::no_free_advisor;
+    }
+    if (round.lookahead_cores <= 0) {
+        return wait_reason::lookahead;
     }
     if (auto query = make_query(work, round, now)) {
         query->is_long = is_long;
@@ -340,7 +347,9 @@
         out.queries.push_back(std::move(*query));
         --round.budget.queries;
         round.budget.long_queries -= is_long ? 1 : 0;
+        return wait_reason::query_sent;
     }
+    return wait_reason::no_room;
 }
 
 void scheduler::state::place_open_steps(const clock_reading& now, const query_budget& budget,
@@ -363,19 +372,26 @@
     round.lookahead_cores = free.cores.value() + lookahead_of(total.cores.value());
     int reserving_gangs = 0;
     for (auto& work : ranked_steps(now)) {
+        work.step->considered_at = now.steady;
         if (has_valid_ticket(work, now)) {
             const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
                                                       : place_tasks(work, round, now, out);
             if (placed) {
+                // A gang also counts as placed while it has to wait for anything but room.
+                const auto& tasks = work.step->tasks;
+                work.step->waits_for = std::any_of(tasks.begin(), tasks.end(),
+                                                   [](const auto& it) { return it.vm != nullptr; })
+                                           ? wait_reason::gang_ending
+                                           : wait_reason::customer_limit;
                 continue;
             }
         }
         if (waits_for_limit(work, round)) {
+            work.step->waits_for = wait_reason::customer_limit;
             continue;
         }
-        if (work.advice != nullptr) {
-            query_advisor(work, round, now, out);
-        }
+        work.step->waits_for =
+            work.advice == nullptr ? wait_reason::no_room : query_advisor(work, round, now, out);
         round.lookahead_cores -= total_need(work).cores.value();
         if (work.step->spec->gang && work.tier == 0 &&
             reserving_gangs < settings.max_reserving_gangs) {
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -59,6 +59,12 @@
 
 decisions scheduler::decide(const clock_reading& now, const query_budget& budget) {
     decisions out;
+    if (state_->last_decision == base::time_point{}) {
+        for (auto& it : state_->open) {
+            it.step->waits_since = now.steady;
+        }
+    }
+    state_->last_decision = now.steady;
     state_->drop_closed_steps();  // before their jobs are forgotten
     state_->forget_ended_jobs();
     state_->open_due_occurrences(now);
@@ -110,6 +116,92 @@
                        record.started ? job_state::active : job_state::queued};
 }
 
+const char* to_string(wait_reason reason) {
+    switch (reason) {
+        case wait_reason::not_considered:
+            return "not_considered";
+        case wait_reason::inherited_runs:
+            return "inherited_runs";
+        case wait_reason::gang_ending:
+            return "gang_ending";
+        case wait_reason::customer_limit:
+            return "customer_limit";
+        case wait_reason::no_room:
+            return "no_room";
+        case wait_reason::lookahead:
+            return "lookahead";
+        case wait_reason::no_free_advisor:
+            return "no_free_advisor";
+        case wait_reason::query_open:
+            return "query_open";
+        case wait_reason::query_sent:
+            return "query_sent";
+    }
+    return "unknown";
+}
+
+// Whether two tasks of the step fit into the free capacity of usable VMs.
+bool scheduler::state::has_room_twice(const detail::open_step_entry& entry,
+                                      const clock_reading& now) const {
+    detail::open_step work;
+    work.step = entry.step;
+    work.terms = &entry.job->terms();
+    const resources& need = entry.step->spec->need;
+    int places = 0;
+    for (const detail::vm_record* const vm : vms_by_number) {
+        if (vm == nullptr || !usable(*vm, now) || !may_run(*vm, work)) {
+            continue;
+        }
+        resources room = vm->free();
+        for (; places < 2 && fits(need, room); ++places) {
+            room -= need;
+        }
+        if (places == 2) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<overdue_step> scheduler::overdue_steps(const clock_reading& now, milliseconds min_wait,
+                                                   std::size_t max_examined,
+                                                   std::size_t max_count) {
+    std::vector<overdue_step> out;
+    const auto& open = state_->open;
+    const std::size_t count = std::min(max_examined, open.size());
+    for (std::size_t i = 0; i < count && out.size() < max_count; ++i) {
+        state_->next_examined = (state_->next_examined + 1) % open.size();
+        const auto& entry = open[state_->next_examined];
+        const auto& step = *entry.step;
+        const auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const auto& it) {
+            return !it.done && it.vm == nullptr;
+        });
+        if (now.steady - step.waits_since < min_wait || waiting == step.tasks.end() ||
+            is_final(entry.job->state) || !state_->has_room_twice(entry, now)) {
+            continue;
+        }
+        overdue_step found;
+        found.step = entry.ref;
+        found.queue = entry.job->spec.queue;
+        found.customer = entry.job->spec.customer;
+        found.first_task = static_cast<int>(waiting - step.tasks.begin());
+        found.waited = std::chrono::duration_cast<milliseconds>(now.steady - step.waits_since);
+        found.reason = entry.job->inherited && !state_->inherited_known
+                           ? wait_reason::inherited_runs
+                           : step.waits_for;
+        found.considered_before = std::chrono::duration_cast<milliseconds>(
+            now.steady - std::max(step.considered_at, step.waits_since));
+        for (const auto& it : step.grants) {
+            ++(now.steady < it.second.until ? found.valid_grants : found.expired_grants);
+        }
+        found.denied = step.not_granted.size();
+        found.need = step.spec->need;
+        found.headroom = state_->customer_headroom(found.customer);
+        out.push_back(std::move(found));
+    }
+    return out;
+}
+
 std::size_t scheduler::job_count() const {
     return state_->jobs.size();
 }
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -74,6 +74,8 @@
 void scheduler::state::mark_open(const step_ref& ref, job_record& job, step_state& step) {
     if (!step.open) {
         step.open = true;
+        step.waits_since = last_decision;
+        step.waits_for = wait_reason::not_considered;
         open.push_back({ref, &job, &step});
     }
 }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -144,6 +144,10 @@
     bool query_open = false;
     time_point last_query_at{};
     bool open = false;  // in the scheduler's list of open steps
+    // Since when a task has waited while no other one of the step started.
+    time_point waits_since{};
+    time_point considered_at{};  // when `waits_for` was recorded
+    wait_reason waits_for = wait_reason::not_considered;
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
@@ -238,6 +242,8 @@
     // that have none.
     std::vector<detail::open_step_entry> open;
     std::size_t next_sample_offset = 0;  // into the steps beyond the most urgent ones
+    std::size_t next_examined = 0;       // into `open`, for overdue_steps()
+    base::time_point last_decision{};
     std::map<step_ref, std::vector<detail::expectation>> expectations;  // of open queries
     std::set<step_ref> forming_gangs;               // gangs with members that are being started
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
@@ -338,8 +344,10 @@
                     const clock_reading& now, decisions& out);
     bool has_valid_ticket(const detail::open_step& work, const clock_reading& now) const;
     bool waits_for_limit(const detail::open_step& work, detail::placement_round& round) const;
-    void query_advisor(detail::open_step& work, detail::placement_round& round,
-                       const clock_reading& now, decisions& out);
+    // Returns why the step has to wait.
+    wait_reason query_advisor(detail::open_step& work, detail::placement_round& round,
+                              const clock_reading& now, decisions& out);
+    bool has_room_twice(const detail::open_step_entry& entry, const clock_reading& now) const;
     static start_decision make_start_decision(const detail::vm_record& vm,
                                               const detail::job_record& job,
                                               const detail::step_state& step, const task_ref& task,
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -75,6 +75,8 @@
     void decide();
     void hold_starts_on_stale_jobs();
     void log_load();
+    // Logs tasks that have waited for a long time although there is room for them.
+    void log_waits();
     fleet::clock_reading now() const;
 
     // A job whose row is written alone, after a pause that grows with each rejection.
@@ -204,6 +206,8 @@
     base::log_rate_limiter stop_log_limiter{"task_stop", task_lines_per_second};
     base::log_rate_limiter job_end_log_limiter{"job_ended", task_lines_per_second};
     static constexpr std::int64_t task_lines_per_second = 250;
+    base::log_rate_limiter wait_log_limiter{"task_waits", wait_lines_per_second};
+    static constexpr std::int64_t wait_lines_per_second = 20;
     // Entries of other writers, which may be many.
     base::log_rate_limiter unreadable_log_limiter{"member_unreadable", unreadable_lines_per_second};
     static constexpr std::int64_t unreadable_lines_per_second = 20;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -19,6 +19,11 @@
 // How long a query for changes stays open. A lost answer delays the changes by slightly more.
 constexpr base::milliseconds follow_wait{700};
 constexpr base::milliseconds log_period{2'000};
+// A task that has waited for this long although there is room for it is logged.
+constexpr base::milliseconds long_wait{3'000};
+// Limits on the steps examined and logged in one period, which bound the time that this takes.
+constexpr std::size_t max_steps_examined = 200;
+constexpr std::size_t max_waits_logged = 20;
 // Changes within this time are read by one call, since each call to the store has a cost. The owner
 // usually learns of new jobs earlier, from the daemons that accepted them.
 constexpr base::milliseconds jobs_batch_pause{100};
@@ -144,6 +149,7 @@
         sessions.size(), usable_capacity.cores.value(), scheduler.in_use().cores.value(),
         start_count, query_count, advisors.room().queries, decision_count, deciding_time.count(),
         report_count, notification_count, status_query_count);
+    log_waits();
     deciding_time = base::duration{0};
     decision_count = 0;
     start_count = 0;
@@ -153,6 +159,30 @@
     status_query_count = 0;
 }
 
+void owner_task::state::log_waits() {
+    const auto waits =
+        scheduler.overdue_steps(now(), long_wait, max_steps_examined, max_waits_logged);
+    if (waits.empty()) {
+        return;
+    }
+    const auto free = scheduler.capacity() - scheduler.in_use();
+    for (const auto& it : waits) {
+        metrics.count("cranberrydock_tasks_waiting_beside_room_total",
+                      std::string("reason=\"") + to_string(it.reason) + "\"");
+        if (wait_log_limiter.allows(clock.now())) {
+            spdlog::warn(
+                "event=task_waits task={} waited_ms={} reason={} considered_before_ms={} queue={} "
+                "customer={} grants={} expired_grants={} denied={} need_cores={} headroom_cores={} "
+                "free_cores={}",
+                to_string(
+                    fleet::task_ref{it.step.job, it.step.occurrence, it.step.step, it.first_task}),
+                it.waited.count(), to_string(it.reason), it.considered_before.count(),
+                it.queue.str(), it.customer.str(), it.valid_grants, it.expired_grants, it.denied,
+                it.need.cores.value(), it.headroom.cores.value(), free.cores.value());
+        }
+    }
+}
+
 owner_task::owner_task(net::event_loop& loop, fleet::row_store& store, fleet::vm_control& vms,
                        const fleet::platform_rows& rows, const job_layout& layout,
                        advisor_pool& advisors, ownership_view& rights, fleet::fencing_token owner,
