fleet: jobs of a removed queue go on to query the advisor

Callers saw accepted jobs wait for ever once their queue had been removed, if its starts need tickets. Without its queue a job counted as needing no placement grants, so each decision started its tasks on the same VM without a ticket, and the VM rejected every one.

A job now keeps the query cost of its queue when that is removed. An owner that never knew the queue learns from the first start that is rejected for want of a ticket, and assumes a default cost.

--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -25,7 +25,7 @@
         }
     }
     for (const auto& it : state_->jobs) {
-        it.second->queue = state_->find_queue(it.second->spec.queue);
+        state_->update_queue(*it.second);
     }
 }
 
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -71,6 +71,13 @@
     return it == queues.end() ? nullptr : it->second;
 }
 
+void scheduler::state::update_queue(job_record& job) const {
+    job.queue = find_queue(job.spec.queue);
+    if (job.queue != nullptr) {
+        job.query_cost = job.queue->query_cost;
+    }
+}
+
 void scheduler::state::mark_open(const step_ref& ref, job_record& job, step_state& step) {
     if (!step.open) {
         step.open = true;
@@ -161,7 +168,7 @@
     }
     auto& job = *state_->jobs.emplace(spec.id, std::make_unique<job_record>()).first->second;
     job.spec = spec;
-    job.queue = state_->find_queue(spec.queue);
+    state_->update_queue(job);
     job.inherited = inherited;
     const auto customer = state_->configuration->customers.find(spec.customer);
     if (customer != state_->configuration->customers.end()) {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -156,6 +156,8 @@
     job_spec spec;
     // In the current configuration; null: the queue has been removed.
     const queue_config* queue = nullptr;
+    // Of its queue; kept when the queue is removed, since its tasks then still need tickets.
+    std::optional<placement_query_cost> query_cost;
     job_state state = job_state::queued;
     bool inherited = false;
     bool over_share = false;  // exceeds its customer's entitlement in jobs per second
@@ -286,6 +288,7 @@
     void stop_runs_of(detail::job_record& job, const std::string& reason);
     void stop_step(const step_ref& ref, detail::step_state& step, const std::string& reason);
     const queue_config* find_queue(const queue_name& name) const;
+    void update_queue(detail::job_record& job) const;
     // Whether queries of this cost must not delay the shortest queries.
     bool is_long_query(const placement_query_cost& cost) const;
     const std::vector<milliseconds>& critical_paths_of(detail::job_record& job,
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds stop_retry_pause{200};  // before a failed stop command is repeated
 constexpr milliseconds no_room_pause{500};     // for a VM that has less free capacity than recorded
 constexpr milliseconds unhealthy_pause{1'000};
+// The assumed cost of queries for a queue that is not in the configuration.
+constexpr placement_query_cost default_query_cost{milliseconds{50}, base::microseconds{1'000}, {}};
 constexpr std::size_t max_completions_in_report = 500;  // a report with this many may be incomplete
 
 }  // namespace
@@ -310,6 +312,10 @@
         vm->avoid_until = now.steady + unhealthy_pause;
     } else if (answer.error() == command_failure::ticket_invalid && step != nullptr) {
         step->grants.erase(vm->number);
+        if (job->queue == nullptr && !job->query_cost) {
+            // Its queue was removed before this owner read the configuration.
+            job->query_cost = default_query_cost;
+        }
     }
     state_->release(*vm, task);
     if (step != nullptr && step->spec->gang && !step->finished()) {
--- a/packages/fleet/src/step_ranking.cpp
+++ b/packages/fleet/src/step_ranking.cpp
@@ -70,7 +70,7 @@
     out.job = &job;
     out.step = entry.step;
     out.terms = &job.terms();
-    out.advice = job.queue == nullptr || !job.queue->query_cost ? nullptr : &*job.queue->query_cost;
+    out.advice = job.query_cost ? &*job.query_cost : nullptr;
     const queue_terms& terms = *out.terms;
     const auto& path_times = critical_paths_of(job, now);
     const auto remaining = path_times[static_cast<std::size_t>(entry.ref.step)];
