--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -141,6 +141,7 @@
     const task_ref task{work.ref->job, work.ref->occurrence, work.ref->step, index};
     work.step->answers_without_start = 0;
     place_run(vm, *work.job, *work.step, task, run, now);
+    work.step->waits_since = now.steady;
     out.starts.push_back(make_start_decision(vm, *work.job, *work.step, task, run));
 }
 
@@ -359,12 +360,15 @@
     return round.customer_lookahead.emplace(customer, out).first->second;
 }
 
-void scheduler::state::query_advisor(open_step& work, placement_round& round,
-                                     const clock_reading& now, decisions& out) {
+wait_reason scheduler::state::query_advisor(open_step& work, placement_round& round,
+                                            const clock_reading& now, decisions& out) {
     const bool is_long = is_long_query(*work.advice);
     int& queries_left = is_long ? round.budget.long_queries : round.budget.queries;
-    if (queries_left <= 0 || work.step->query_open) {
-        return;
+    if (work.step->query_open) {
+        return wait_reason::query_open;
+    }
+    if (queries_left <= 0) {
+        return wait_reason::no_free_advisor;
     }
     if (auto query = make_query(work, round, now)) {
         query->is_long = is_long;
@@ -374,17 +378,26 @@
         out.queries.push_back(std::move(*query));
         --round.budget.queries;
         round.budget.long_queries -= is_long ? 1 : 0;
+        return wait_reason::query_sent;
     }
+    return wait_reason::no_room;
 }
 
 // Places the step's tasks or, if some have to wait, queries the advisor on their behalf. Returns
 // whether the step waits for capacity of the VMs, and not for its customer's limit.
 bool scheduler::state::consider(open_step& work, placement_round& round, const clock_reading& now,
                                 decisions& out) {
+    work.step->considered_at = now.steady;
     if (has_valid_ticket(work, now)) {
         const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
                                                   : place_tasks(work, round, now, out);
         if (placed) {
+            // A gang also counts as placed while it has to wait for anything but room.
+            const auto& tasks = work.step->tasks;
+            work.step->waits_for = std::any_of(tasks.begin(), tasks.end(),
+                                               [](const auto& it) { return it.vm != nullptr; })
+                                       ? wait_reason::gang_ending
+                                       : wait_reason::customer_limit;
             return false;
         }
     }
@@ -396,12 +409,14 @@
     const resources need = waiting_need(work);
     query_lookahead& customer = customer_lookahead(work.job->spec.customer, round);
     if (is_used_up(customer, claims_free_now)) {
+        work.step->waits_for = wait_reason::customer_limit;
         return false;
     }
     take(customer, need, claims_free_now);
-    if (work.advice != nullptr && !is_used_up(round.lookahead, claims_free_now)) {
-        query_advisor(work, round, now, out);
-    }
+    work.step->waits_for = work.advice == nullptr ? wait_reason::no_room
+                           : is_used_up(round.lookahead, claims_free_now)
+                               ? wait_reason::lookahead
+                               : query_advisor(work, round, now, out);
     take(round.lookahead, need, claims_free_now);
     return true;
 }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -147,6 +147,10 @@
     // Answers of the advisor since a task was last started. With at least one, the step can't use
     // the capacity that is free now: none of the VMs granted to it has room.
     int answers_without_start = 0;
+    // Since when a task has waited while no other one of the step started.
+    time_point waits_since{};
+    time_point considered_at{};  // when `waits_for` was recorded
+    wait_reason waits_for = wait_reason::not_considered;
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
@@ -155,6 +159,8 @@
     job_spec spec;
     // In the current configuration; null: the queue has been removed.
     const queue_config* queue = nullptr;
+    // Of its queue; kept when the queue is removed, since its tasks then still need tickets.
+    std::optional<placement_query_cost> query_cost;
     job_state state = job_state::queued;
     bool inherited = false;
     bool over_share = false;  // exceeds its customer's entitlement in jobs per second
@@ -244,6 +250,7 @@
     std::unordered_map<job_id, std::unique_ptr<detail::job_record>> jobs;
     // A step without tasks to start is dropped when a decision considers it.
     detail::step_order open;
+    base::time_point last_decision{};
     std::map<step_ref, std::vector<detail::expectation>> expectations;  // of open queries
     std::set<step_ref> forming_gangs;               // gangs with members that are being started
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
@@ -286,6 +293,7 @@
     void stop_runs_of(detail::job_record& job, const std::string& reason);
     void stop_step(const step_ref& ref, detail::step_state& step, const std::string& reason);
     const queue_config* find_queue(const queue_name& name) const;
+    void update_queue(detail::job_record& job) const;
     // Whether queries of this cost must not delay the shortest queries.
     bool is_long_query(const placement_query_cost& cost) const;
     const std::vector<milliseconds>& critical_paths_of(detail::job_record& job,
@@ -350,8 +358,10 @@
                                                 detail::placement_round& round) const;
     bool consider(detail::open_step& work, detail::placement_round& round, const clock_reading& now,
                   decisions& out);
-    void query_advisor(detail::open_step& work, detail::placement_round& round,
-                       const clock_reading& now, decisions& out);
+    // Returns why the step has to wait.
+    wait_reason query_advisor(detail::open_step& work, detail::placement_round& round,
+                              const clock_reading& now, decisions& out);
+    bool has_room_twice(const detail::open_step_entry& entry, const clock_reading& now) const;
     static start_decision make_start_decision(const detail::vm_record& vm,
                                               const detail::job_record& job,
                                               const detail::step_state& step, const task_ref& task,
--- a/packages/fleet/src/step_order.cpp
+++ b/packages/fleet/src/step_order.cpp
@@ -1,6 +1,7 @@
 // Maintains the order of the open steps.
 #include "step_order.hpp"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -13,16 +14,19 @@
     return key(*a) < key(*b);
 }
 
-void step_order::open(const step_ref& ref, job_record& job, step_state& step) {
+bool step_order::open(const step_ref& ref, job_record& job, step_state& step) {
     auto& entry = entries_[&step];
-    if (!entry) {
-        entry = std::make_unique<open_step_entry>();
-        entry->ref = ref;
-        entry->job = &job;
-        entry->step = &step;
-        entry->number = ++last_number_;
-        unranked_.insert(entry.get());
+    if (entry) {
+        return false;
     }
+    entry = std::make_unique<open_step_entry>();
+    entry->ref = ref;
+    entry->job = &job;
+    entry->step = &step;
+    entry->number = ++last_number_;
+    by_number_.emplace(entry->number, entry.get());
+    unranked_.insert(entry.get());
+    return true;
 }
 
 void step_order::close(const step_state& step) {
@@ -34,6 +38,7 @@
     if (unranked_.erase(entry) + put_off_.erase(entry) == 0) {
         remove_rank(*entry);
     }
+    by_number_.erase(entry->number);
     entries_.erase(it);
 }
 
@@ -102,4 +107,22 @@
     return out;
 }
 
+std::vector<const open_step_entry*> step_order::next_opened(std::size_t n) {
+    std::vector<const open_step_entry*> out;
+    const std::size_t count = std::min(n, by_number_.size());
+    while (out.size() < count) {
+        auto it = by_number_.upper_bound(last_returned_);
+        it = it == by_number_.end() ? by_number_.begin() : it;
+        last_returned_ = it->first;
+        out.push_back(it->second);
+    }
+    return out;
+}
+
+void step_order::for_each(const std::function<void(open_step_entry&)>& action) const {
+    for (const auto& it : entries_) {
+        action(*it.second);
+    }
+}
+
 }  // namespace cranberrydock::fleet::detail
--- a/packages/fleet/src/step_order.hpp
+++ b/packages/fleet/src/step_order.hpp
@@ -8,6 +8,8 @@
 #include <cranberrydock/fleet/work.hpp>
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -44,8 +46,8 @@
 
     bool contains(const step_state& step) const { return entries_.count(&step) > 0; }
     // The step is not in the order before rank() has been called for it. A step that is open
-    // already is unchanged.
-    void open(const step_ref& ref, job_record& job, step_state& step);
+    // already is unchanged. Returns whether it was opened.
+    bool open(const step_ref& ref, job_record& job, step_state& step);
     void close(const step_state& step);
     std::size_t size() const { return entries_.size(); }
 
@@ -63,6 +65,10 @@
     // so that all of them have their turn.
     std::vector<open_step_entry*> next_steps(std::size_t most_urgent, std::size_t sampled);
 
+    // The next `n` steps in the order of their opening, others at each call.
+    std::vector<const open_step_entry*> next_opened(std::size_t n);
+    void for_each(const std::function<void(open_step_entry&)>& action) const;
+
 private:
     struct goes_before {
         bool operator()(const open_step_entry* a, const open_step_entry* b) const;
@@ -80,7 +86,9 @@
     std::set<std::pair<unix_time, open_step_entry*>> tier_ends_;
     // Where the next sample begins: a rank, which need not belong to a step any more.
     open_step_entry sample_from_;
+    std::map<std::uint64_t, open_step_entry*> by_number_;
     std::uint64_t last_number_ = 0;
+    std::uint64_t last_returned_ = 0;  // by next_opened()
 };
 
 }  // namespace cranberrydock::fleet::detail
--- a/packages/fleet/src/step_ranking.cpp
+++ b/packages/fleet/src/step_ranking.cpp
@@ -66,7 +66,7 @@
     out.job = &job;
     out.step = entry.step;
     out.terms = &job.terms();
-    out.advice = job.queue == nullptr || !job.queue->query_cost ? nullptr : &*job.queue->query_cost;
+    out.advice = job.query_cost ? &*job.query_cost : nullptr;
     out.tier = entry.rank.tier;
     return out;
 }
