job_api: no refusal of a job that was accepted before

A caller that gets no answer sends its job again under the same id. When the queue had become infeasible meanwhile (overloaded, or no VM large enough is left), the repeat was answered by a refusal that says that the job never runs, while the first submission was stored and ran.

A submission that would be refused is now looked up first: a write of it in progress, then its job row, then the row of an ended job. What was accepted is answered as accepted, what was withdrawn as cancelled, and if the store does not answer the outcome is unknown. New jobs are refused as before anything is written, at the cost of two reads. A job that is due later than the queue's Retry-After, or that runs until it is cancelled, is not refused for a present backlog. `job_refused` shows the owner, the age of its figures and the outcome, and is rate-limited.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
@@ -19,7 +19,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace cranberrydock::fleet_daemon {
 
@@ -102,6 +104,16 @@
     // Returns a refusal for a job that no VM can ever hold, or whose queue can't serve it in time.
     std::optional<base::refusal> check_feasibility(const admitted_request& admission,
                                                    const job_draft& draft) const;
+    void refuse_new_job(const admitted_request& admission, const base::refusal& rejection,
+                        const answer_callback<job_accepted>& done);
+    // Answers a repeated submission whose first one has left `row` in the store.
+    void answer_repeat(const fleet::job_id& job, const fleet::stored_row& row,
+                       const answer_callback<job_accepted>& done,
+                       const std::function<void(const char*)>& log);
+    // One row or none. No value if the store does not answer.
+    using read_result = std::optional<std::vector<fleet::stored_row>>;
+    void read_row_if_any(const fleet::row_address& row,
+                         std::function<void(const read_result&)> done);
     template <typename Answer>
     void refuse(const answer_callback<Answer>& done, base::refusal rejection);
 
@@ -136,6 +148,7 @@
     submission_writer writer_;
     static constexpr std::int64_t accept_lines_per_second = 100;
     base::log_rate_limiter accepted_log_limiter_{"job_accepted", accept_lines_per_second};
+    base::log_rate_limiter refused_log_limiter_{"job_refused", accept_lines_per_second};
     static constexpr std::int64_t waiting_lines_per_second = 20;
     base::log_rate_limiter waiting_log_limiter_{"waiting_told", waiting_lines_per_second};
     lifetime lifetime_;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -64,6 +64,10 @@
                                      const write_callback& done) = 0;
 };
 
+// Whether `row`, of the job table or of the table of ended jobs, says that the job was cancelled
+// before it was accepted.
+bool is_withdrawn(const fleet::job_id& job, const fleet::stored_row& row);
+
 class submission_writer {
 public:
     submission_writer(net::event_loop& loop, fleet::row_store& store, const job_layout& layout,
@@ -74,6 +78,8 @@
     // latest. A call for a job that is being written already joins the write in progress.
     void write(const fleet::job_id& job, std::string row, base::time_point until,
                write_callback done);
+    // Whether a write of the job is in progress for a caller.
+    bool is_writing(const fleet::job_id& job) const { return open_.count(job) > 0; }
     // Does the same for a peer that has delegated the job to this daemon. Always writes directly.
     void write_for_peer(const delegated_job& delegated, base::time_point until,
                         write_callback done);
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -110,8 +110,16 @@
                            "no VM has the label " + it.required_label.str());
         }
     }
+    // A job that is due later, or that runs until it is cancelled, does not lose its value because
+    // of the present backlog.
     const auto overload = owner.overloaded.find(admission.queue->name);
-    if (overload != owner.overloaded.end() && view_.owner_age() < max_figures_age) {
+    const bool is_overloaded =
+        overload != owner.overloaded.end() && view_.owner_age() < max_figures_age;
+    const bool is_long_running = std::any_of(draft.steps.begin(), draft.steps.end(),
+                                             [](const auto& it) { return it.long_running; });
+    if (is_overloaded && !is_long_running &&
+        (draft.occurrences == 0 ||
+         draft.first_start.value() <= wall_clock_now().value() + overload->second.count())) {
         return not_run(refusal_reason::overloaded,
                        "the queue can't serve more work in time; try again later",
                        overload->second);
@@ -133,11 +141,11 @@
         return;
     }
     if (const auto rejection = check_feasibility(*admitted, *draft)) {
-        spdlog::info("event=job_refused job={} queue={} reason={} owner_age_ms={}",
-                     admitted->job.str(), admitted->queue->name.str(), to_string(rejection->reason),
-                     view_.owner_age().count());
-        refuse(done, *rejection);
-        return;
+        if (!writer_.is_writing(admitted->job)) {
+            refuse_new_job(*admitted, *rejection, done);
+            return;
+        }
+        // A repeat of a submission that is being written gets the outcome of that write.
     }
     fleet::job_spec job;
     job.id = admitted->job;
@@ -203,6 +211,89 @@
     writer_.write(job.id, row, received + caller_timeout - answer_margin, on_written);
 }
 
+// Refuses the job, unless it was accepted earlier: its caller may not have received the answer, and
+// a refusal would say that the job never runs.
+void job_api::refuse_new_job(const admitted_request& admission, const refusal& rejection,
+                             const answer_callback<job_accepted>& done) {
+    const auto log = [this, job = admission.job, queue = admission.queue->name, rejection,
+                      owner_age = view_.owner_age(),
+                      fence = view_.owner().token](const char* outcome) {
+        metrics_.count("cranberrydock_infeasible_submissions_total",
+                       "queue=\"" + queue.str() + "\",reason=\"" +
+                           std::string(to_string(rejection.reason)) + "\",outcome=\"" + outcome +
+                           "\"");
+        if (refused_log_limiter_.allows(clock_.now())) {
+            spdlog::info(
+                "event=job_refused job={} queue={} reason={} outcome={} retry_after_ms={} fence={} "
+                "owner_age_ms={}",
+                job.str(), queue.str(), to_string(rejection.reason), outcome,
+                rejection.retry_after.count(), fence.value(), owner_age.count());
+        }
+    };
+    if (view_.has_loaded(admission.job)) {
+        log("accepted_before");
+        done(job_accepted{});
+        return;
+    }
+    const auto unclear = [this, done, log] {
+        log("unclear");
+        refuse(done, refusal{refusal_reason::outcome_unknown, false, retry_after_store_outage,
+                             "the store doesn't show whether the job was accepted before; send it "
+                             "again under the same id"});
+    };
+    const auto on_job_row = [this, done, log, unclear, rejection,
+                             job = admission.job](const read_result& read) {
+        if (!read) {
+            unclear();
+        } else if (!read->empty()) {
+            answer_repeat(job, read->front(), done, log);
+        } else {
+            // The rows of a job that has ended are replaced by one that says so.
+            read_row_if_any(layout_.ended_row(job),
+                            [this, done, log, unclear, rejection, job](const read_result& ended) {
+                                if (!ended) {
+                                    unclear();
+                                } else if (!ended->empty()) {
+                                    answer_repeat(job, ended->front(), done, log);
+                                } else {
+                                    log("refused");
+                                    refuse(done, rejection);
+                                }
+                            });
+        }
+    };
+    read_row_if_any(layout_.job_row(admission.job), on_job_row);
+}
+
+void job_api::answer_repeat(const fleet::job_id& job, const fleet::stored_row& row,
+                            const answer_callback<job_accepted>& done,
+                            const std::function<void(const char*)>& log) {
+    if (is_withdrawn(job, row)) {
+        log("cancelled");
+        refuse(done,
+               not_run(refusal_reason::cancelled, "the job was cancelled before it was accepted"));
+    } else {
+        log("accepted_before");
+        done(job_accepted{});
+    }
+}
+
+void job_api::read_row_if_any(const fleet::row_address& row,
+                              std::function<void(const read_result&)> done) {
+    store_.read(row.table, row.partition, row.name, 1, read_timeout,
+                lifetime_.guard([row, done = std::move(done)](const auto& read) {
+                    if (!read) {
+                        done(read_result());
+                        return;
+                    }
+                    std::vector<fleet::stored_row> rows;
+                    if (!read->rows.empty() && read->rows.front().address.name == row.name) {
+                        rows.push_back(read->rows.front());
+                    }
+                    done(rows);
+                }));
+}
+
 void job_api::write(const delegated_job& delegated, base::milliseconds write_timeout,
                     const write_callback& done) {
     writer_.write_for_peer(delegated, clock_.now() + write_timeout, done);
--- a/packages/fleet_daemon/src/submission_writer.cpp
+++ b/packages/fleet_daemon/src/submission_writer.cpp
@@ -8,6 +8,16 @@
 #include <optional>
 
 namespace cranberrydock::fleet_daemon {
+
+bool is_withdrawn(const fleet::job_id& job, const fleet::stored_row& row) {
+    if (row.address.table == job_table) {
+        const auto found = fleet::decode_job(job, row.value);
+        return found && found->kind == fleet::job_row_kind::withdrawn;
+    }
+    const auto ended = fleet::decode_progress(row.value);
+    return ended && ended->withdrawn;
+}
+
 namespace {
 
 // A job takes two conditions and one row; the store accepts 100 entries per transaction.
@@ -34,15 +44,6 @@
 // is left before the deadline: the answer would come too late for the caller.
 constexpr base::milliseconds min_write_time{60};
 
-bool is_withdrawn(const fleet::job_id& job, const fleet::stored_row& row) {
-    if (row.address.table == job_table) {
-        const auto found = fleet::decode_job(job, row.value);
-        return found && found->kind == fleet::job_row_kind::withdrawn;
-    }
-    const auto ended = fleet::decode_progress(row.value);
-    return ended && ended->withdrawn;
-}
-
 // The outcome for a job of which a row existed already. Empty if none of `rows` belongs to the job.
 std::optional<write_outcome> outcome_of_existing(const std::vector<fleet::stored_row>& rows,
                                                  const fleet::job_id& job) {
