fleet: count jobs that have not started as they change

The owner counted them by a scan of all its jobs each time that its row was written (every 400 ms) and logged, so the cost grew with the backlog. The count is now kept up to date when a job is added, starts for the first time, or ends.

fleet_invariants_hold_under_random_faults compares the count with the states of all jobs in every step, and cancels jobs 10 to 600 ms after their submission instead of always 300 ms, so that some have not started.

--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -141,13 +141,7 @@
 }
 
 std::map<queue_name, std::int64_t> scheduler::jobs_not_started() const {
-    std::map<queue_name, std::int64_t> out;
-    for (const auto& it : state_->jobs) {
-        if (!it.second->started && !is_final(it.second->state)) {
-            ++out[it.second->spec.queue];
-        }
-    }
-    return out;
+    return state_->jobs_not_started;
 }
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -66,6 +66,22 @@
     dirty_jobs.insert(job.spec.id);
 }
 
+void scheduler::state::mark_started(job_record& job) {
+    remove_from_not_started(job);
+    job.started = true;
+    mark_changed(job);
+}
+
+void scheduler::state::remove_from_not_started(const job_record& job) {
+    if (job.started || is_final(job.state)) {
+        return;
+    }
+    const auto it = jobs_not_started.find(job.spec.queue);
+    if (--it->second == 0) {
+        jobs_not_started.erase(it);
+    }
+}
+
 const queue_config* scheduler::state::find_queue(const queue_name& name) const {
     const auto it = queues.find(name);
     return it == queues.end() ? nullptr : it->second;
@@ -198,6 +214,9 @@
             }
         }
     }
+    if (!job.started && !is_final(job.state)) {
+        ++state_->jobs_not_started[spec.queue];
+    }
     for (auto& it : job.occurrences) {
         state_->open_ready_steps(job, it.first);
     }
@@ -278,6 +297,7 @@
     if (is_final(job.state)) {
         return;
     }
+    remove_from_not_started(job);
     job.state = final_state;
     job.ended = now.wall;
     ended.insert(job.spec.id);
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -247,6 +247,8 @@
     // Jobs that have ended under this owner. Their rows may still arrive from a read of the store
     // that is older than their end.
     std::unordered_set<job_id> ended;
+    // For each queue, the jobs that are neither started nor in a final state.
+    std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
     // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
@@ -262,6 +264,9 @@
 
     // scheduler_jobs.cpp
     void mark_changed(detail::job_record& job);
+    // A first task of the job has started.
+    void mark_started(detail::job_record& job);
+    void remove_from_not_started(const detail::job_record& job);
     void open_ready_steps(detail::job_record& job, int occurrence);
     void mark_open(const step_ref& ref, detail::job_record& job, detail::step_state& step);
     void add_occurrence(detail::job_record& job, int occurrence);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -378,8 +378,7 @@
     }
     job_record* job = nullptr;
     if (find_step(reported_run.task, &job) != nullptr && !job->started) {
-        job->started = true;
-        mark_changed(*job);
+        mark_started(*job);
     }
 }
 
@@ -428,8 +427,7 @@
     placed.percent = found.percent;
     if (wanted) {
         if (!job->started) {
-            job->started = true;
-            mark_changed(*job);
+            mark_started(*job);
         }
         return;
     }
--- a/test/property/fleet_invariants_hold_under_random_faults.cpp
+++ b/test/property/fleet_invariants_hold_under_random_faults.cpp
@@ -21,6 +21,7 @@
     bool cancelled = false;
     bool always_fails = false;  // every run fails
     int at_ms = 0;
+    int cancelled_after_steps = 0;
 };
 
 drawn_job draw_job(int number) {
@@ -43,6 +44,7 @@
     out.cancelled = *rc::gen::inRange(0, 8) == 0;
     out.always_fails = *rc::gen::inRange(0, 8) == 0;
     out.at_ms = *rc::gen::inRange(0, 3'000);
+    out.cancelled_after_steps = *rc::gen::inRange(1, 60);
     return out;
 }
 
@@ -83,7 +85,8 @@
             if (it.second.at_ms / step_ms == step) {
                 simulation.submit(it.second.spec);
             }
-            if (it.second.cancelled && it.second.at_ms / step_ms + 30 == step) {
+            if (it.second.cancelled &&
+                it.second.at_ms / step_ms + it.second.cancelled_after_steps == step) {
                 simulation.cancel(it.first);
             }
         }
--- a/test/standins/fleet_simulation.cpp
+++ b/test/standins/fleet_simulation.cpp
@@ -298,6 +298,16 @@
             violations_.push_back("above its limit: " + it.first.str());
         }
     }
+    std::map<fleet::queue_name, std::int64_t> not_started;
+    for (const auto& it : jobs_) {
+        const auto known = scheduler_->status_of(it.first);
+        if (known && known->state == fleet::job_state::queued) {
+            ++not_started[it.second.queue];
+        }
+    }
+    if (not_started != scheduler_->jobs_not_started()) {
+        violations_.push_back("the count of jobs that have not started is wrong");
+    }
 }
 
 fleet::job_state fleet_simulation::state_of(const fleet::job_id& job) const {
