fleet: estimate how long new jobs would wait

Whatever came was accepted: with too little processor or too few cores the backlog grew, jobs were served late or never, and callers were not told. load_estimate determines for each queue the wait of a new job from the waiting work that goes before it, the measured rates of confirmed starts and of released cores, and the waits of the jobs that started lately, and lists the queues whose new jobs would lose their value first, with the time after which one would be in time again. A refused queue accepts jobs again at half of the wait that meets the objective, once late work has been placed.

Choices: work beyond a customer's share or upper limit does not count, so that a customer that sends many times its share does not cause refusals for others (its own excess is accepted and waits, as before). Worthless work does not count. Rates are only measured while starts are possible; without any start the wait is the time that has passed. With room for the waiting work a queue is refused only if the jobs that started lately have waited long themselves, so work that waits for particular VMs refuses nothing.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -60,7 +60,7 @@
     // Read by daemons that answer requests about a queue. A new owner keeps the previous owner's
     // count in the row until it has made its own. Empty if there is no count yet.
     std::optional<waiting_job_counts> waiting_jobs;
-    // Queues that cannot serve new work, and for how long this is expected to last.
+    // Queues that cannot serve new jobs in time, and for how long this is expected to last.
     std::map<queue_name, milliseconds> overloaded;
     // The largest VM and every label that a VM has had, so that jobs that can never fit are
     // rejected immediately.
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -15,6 +15,7 @@
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/fleet/configuration.hpp>
 #include <cranberrydock/fleet/job_rows.hpp>
+#include <cranberrydock/fleet/load_estimate.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 
 #include <map>
@@ -154,6 +155,10 @@
     // For each queue, the number of jobs of which no task has started.
     std::map<queue_name, std::int64_t> jobs_not_started() const;
 
+    // The waiting work of each queue and the state of each service. A long backlog is sampled, so
+    // that the cost of a call is bounded.
+    load_sample load(const clock_reading& now) const;
+
     struct job_summary {
         customer_name customer;
         queue_name queue;
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -91,6 +91,7 @@
     if (!step.open) {
         step.open = true;
         open.push_back({ref, &job, &step});
+        count_arrival(job, step);
     }
 }
 
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -154,8 +154,9 @@
     const queue_config* queue = nullptr;
     job_state state = job_state::queued;
     bool inherited = false;
-    bool over_share = false;  // exceeds its customer's entitlement in jobs per second
-    bool started = false;     // at least one task has started
+    bool over_share = false;     // exceeds its customer's entitlement in jobs per second
+    bool started = false;        // at least one task has started
+    bool start_counted = false;  // in the queue's `first_starts`
     unix_time ended;
     // Occurrences whose due time has passed. Those that a previous owner has finished are missing.
     std::map<int, std::vector<step_state>> occurrences;
@@ -259,6 +260,10 @@
     resources unlisted_use;
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
+    // Only the counters are kept here.
+    std::map<service_name, service_load> service_counters;
+    std::map<queue_name, queue_load> queue_counters;
+    std::size_t next_load_offset = 0;  // into `open`, of the next sample of the load
     bool inherited_known = false;
     bool starts_held = false;
 
@@ -325,6 +330,14 @@
     detail::open_step rank(const detail::open_step_entry& entry, const clock_reading& now);
     void drop_closed_steps();
 
+    // scheduler_load.cpp
+    // Counts the waiting tasks of a step that has become ready.
+    void count_arrival(const detail::job_record& job, const detail::step_state& step);
+    // Counts a start that the VM has confirmed, and the cores of a confirmed run that has ended.
+    void count_start(const detail::vm_record& vm, const task_ref& task, const clock_reading& now);
+    void count_release(const detail::vm_record& vm, const detail::placed_run& run);
+    void add_waiting_work(load_sample& out, const clock_reading& now);
+
     // placement.cpp
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -152,6 +152,7 @@
         return;
     }
     vm.used -= it->second.need;
+    count_release(vm, it->second);
     const bool unknown = it->second.unknown;
     (unknown ? unknown_use : in_use[it->second.customer]) -= it->second.need;
     unknown_runs.erase({task, vm.facts.id});
@@ -273,6 +274,7 @@
         }
         if (!run->confirmed_at) {
             run->confirmed_at = now.steady;
+            state_->count_start(*vm, task, now);
         }
         return;
     }
@@ -367,6 +369,7 @@
     run->listed = true;
     if (!run->confirmed_at) {
         run->confirmed_at = now.steady;
+        count_start(vm, reported_run.task, now);
     }
     if (run->phase == run_phase::starting) {
         run->phase = run_phase::running;
