fleet_daemon: an overloaded owner refuses new jobs at the entries

owner_record::overloaded was read by the entries but never written. The owner now updates its estimate each 250 ms while it can start tasks, and publishes the queues that it can't serve in time with its row. The figures of a previous owner are removed when the row is taken over or released: its backlog and rate of starts say nothing of the next owner.

`owner_load` shows the measured rate of starts, the age of the oldest waiting work that is in time, the expected wait and Retry-After of at most 12 queues, and memory beside cores; `queue_overloaded` says on what evidence a queue begins and ceases to be refused; gauges show the same.

owner_publishes_only_complete_figures: overload_of_previous_owner_is_not_kept failed without the assignment in describe() ("record.overloaded.empty(): Actual: false"), passes now.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -93,7 +93,8 @@
     void job_status(const fleet::job_id& job, const status_callback& done);
 
     // Updates the fields of the owner's row that this owner has figures for, and leaves the others
-    // unchanged. `number` identifies the new count of the waiting jobs.
+    // unchanged, except that the queues that a previous owner could not serve are removed. `number`
+    // identifies the new count of the waiting jobs.
     void describe(fleet::owner_record& record, std::int64_t number) const;
 
 private:
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -473,6 +473,7 @@
         fleet::owner_record record = ownership.record();
         record.holder = settings.vm_name;
         record.process_run = settings.run;
+        record.overloaded.clear();  // of an owner that has ended
         if (step == fleet::ownership::step::acquire) {
             record.token = ownership.next_fencing_token();
             record.earlier_owners_ended = earlier_owners_ended && ownership.previous_owner_ended();
@@ -590,6 +591,7 @@
         if (ownership.owns()) {
             fleet::owner_record free = ownership.record();
             free.holder.clear();
+            free.overloaded.clear();
             transaction.conditions.push_back({owner_row(), ownership.condition()});
             transaction.puts.push_back({owner_row(), owner_row_value(free)});
             ownership.step_down();
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -74,6 +74,7 @@
     void wake();
     void decide();
     void hold_starts_on_stale_jobs();
+    void update_load();
     void log_load();
     fleet::clock_reading now() const;
 
@@ -140,6 +141,7 @@
     fleet::inherited_leases inherited;
 
     fleet::scheduler scheduler;
+    fleet::load_estimate expected_waits;
     std::map<fleet::vm_id, std::unique_ptr<vm_session>> sessions;
     std::vector<std::unique_ptr<vm_session>> ended_sessions;  // destroyed at the next decision
     fleet::resources largest_vm;
@@ -210,6 +212,7 @@
 
     std::unique_ptr<net::timer> decide_timer;
     std::unique_ptr<net::timer> tick;
+    std::unique_ptr<net::timer> load_timer;
     std::unique_ptr<net::timer> logging;
     // Counted since the last `owner_load` log line.
     base::duration deciding_time{0};
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -19,11 +19,20 @@
 // How long a query for changes stays open. A lost answer delays the changes by slightly more.
 constexpr base::milliseconds follow_wait{700};
 constexpr base::milliseconds log_period{2'000};
+// The estimate of waits is shorter-lived than the interval at which the owner's row is written.
+constexpr base::milliseconds load_period{250};
+constexpr std::size_t max_logged_queues = 12;
 // Changes within this time are read by one call, since each call to the store has a cost. The owner
 // usually learns of new jobs earlier, from the daemons that accepted them.
 constexpr base::milliseconds jobs_batch_pause{100};
 constexpr base::milliseconds members_batch_pause{200};
 
+fleet::load_estimate_settings load_settings(const fleet::scheduler_settings& scheduler) {
+    fleet::load_estimate_settings out;
+    out.late_factor = scheduler.late_factor;
+    return out;
+}
+
 }  // namespace
 
 owner_task::state::state(net::event_loop& event_loop, fleet::row_store& rows_store,
@@ -44,6 +53,7 @@
       inherited(initial_settings.session.leases, clock.now(),
                 initial_settings.previous_owner_validity),
       scheduler(token, initial_settings.scheduler, metrics_registry),
+      expected_waits(load_settings(initial_settings.scheduler)),
       job_rows([this](const auto& all) { on_job_table(all); },
                [this](const auto& changed) { on_job_changes(changed); }),
       member_rows([this](const auto& all) { on_member_table(all); },
@@ -62,6 +72,7 @@
         remove_expired_jobs();
         answer_overdue_callers();
     });
+    load_timer = loop.every(load_period, [this] { update_load(); });
     logging = loop.every(log_period, [this] { log_load(); });
 }
 
@@ -129,21 +140,64 @@
     scheduler.hold_starts(hold);
 }
 
+// Determines which queues cannot serve new jobs in time. Entries learn it from the owner's row.
+void owner_task::state::update_load() {
+    const auto before = expected_waits.overloaded();
+    const bool possible = jobs_known && members_known && may_start_known && !starts_held &&
+                          rights.may_issue_commands();
+    if (possible) {
+        expected_waits.update(scheduler.load(now()), clock.now());
+    } else {
+        expected_waits.starts_not_possible(clock.now());
+    }
+    const auto after = expected_waits.overloaded();
+    for (const auto& it : expected_waits.queues()) {
+        const std::string labels = "queue=\"" + it.first.str() + "\"";
+        metrics.set("cranberrydock_queue_expected_wait_ms", labels,
+                    static_cast<double>(it.second.wait.value_or(base::milliseconds{0}).count()));
+        metrics.set("cranberrydock_queue_oldest_in_time_ms", labels,
+                    static_cast<double>(it.second.oldest_age.count()));
+        metrics.set("cranberrydock_queue_retry_after_ms", labels,
+                    static_cast<double>(it.second.retry_after.count()));
+        const bool is_overloaded = after.count(it.first) > 0;
+        if (is_overloaded != (before.count(it.first) > 0)) {
+            spdlog::info(
+                "event=queue_overloaded queue={} refuses={} wait_ms={} allowed_ms={} "
+                "start_wait_ms={} oldest_ms={} tasks_before={:.0f} starts_per_s={:.0f} "
+                "retry_after_ms={} fence={}",
+                it.first.str(), is_overloaded, it.second.wait ? it.second.wait->count() : -1,
+                it.second.allowed_wait.count(),
+                it.second.start_wait ? it.second.start_wait->count() : -1,
+                it.second.oldest_age.count(), it.second.waiting_tasks, it.second.starts_per_second,
+                it.second.retry_after.count(), owner.value());
+        }
+    }
+    metrics.set("cranberrydock_starts_per_second", "", expected_waits.starts_per_second());
+}
+
 void owner_task::state::log_load() {
     const auto usable_capacity = scheduler.capacity();
+    base::milliseconds oldest{0};
+    for (const auto& it : expected_waits.queues()) {
+        oldest = std::max(oldest, it.second.oldest_age);
+    }
     std::int64_t waiting = 0;
     for (const auto& it : scheduler.jobs_not_started()) {
         waiting += it.second;
     }
     spdlog::info(
         "event=owner_load fence={} loaded={} jobs={} waiting={} runs={} vms={} cores={} "
-        "cores_used={} starts={} "
+        "cores_used={} memory_mib={} memory_used_mib={} starts={} starts_per_s={:.0f} "
+        "oldest_in_time_ms={} waits_ms={} "
         "questions={} free_advisers={} decisions={} deciding_us={} reports={} jobs_told={} "
         "status_questions={}",
         owner.value(), jobs_known, scheduler.job_count(), waiting, scheduler.run_count(),
         sessions.size(), usable_capacity.cores.value(), scheduler.in_use().cores.value(),
-        start_count, query_count, advisors.room().queries, decision_count, deciding_time.count(),
-        report_count, notification_count, status_query_count);
+        usable_capacity.memory.value(), scheduler.in_use().memory.value(), start_count,
+        expected_waits.starts_per_second(), oldest.count(),
+        to_log_text(expected_waits.queues(), max_logged_queues), query_count,
+        advisors.room().queries, decision_count, deciding_time.count(), report_count,
+        notification_count, status_query_count);
     deciding_time = base::duration{0};
     decision_count = 0;
     start_count = 0;
@@ -228,6 +282,8 @@
         record.waiting_jobs =
             fleet::waiting_job_counts{state_->owner, number, state_->scheduler.jobs_not_started()};
     }
+    // Never those of a previous owner, whose backlog and rate of starts were others.
+    record.overloaded = state_->expected_waits.overloaded();
     if (state_->inherited_known || state_->all_listed()) {
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -167,6 +167,16 @@
     EXPECT_EQ(renewed_number(2), 1);
 }
 
+// The backlog and the rate of starts of a previous owner say nothing of this one.
+TEST_F(owner_figures, overload_of_previous_owner_is_not_kept) {
+    record.overloaded[fleet::queue_name("previews")] = base::milliseconds(5'000);
+    store.reads_held = true;
+    start_owner();
+    run_for(short_wait);
+    renewed_number(1);
+    EXPECT_TRUE(record.overloaded.empty());
+}
+
 TEST_F(owner_figures, partial_vm_list_does_not_narrow_limits) {
     record.largest_vm.cores = base::millicores(8'000);
     record.labels = {fleet::vm_label("fast")};
