--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -163,8 +163,9 @@
     std::optional<placement_query_cost> query_cost;
     job_state state = job_state::queued;
     bool inherited = false;
-    bool over_share = false;  // exceeds its customer's entitlement in jobs per second
-    bool started = false;     // at least one task has started
+    bool over_share = false;     // exceeds its customer's entitlement in jobs per second
+    bool started = false;        // at least one task has started
+    bool start_counted = false;  // in the queue's `first_starts`
     unix_time ended;
     // Occurrences whose due time has passed. Those that a previous owner has finished are missing.
     std::map<int, std::vector<step_state>> occurrences;
@@ -263,6 +264,8 @@
     // Jobs that have ended under this owner. Their rows may still arrive from a read of the store
     // that is older than their end.
     std::unordered_set<job_id> ended;
+    // For each queue, the jobs that are neither started nor in a final state.
+    std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
     // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
@@ -273,11 +276,17 @@
     resources unlisted_use;
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
+    // Only the counters are kept here.
+    std::map<service_name, service_load> service_counters;
+    std::map<queue_name, queue_load> queue_counters;
     bool inherited_known = false;
     bool starts_held = false;
 
     // scheduler_jobs.cpp
     void mark_changed(detail::job_record& job);
+    // A first task of the job has started.
+    void mark_started(detail::job_record& job);
+    void remove_from_not_started(const detail::job_record& job);
     void open_ready_steps(detail::job_record& job, int occurrence);
     void mark_open(const step_ref& ref, detail::job_record& job, detail::step_state& step);
     void add_occurrence(detail::job_record& job, int occurrence);
@@ -340,6 +349,14 @@
     // Whether the step has tasks that are neither done nor placed, and its job has not ended.
     static bool has_waiting_tasks(const detail::open_step_entry& entry);
 
+    // scheduler_load.cpp
+    // Counts the waiting tasks of a step that has become ready.
+    void count_arrival(const detail::job_record& job, const detail::step_state& step);
+    // Counts a start that the VM has confirmed, and the cores of a confirmed run that has ended.
+    void count_start(const detail::vm_record& vm, const task_ref& task, const clock_reading& now);
+    void count_release(const detail::vm_record& vm, const detail::placed_run& run);
+    void add_waiting_work(load_sample& out, const clock_reading& now);
+
     // placement.cpp
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
--- a/packages/fleet/src/step_order.cpp
+++ b/packages/fleet/src/step_order.cpp
@@ -119,6 +119,18 @@
     return out;
 }
 
+std::vector<const open_step_entry*> step_order::sample(std::size_t stride) {
+    std::vector<const open_step_entry*> out;
+    out.reserve(by_number_.size() / stride + 1);
+    std::size_t i = sample_count_++;
+    for (const auto& it : by_number_) {
+        if (i++ % stride == 0) {
+            out.push_back(it.second);
+        }
+    }
+    return out;
+}
+
 void step_order::for_each(const std::function<void(open_step_entry&)>& action) const {
     for (const auto& it : entries_) {
         action(*it.second);
--- a/packages/fleet/src/step_order.hpp
+++ b/packages/fleet/src/step_order.hpp
@@ -67,6 +67,8 @@
 
     // The next `n` steps in the order of their opening, others at each call.
     std::vector<const open_step_entry*> next_opened(std::size_t n);
+    // One of `stride` steps in the order of their opening, others at each call.
+    std::vector<const open_step_entry*> sample(std::size_t stride);
     void for_each(const std::function<void(open_step_entry&)>& action) const;
 
 private:
@@ -89,6 +91,7 @@
     std::map<std::uint64_t, open_step_entry*> by_number_;
     std::uint64_t last_number_ = 0;
     std::uint64_t last_returned_ = 0;  // by next_opened()
+    std::size_t sample_count_ = 0;
 };
 
 }  // namespace cranberrydock::fleet::detail
