fleet_daemon: an owner's own lateness is no fault of its relays

Cause: relays were judged by time in which this process had not read their answers; a reading of a relay's clock that waited here made the next batch expire too early; one relay set aside failed the watches of all VMs behind it.

After a pause in which another daemon may have taken over, starts and stops are dropped as before, and queued commands are sent only while this daemon may issue commands. - Watches that an avoided relay had received are repeated once over another route, as a poll that extends and acknowledges nothing. Starts remain answer_lost.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -11,6 +11,7 @@
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/fleet_daemon/advisor_pool.hpp>
 #include <cranberrydock/fleet_daemon/job_layout.hpp>
+#include <cranberrydock/fleet_daemon/command_permission.hpp>
 #include <cranberrydock/fleet_daemon/peer.hpp>
 #include <cranberrydock/fleet_daemon/vm_session.hpp>
 #include <cranberrydock/net/event_loop.hpp>
@@ -49,11 +50,8 @@
 };
 
 // The owner's task's view of this daemon's ownership.
-class ownership_view {
+class ownership_view : public command_permission {
 public:
-    virtual ~ownership_view() = default;
-    // Whether commands to VMs may be issued now.
-    virtual bool may_issue_commands() = 0;
     // Whether the store has answered a recent call of this daemon.
     virtual bool store_answers() = 0;
     // When the last renewal of the ownership that the store has confirmed was sent.
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/relayed_vm_control.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/relayed_vm_control.hpp
@@ -7,12 +7,19 @@
 // The only assumption about a relay is that the outcomes it reports are correct. A relay that does
 // not answer, restarts or is slow is not used for a while. A command that it received and has not
 // reported on may or may not be carried out, like a command whose answer was lost.
+//
+// A relay is given its time to answer in time in which this process was listening
+// (listening_clock.hpp). A command that expired because this process was late is sent again over
+// the same relay.
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
+#include <cranberrydock/base/log_rate_limiter.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
+#include <cranberrydock/fleet_daemon/command_permission.hpp>
 #include <cranberrydock/fleet_daemon/lifetime.hpp>
+#include <cranberrydock/fleet_daemon/listening_clock.hpp>
 #include <cranberrydock/fleet_daemon/peer.hpp>
 #include <cranberrydock/fleet_daemon/relayed_commands.hpp>
 #include <cranberrydock/net/event_loop.hpp>
@@ -37,7 +44,7 @@
     // Multiplied by the number of relays, this gives the interval (in microseconds) between two
     // exchanges with one relay: the owner's load is that of the exchanges with all relays together.
     base::duration exchange_interval_per_relay{1'500};
-    // A relay passes a command on within this time, or not at all.
+    // A relay passes a command on within this time after it was sent, or not at all.
     base::milliseconds command_lifetime{600};
     // A relay that has failed gets no commands for this long.
     base::milliseconds avoid_after_failure{2'000};
@@ -45,9 +52,11 @@
 
 class relayed_vm_control final : public fleet::vm_control {
 public:
-    // `name` identifies this process and must be unique among all owner processes.
+    // `name` identifies this process and must be unique among all owner processes. Queued commands
+    // are sent only while `permission` allows it.
     relayed_vm_control(net::event_loop& loop, fleet::vm_control& direct, std::string name,
-                       const relay_settings& settings, base::metrics& metrics);
+                       const relay_settings& settings, command_permission& permission,
+                       base::metrics& metrics);
     ~relayed_vm_control() override;
     relayed_vm_control(const relayed_vm_control&) = delete;
     relayed_vm_control& operator=(const relayed_vm_control&) = delete;
@@ -70,6 +79,7 @@
 private:
     struct open_command;
     struct channel;
+    using exchange_number = base::strong_number<struct exchange_number_tag>;
 
     void send(open_command open);
     void send_directly(const open_command& open);
@@ -77,27 +87,44 @@
     channel* find_channel(const fleet::vm_info& vm);
     void choose_relays();
     void drop_idle_channels();
-    void flush_later(channel& destination);
+    void flush_later(channel& destination, base::duration min_delay);
     void exchange(channel& relay);
+    void send_exchange(channel& relay, bool with_commands);
+    // Removes the queued starts and stops that must not be sent any more, and returns them. Watches
+    // are reduced to a poll instead. `all` treats each command as outdated.
+    std::vector<open_command> take_outdated(channel& queue, bool all);
+    bool is_outdated(const open_command& open) const;
+    void detect_pause();
     void on_exchange_done(channel& relay, const std::vector<command_number>& sent,
                           const outcome_batch& received);
     void on_exchange_failed(channel& relay, const std::vector<command_number>& sent, bool not_sent);
     void record_clock(channel& updated, const outcome_batch& received);
+    relay_time clock_lower_bound(const channel& relay) const;
+    void apply_outcomes(channel& relay, const outcome_batch& received);
     void apply_outcome(channel& source, const relayed_outcome& outcome);
+    // Sends commands that have expired again, over the same relay unless that was late.
+    void on_expired(channel& relay, const std::vector<command_number>& expired);
     void requeue(channel& source, const std::vector<command_number>& numbers);
     void avoid(channel& avoided, const char* reason);
-    void abandon_overdue_commands();
+    void sweep();
+    // Why the relay is to be avoided; null if it has no command or exchange that is overdue.
+    const char* find_fault(const channel& relay) const;
     base::duration exchange_interval() const;
 
     net::event_loop& loop_;
     fleet::vm_control& direct_;
     std::string name_;
     relay_settings settings_;
+    command_permission& permission_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
+    listening_clock listening_;
+    // Commands that were issued earlier were queued during a pause of this process.
+    base::time_point issued_before_pause_{};
     std::map<std::string, relay_candidate> candidates_;
     std::size_t vm_count_ = 0;
     command_number last_command_number_;
+    exchange_number last_exchange_number_;
     std::map<std::string, std::unique_ptr<channel>> channels_;  // by relay name
     // The relays of a zone in order of preference, and how many of them are used at a time.
     struct zone_relays {
@@ -106,7 +133,9 @@
     };
     std::map<fleet::zone_name, zone_relays> zones_;
     std::size_t used_relays_ = 0;
-    std::unique_ptr<net::timer> sweep_;
+    std::unique_ptr<net::timer> sweep_timer_;
+    base::log_rate_limiter resent_log_limiter_{"commands_resent", resent_lines_per_second};
+    static constexpr std::int64_t resent_lines_per_second = 20;
     lifetime lifetime_;
 };
 
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -76,7 +76,7 @@
                initial_settings.region_zones, initial_settings.cores, metrics_registry),
           configuration_feed(event_loop, [this] { return configuration_is_recent(); }),
           vms(event_loop, vm_control, initial_settings.vm_name + "/" + initial_settings.run,
-              initial_settings.relays, metrics_registry),
+              initial_settings.relays, *this, metrics_registry),
           relay(event_loop, vm_control, initial_settings.run),
           rows(platform),
           settings(initial_settings),
--- a/test/failure/relay_failure_does_not_change_command_outcomes.cpp
+++ b/test/failure/relay_failure_does_not_change_command_outcomes.cpp
@@ -114,6 +114,20 @@
     EXPECT_EQ(fleet.failure_count(fleet::command_failure::not_delivered), vm_count);
 }
 
+// A queued command is sent only while this daemon may issue commands.
+TEST(relay, queued_commands_are_not_sent_without_permission) {
+    relayed_fleet fleet(vm_count);
+    fleet.start_on_all_vms();
+    fleet.permission.allowed = false;
+    fleet.run_for(delivery_time);
+    EXPECT_TRUE(start_counts(fleet).empty());
+    fleet.run_for(after_every_timeout);
+    fleet.permission.allowed = true;
+    fleet.run_for(delivery_time);
+    EXPECT_TRUE(start_counts(fleet).empty());
+    EXPECT_EQ(fleet.failure_count(fleet::command_failure::not_delivered), vm_count);
+}
+
 // A daemon that no longer owns the fleet issues no commands.
 TEST(relay, previous_owner_sends_no_commands) {
     relayed_fleet fleet(vm_count);
--- a/test/standins/relayed_fleet.hpp
+++ b/test/standins/relayed_fleet.hpp
@@ -85,8 +85,15 @@
         });
         after(pause_time, [this, batch, done, answered] {
             relay_->exchange(batch, [this, done, answered](const auto& outcomes) {
-                if (!loses_answers && !std::exchange(*answered, true)) {
-                    done(outcomes);
+                const auto deliver = [this, done, answered, outcomes] {
+                    if (!loses_answers && !std::exchange(*answered, true)) {
+                        done(outcomes);
+                    }
+                };
+                if (answer_transit_time.count() == 0) {
+                    deliver();
+                } else {
+                    after(answer_transit_time, deliver);
                 }
             });
         });
@@ -101,6 +108,7 @@
     bool process_ended = false;
     bool loses_answers = false;
     base::milliseconds pause_time{0};  // before it processes each batch that it receives
+    base::milliseconds answer_transit_time{0};
 
 private:
     void after(base::milliseconds delay, std::function<void()> action) {
@@ -114,6 +122,13 @@
     std::vector<std::unique_ptr<net::timer>> timers_;
 };
 
+// Allows commands until a test forbids them.
+class switchable_permission final : public fleet_daemon::command_permission {
+public:
+    bool may_issue_commands() override { return allowed; }
+    bool allowed = true;
+};
+
 // An owner and VMs in two zones: "near" has two relays, any other zone has none.
 class relayed_fleet {
 public:
@@ -177,7 +192,9 @@
     std::shared_ptr<local_relay> second_relay =
         std::make_shared<local_relay>(loop, relayed_vms_backend);
     fleet_daemon::relay_settings settings;
-    fleet_daemon::relayed_vm_control owner{loop, direct_vms, "owner/1", settings, metrics};
+    switchable_permission permission;
+    fleet_daemon::relayed_vm_control owner{loop,     direct_vms, "owner/1",
+                                           settings, permission, metrics};
     std::vector<tl::expected<fleet::vm_time, fleet::command_failure>> answers;
 
 private:
