fleet: answers that a late owner missed don't close all advisers

What callers saw: after an owner was short of processor time, few advisers were free for seconds, so that waiting steps could not ask for VMs.

Cause: a query that timed out while this process was late, or because the advisor was away, doubled the pause of the daemon that had sent it, up to 16 s.

Change: the router's times exclude those in which this process processed no events. A time-out in which this process was late counts as missed: the daemon is avoided briefly after a second one on end. A pause is doubled only if other daemons have answered since the query was sent.

Evidence: failures_of_all_daemons_lengthen_no_pause fails before the change (no query allowed in rounds 2, 4 and 5 of six, a second apart) and passes with it; the other tests of the router and of the owner's tasks pass.

--- a/packages/fleet/include/cranberrydock/fleet/query_router.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/query_router.hpp
@@ -3,8 +3,9 @@
 // The advisor's service handles the queries of each daemon one after another: a short query that is
 // queued behind a long one waits for it, and a distant daemon adds its round-trip time. A daemon
 // with an overdue answer gets no further queries. A daemon whose queries have failed is retried
-// with one query at a time, after a pause that doubles with each further failure. The class does no
-// I/O: the caller reports which queries were sent and answered, and when.
+// with one query at a time, after a pause that doubles with each further failure while other
+// daemons answer. The class does no I/O: the caller reports which queries were sent and answered,
+// and when. Its times exclude those in which the caller did not process answers.
 //
 // This handles the overload case in which a burst of urgent work has queries that take milliseconds
 // while wide gangs have queries that take most of a second.
@@ -15,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -43,6 +45,8 @@
     // `succeeded`: an answer was received before the timeout.
     void query_completed(const std::string& name, query_number number, base::time_point now,
                          bool succeeded);
+    // The query timed out while the caller was late itself, so an answer may have been missed.
+    void query_missed(const std::string& name, query_number number, base::time_point now);
 
 private:
     struct open_query {
@@ -57,9 +61,13 @@
         base::duration round_trip{0};        // owner to daemon to service, and back
         bool has_round_trip = false;
         int failures = 0;  // consecutive
+        int missed = 0;    // since the last answer
         base::time_point avoid_until{};
     };
 
+    // Removes the query; empty if the daemon does not have it open.
+    std::optional<open_query> take_query(const std::string& name, query_number number,
+                                         base::time_point now);
     static bool usable(const daemon_state& daemon, base::time_point now);
     static base::time_point expected_answer_time(const daemon_state& daemon, base::time_point now,
                                                  milliseconds service_time);
@@ -69,6 +77,7 @@
 
     std::map<std::string, daemon_state> daemons_;
     query_number last_query_ = 0;
+    base::time_point last_answer_{};  // through any daemon
 };
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/query_router.cpp
+++ b/packages/fleet/src/query_router.cpp
@@ -21,6 +21,8 @@
 // failure, at most `max_doublings` times.
 constexpr milliseconds avoid_after_failure{500};
 constexpr int max_doublings = 5;
+// A daemon is avoided as well if more answers than this may have been missed on end.
+constexpr int max_missed = 1;
 // A query times out after this duration plus twice the time that it is expected to take.
 constexpr milliseconds min_timeout{400};
 constexpr int round_trip_smoothing = 4;  // a new sample has the weight 1 / round_trip_smoothing
@@ -139,35 +141,61 @@
     return last_query_;
 }
 
-void query_router::query_completed(const std::string& name, query_number number,
-                                   base::time_point now, bool succeeded) {
+std::optional<query_router::open_query> query_router::take_query(const std::string& name,
+                                                                 query_number number,
+                                                                 base::time_point now) {
     const auto it = daemons_.find(name);
     if (it == daemons_.end()) {
-        return;  // the daemon has been removed
+        return std::nullopt;  // the daemon has been removed
     }
     daemon_state& daemon = it->second;
     const auto open = daemon.open_queries.find(number);
     if (open == daemon.open_queries.end()) {
-        return;  // the daemon was removed and added again in the meantime
+        return std::nullopt;  // the daemon was removed and added again in the meantime
     }
-    const open_query query = open->second;
+    const open_query out = open->second;
     daemon.open_queries.erase(open);
     if (daemon.open_queries.empty()) {
         daemon.service_free_at = now;
     }
+    return out;
+}
+
+void query_router::query_missed(const std::string& name, query_number number,
+                                base::time_point now) {
+    if (!take_query(name, number, now)) {
+        return;
+    }
+    daemon_state& daemon = daemons_.at(name);
+    if (++daemon.missed > max_missed) {
+        daemon.avoid_until = std::max(daemon.avoid_until, now + avoid_after_failure);
+    }
+}
+
+void query_router::query_completed(const std::string& name, query_number number,
+                                   base::time_point now, bool succeeded) {
+    const auto query = take_query(name, number, now);
+    if (!query) {
+        return;
+    }
+    daemon_state& daemon = daemons_.at(name);
     if (!succeeded) {
         // Queries that were open at the same time fail together and count as one failure.
         if (now >= daemon.avoid_until) {
-            daemon.avoid_until =
-                now + avoid_after_failure * (1 << std::min(daemon.failures, max_doublings));
-            ++daemon.failures;
+            // If no daemon has answered since, the cause is not this daemon.
+            const bool others_answer = last_answer_ > query->sent_at;
+            const int doublings = others_answer ? std::min(daemon.failures, max_doublings) : 0;
+            daemon.avoid_until = now + avoid_after_failure * (1 << doublings);
+            daemon.failures = others_answer ? daemon.failures + 1 : std::max(daemon.failures, 1);
         }
         return;
     }
+    last_answer_ = now;
     daemon.failures = 0;
-    if (query.was_alone) {
+    daemon.missed = 0;
+    if (query->was_alone) {
         const base::duration round_trip_sample =
-            std::max<base::duration>(base::duration{0}, now - query.sent_at - query.service_time);
+            std::max<base::duration>(base::duration{0}, now - query->sent_at - query->service_time);
         daemon.round_trip =
             daemon.has_round_trip
                 ? daemon.round_trip + (round_trip_sample - daemon.round_trip) / round_trip_smoothing
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -84,7 +84,7 @@
           stopped(std::move(on_stopped)),
           ownership(initial_settings.vm_name, initial_settings.run, initial_settings.ownership),
           layout(initial_settings.job_parts),
-          advisors(placement, metrics),
+          advisors(event_loop, placement, metrics),
           callers(loop, store, layout, *this, metrics, initial_settings.owner.limits),
           configuration_rows([this](const auto& all) { on_configuration(all); },
                              [this](const auto& changed) { on_configuration(changed); }),
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -124,7 +124,7 @@
     standins::unresponsive_vms vms;
     all_rights rights;
     base::metrics metrics;
-    fleet_daemon::advisor_pool advisors{vms, metrics};
+    fleet_daemon::advisor_pool advisors{loop, vms, metrics};
     const std::unique_ptr<fleet::platform_rows> rows = shared_platform::make_platform_rows();
     fleet::owner_record record;
     fleet_daemon::owner_settings settings;
--- a/test/correctness/rejected_row_does_not_hold_back_others.cpp
+++ b/test/correctness/rejected_row_does_not_hold_back_others.cpp
@@ -180,7 +180,7 @@
     scripted_vm vm;
     all_rights rights;
     base::metrics metrics;
-    fleet_daemon::advisor_pool advisors{vm, metrics};
+    fleet_daemon::advisor_pool advisors{loop, vm, metrics};
     fleet_daemon::owner_settings settings;
     std::unique_ptr<fleet_daemon::owner_task> owner;
 };
--- a/test/correctness/short_placement_queries_do_not_wait_for_long_ones.cpp
+++ b/test/correctness/short_placement_queries_do_not_wait_for_long_ones.cpp
@@ -175,6 +175,36 @@
     EXPECT_EQ(choice.budget(now).queries, 4);
 }
 
+// Guards against all daemons being avoided for many seconds after the caller or the advisor was
+// away.
+TEST(query_router, failures_of_all_daemons_lengthen_no_pause) {
+    fleet::query_router choice;
+    choice.set_daemons({"a", "b"});
+    base::time_point now{std::chrono::seconds(100)};
+    constexpr int rounds = 6;
+    for (int i = 0; i < rounds; ++i) {
+        for (const auto* name : {"a", "b"}) {
+            choice.query_completed(name, choice.query_sent(name, now, short_service), now, false);
+        }
+        now += std::chrono::seconds(1);
+        EXPECT_EQ(choice.budget(now).queries, 2) << "round " << i;
+    }
+}
+
+TEST(query_router, missed_answers_are_no_failure_of_the_daemon) {
+    fleet::query_router choice;
+    choice.set_daemons({"a", "b"});
+    const base::time_point now{std::chrono::seconds(100)};
+    const auto all = choice.budget(now).queries;
+    for (const auto* name : {"a", "b"}) {
+        choice.query_missed(name, choice.query_sent(name, now, short_service), now);
+    }
+    EXPECT_EQ(choice.budget(now).queries, all);
+    // A daemon that does not answer at all is avoided all the same.
+    choice.query_missed("a", choice.query_sent("a", now, short_service), now);
+    EXPECT_EQ(choice.budget(now).queries, all / 2);
+}
+
 TEST(query_router, handles_daemons_joining_and_leaving) {
     fleet::query_router choice;
     choice.set_daemons({"a", "b"});
--- a/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
+++ b/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
@@ -123,7 +123,7 @@
     scripted_vm vm;
     all_rights rights;
     base::metrics metrics;
-    fleet_daemon::advisor_pool advisors(vm, metrics);
+    fleet_daemon::advisor_pool advisors(loop, vm, metrics);
     fleet_daemon::owner_settings settings;
     fleet_daemon::owner_task owner(loop, store, vm, *store.rows, store.layout, advisors, rights,
                                    fleet::fencing_token(2), settings, metrics);
--- a/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
+++ b/test/failure/job_of_outdated_entry_is_started_by_one_owner.cpp
@@ -113,6 +113,7 @@
     owner(net::event_loop& loop, two_vm_store& store, fleet::fencing_token token,
           const std::string& reachable_vm, bool earlier_owners_ended = false)
         : vms(loop, reachable_vm),
+          advisors(loop, vms, metrics),
           task(loop, store, vms, *store.rows, store.layout, advisors, rights, token,
                settings(earlier_owners_ended), metrics) {
         task.configure(std::make_shared<const fleet::fleet_configuration>(
@@ -134,7 +135,7 @@
     partly_reachable_vms vms;
     recording_rights rights;
     base::metrics metrics;
-    fleet_daemon::advisor_pool advisors{vms, metrics};
+    fleet_daemon::advisor_pool advisors;
     fleet_daemon::owner_task task;
 };
 
