fleet: count only the VMs that a new owner really misses

Cause: the owner's row had the number and a digest of its VMs. With as many VMs listed as on record, but other ones, all VMs counted as missing: the fleet's whole capacity was held against every customer's limit, and all inherited work waited for all leases, even where the missing VM's machine had come back under another name.

A renewal writes the parts that have changed, in one transaction with the owner's row, which has their checksum. The next owner holds back the capacity of the VMs that are missing, and a VM isn't missing once another VM answers at its address. Missing VMs stay on record until the inherited runs are known, so that the owner after this one knows them too. A VM whose address or capacity has changed gets no task before the row shows it. A VM that the record doesn't have can't hold inherited runs and isn't waited for. The decisions are in fleet/inherited_vms, without I/O or clock. Inherited jobs still wait together.

New log lines owner_waits, owner_wait_ended and vm_record_read name the reason, the missing, replaced and silent VMs, what is held back, and the inherited and new jobs that wait; the distribution cranberrydock_owner_wait_ms has the waits previous_starts, missing_vms, inherited_runs.

The stand-in of the platform now answers 421 to commands for another VM, as the protocol says.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -76,6 +76,9 @@
     // reads: they expire when a VM does not reach the store, and it may still run its tasks. Empty
     // if the owner does not know all of these VMs, or has started no task.
     std::optional<vm_set_digest> vm_set;
+    // The checksum of the rows that list the same VMs (fleet/vm_record.hpp). Empty if there are no
+    // such rows; earlier versions neither write nor keep it.
+    std::optional<std::uint64_t> vm_record_checksum;
 };
 
 std::string encode_owner(const owner_record& record);
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -56,6 +56,9 @@
     if (record.vm_set) {
         out["vm_set"] = {{"count", record.vm_set->count()}, {"hash", record.vm_set->hash()}};
     }
+    if (record.vm_record_checksum) {
+        out["vm_rows"] = *record.vm_record_checksum;
+    }
     if (record.waiting_jobs) {
         out["count"] = {{"by", record.waiting_jobs->counted_by.value()},
                         {"number", record.waiting_jobs->sequence}};
@@ -91,6 +94,9 @@
             out.vm_set = vm_set_digest(fields.at("vm_set").at("count").get<std::size_t>(),
                                        fields.at("vm_set").at("hash").get<std::uint64_t>());
         }
+        if (fields.contains("vm_rows")) {
+            out.vm_record_checksum = fields.at("vm_rows").get<std::uint64_t>();
+        }
         for (const auto& it : fields.value("labels", json::array())) {
             out.labels.insert(vm_label(it.get<std::string>()));
         }
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
@@ -37,8 +37,12 @@
 // Contains the owner's fencing token for each partition of the jobs. No daemon follows this table,
 // since each write of progress changes it.
 extern const fleet::table_name fencing_token_table;
+// Contains the owner's record of its VMs, in the partition of the owner's row. No daemon follows
+// this table; a new owner reads it once.
+extern const fleet::table_name vm_record_table;
 
 fleet::row_address owner_row();
+fleet::row_address vm_record_row(std::size_t part);
 fleet::row_address fencing_token_row(const fleet::partition_name& partition);
 fleet::row_address daemon_row(const std::string& vm_name);
 // The VM name of the daemon that the row belongs to; empty if it is not a daemon's row.
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -38,6 +38,9 @@
     // may have started are not started again before its leases have expired.
     std::size_t expected_vms = 0;
     std::optional<fleet::vm_set_digest> expected_vm_set;
+    // Of the rows that list these VMs. Without it, or if they can't be read, all VMs count as
+    // missing where the number or the digest differs.
+    std::optional<std::uint64_t> expected_vm_record;
     // Member entries may be missing before this time, because the store was unavailable until
     // recently.
     base::time_point members_complete_from{};
@@ -96,6 +99,10 @@
     // unchanged. `number` identifies the new count of the waiting jobs.
     void describe(fleet::owner_record& record, std::int64_t number) const;
 
+    // The rows of the VMs on record, to be written together with the described row; empty if there
+    // are none to write. Valid until the next call.
+    const std::vector<std::string>& vm_record_parts() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -466,6 +466,7 @@
             previous_run = ownership.record().process_run;
             previous_vm_count = ownership.record().vm_count;
             previous_vm_set = ownership.record().vm_set;
+            previous_vm_record = ownership.record().vm_record_checksum;
             const bool is_first_owner = ownership.record().token == fleet::fencing_token(0);
             earlier_owners_ended = is_first_owner || ownership.record().earlier_owners_ended;
         }
@@ -512,14 +513,25 @@
         fleet::row_transaction transaction;
         transaction.conditions.push_back({owner_row(), ownership.condition()});
         transaction.puts.push_back({owner_row(), owner_row_value(record)});
+        // The rows that `record` names; only those that have changed are written.
+        std::vector<std::string> vm_record;
+        if (local_owner && record.vm_record_checksum) {
+            vm_record = local_owner->vm_record_parts();
+            add_changed_parts(vm_record, transaction);
+        }
         store.commit(
-            transaction, owner_write_timeout, alive.guard([this, record, sent](const auto& answer) {
+            transaction, owner_write_timeout,
+            alive.guard([this, record, sent, vm_record = std::move(vm_record)](const auto& answer) {
                 if (answer) {
                     on_store_answered();
                     ownership.written(*answer, record, sent);
                     owner_row_read_at = clock.now();
+                    if (!vm_record.empty()) {
+                        stored_vm_record = vm_record;
+                    }
                     return;
                 }
+                stored_vm_record.clear();
                 const auto& error = answer.error();
                 ownership.failed(error.failure == fleet::store_failure::answer_lost, clock.now());
                 metrics.count("cranberrydock_ownership_write_failures_total", "");
@@ -531,6 +543,15 @@
             }));
     }
 
+    void add_changed_parts(const std::vector<std::string>& vm_record,
+                           fleet::row_transaction& transaction) const {
+        for (std::size_t part = 0; part < vm_record.size(); ++part) {
+            if (part >= stored_vm_record.size() || stored_vm_record[part] != vm_record[part]) {
+                transaction.puts.push_back({vm_record_row(part), vm_record[part]});
+            }
+        }
+    }
+
     void start_ownership() {
         owner_since = clock.now();
         last_owner_token = ownership.record().token;
@@ -540,8 +561,10 @@
         task_settings.earlier_owners_ended = earlier_owners_ended;
         task_settings.expected_vms = previous_vm_count;
         task_settings.expected_vm_set = previous_vm_set;
+        task_settings.expected_vm_record = previous_vm_record;
         task_settings.members_complete_from = members_complete_from;
         vms.set_vm_count(previous_vm_count);
+        stored_vm_record.clear();
         local_owner = std::make_unique<owner_task>(loop, store, vms, rows, layout, advisors, *this,
                                                    last_owner_token, task_settings, metrics);
         local_owner->configure(configured);
@@ -659,6 +682,9 @@
     std::string previous_run;
     std::size_t previous_vm_count = 0;
     std::optional<fleet::vm_set_digest> previous_vm_set;
+    std::optional<std::uint64_t> previous_vm_record;
+    // The rows of the VM record as this daemon has written them last; empty if not known.
+    std::vector<std::string> stored_vm_record;
     bool earlier_owners_ended = false;      // those before the owner of that row
     fleet::fencing_token last_owner_token;  // of the latest owner's task of this process
     std::int64_t last_count = 0;            // number of the last count of waiting jobs
--- a/packages/fleet_daemon/src/job_layout.cpp
+++ b/packages/fleet_daemon/src/job_layout.cpp
@@ -10,6 +10,7 @@
 const fleet::table_name ended_table("ended");
 const fleet::table_name fleet_table("fleet");
 const fleet::table_name fencing_token_table("fences");
+const fleet::table_name vm_record_table("vm_record");
 
 namespace {
 
@@ -49,6 +50,10 @@
     return {fleet_table, fleet::partition_name(""), fleet::row_name("owner")};
 }
 
+fleet::row_address vm_record_row(std::size_t part) {
+    return {vm_record_table, owner_row().partition, fleet::row_name(std::to_string(part))};
+}
+
 fleet::row_address fencing_token_row(const fleet::partition_name& partition) {
     return {fencing_token_table, partition, fleet::row_name("fence")};
 }
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -3,6 +3,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberrydock::fleet_daemon {
@@ -17,6 +18,7 @@
 }  // namespace
 
 void owner_task::state::load() {
+    read_vm_record();
     members.start();
     for (const auto& it : layout.partitions()) {
         fencing_token_partition(it);
@@ -107,6 +109,40 @@
     }
 }
 
+void owner_task::state::read_vm_record() {
+    if (!settings.expected_vm_record) {
+        inherited_vms.record_read(std::nullopt);
+        return;
+    }
+    const fleet::row_address first = vm_record_row(0);
+    store.read(first.table, first.partition, {}, fleet::vm_record_parts, store_timeout,
+               alive.guard([this](const auto& read) {
+                   if (read) {
+                       on_vm_record(read->rows);
+                   } else {
+                       retries.push_back(loop.after(retry_pause, [this] { read_vm_record(); }));
+                   }
+               }));
+}
+
+void owner_task::state::on_vm_record(const std::vector<fleet::stored_row>& rows_found) {
+    std::vector<std::string> parts(fleet::vm_record_parts);
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        const auto row = std::find_if(rows_found.begin(), rows_found.end(), [&](const auto& it) {
+            return it.address.name == vm_record_row(part).name;
+        });
+        parts[part] = row == rows_found.end() ? std::string() : row->value;
+    }
+    // Rows that the owner's row does not name are older than it.
+    const bool matches = fleet::checksum_of(parts) == *settings.expected_vm_record;
+    const auto record = matches ? fleet::decode_vm_record(parts) : std::nullopt;
+    inherited_vms.record_read(record);
+    spdlog::info("event=vm_record_read fence={} rows={} matches={} readable={} vms={} missing={}",
+                 owner.value(), rows_found.size(), matches, record.has_value(),
+                 record ? record->vms().size() : 0, inherited_vms.missing_count(clock.now()));
+    wake();
+}
+
 void owner_task::state::add_job(const fleet::stored_row& row, bool loaded) {
     const fleet::job_id id(row.address.name.str());
     const auto decoded = fleet::decode_job(id, row.value);
@@ -122,6 +158,9 @@
         return;
     }
     const bool inherited = accepted_under < owner && (loaded || !inherited_known);
+    if (inherited && !inherited_known) {
+        inherited_jobs.insert(id);
+    }
     if (!inherited_known && job_log_limiter.allows(clock.now())) {
         spdlog::info("event=job_found job={} accepted_under={} fence={} inherited={}", id.str(),
                      accepted_under.value(), owner.value(), inherited);
@@ -206,6 +245,7 @@
     largest_vm = max_of(largest_vm, facts->capacity);
     labels.insert(facts->labels.begin(), facts->labels.end());
     scheduler.vm_listed(*facts);
+    inherited_vms.listed(*facts, clock.now());
     auto& session = sessions[id];
     if (session) {
         session->update(*facts);
@@ -236,7 +276,7 @@
             it.second->mark_unlisted();
         }
     }
-    check_expected_vms();
+    inherited_vms.members_read();
     wake();
 }
 
@@ -249,26 +289,8 @@
             session->second->mark_unlisted();
         }
     }
-    check_expected_vms();
+    inherited_vms.members_read();
     wake();
 }
 
-fleet::vm_set_digest owner_task::state::vm_set() const {
-    fleet::vm_set_digest out;
-    for (const auto& it : sessions) {
-        out.add(it.first);
-    }
-    return out;
-}
-
-void owner_task::state::check_expected_vms() {
-    const bool is_first_owner = settings.expected_vms == 0 && !settings.expected_vm_set;
-    expected_vms_listed =
-        expected_vms_listed || is_first_owner || vm_set() == settings.expected_vm_set;
-}
-
-bool owner_task::state::all_listed() const {
-    return expected_vms_listed && clock.now() >= settings.members_complete_from;
-}
-
 }  // namespace cranberrydock::fleet_daemon
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cranberrydock/base/log_rate_limiter.hpp>
+#include <cranberrydock/fleet/inherited_vms.hpp>
 #include <cranberrydock/fleet_daemon/job_layout.hpp>
 #include <cranberrydock/fleet_daemon/owner_task.hpp>
 #include <cranberrydock/fleet_daemon/table_follower.hpp>
@@ -31,6 +32,9 @@
     void fencing_token_partition(const fleet::partition_name& partition);
     void read_progress();
     void on_progress_loaded();
+    // Reads which VMs the previous owner had on record.
+    void read_vm_record();
+    void on_vm_record(const std::vector<fleet::stored_row>& rows);
     void on_job_table(const std::vector<fleet::stored_row>& rows);
     void on_job_changes(const std::vector<fleet::stored_row>& rows);
     // `loaded` means that the row was in the store when this owner loaded the jobs.
@@ -57,23 +61,20 @@
     bool may_issue_commands() override;
     void send_start(const fleet::start_decision& decision);
     void send_stop(const fleet::stop_decision& decision);
-    // Whether no previous owner can start a task any more.
-    bool may_start();
-    bool all_vms_satisfy(const std::function<bool(const fleet::vm_id&)>& predicate) const;
-    // The VMs that are on record here.
-    fleet::vm_set_digest vm_set() const;
-    // Records whether every VM that the previous owner had on record has been listed.
-    void check_expected_vms();
-    // Whether every VM on which a previous owner may have started tasks has been listed.
-    bool all_listed() const;
-    // Upper bound of what a previous owner's runs take on VMs that are not listed.
-    fleet::resources unlisted_use() const;
     void check_inherited_runs();
+    void on_inherited_runs_known();
+    // Logs the start, the end and a change of the wait for VMs that are not accounted for.
+    void check_unknown_vms();
+    // Logs what this owner waits for and what it holds back meanwhile.
+    void log_wait(const char* event);
+    base::milliseconds owner_age() const;
 
     // owner_task.cpp
     void wake();
     void decide();
     void hold_starts_on_stale_jobs();
+    // Encodes the record of VMs for the store if it has changed.
+    void encode_vm_record() const;
     void log_load();
     fleet::clock_reading now() const;
 
@@ -138,6 +139,7 @@
     base::metrics& metrics;
     base::suspend_aware_clock clock;
     fleet::inherited_leases inherited;
+    fleet::inherited_vms inherited_vms;
 
     fleet::scheduler scheduler;
     std::map<fleet::vm_id, std::unique_ptr<vm_session>> sessions;
@@ -150,9 +152,7 @@
     table_follower jobs;
     table_follower members;
     bool members_known = false;
-    bool expected_vms_listed = false;  // see check_expected_vms()
     bool jobs_known = false;
-    std::set<fleet::vm_id> reported_vms;  // VMs with a report that the scheduler has processed
     // The last report of each VM that was received before the jobs were loaded, or before the
     // owner's row showed the VM.
     struct early_report {
@@ -160,15 +160,20 @@
         base::time_point watch_sent_at;
     };
     std::map<fleet::vm_id, early_report> early_reports;
-    // VMs that have not answered since they became unreachable.
-    std::set<fleet::vm_id> unresponsive_vms;
-    // VMs whose incarnation has ended and that have not reported since.
-    std::set<fleet::vm_id> ended_vms;
     bool progress_loaded = false;
     // Jobs that were read before their progress had been loaded.
     std::optional<std::vector<fleet::stored_row>> early_job_rows;
     bool inherited_known = false;
     bool may_start_known = false;
+    // Why inherited VMs were not accounted for at the last check.
+    fleet::vms_unknown vms_unknown = fleet::vms_unknown::nothing;
+    // Jobs that a previous owner may have started; only until `inherited_known`.
+    std::unordered_set<fleet::job_id> inherited_jobs;
+    // The encoded record of VMs at this revision of it; empty if there is none or it is too large.
+    mutable std::vector<std::string> vm_record_parts;
+    mutable std::optional<std::uint64_t> vm_record_checksum;
+    mutable std::optional<fleet::vm_set_digest> vm_set;
+    mutable std::uint64_t vm_record_revision = 0;
     bool starts_held = false;     // because the last read of the jobs is too old
     base::time_point started_at;  // when this daemon became the owner
 
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -43,6 +43,9 @@
       metrics(metrics_registry),
       inherited(initial_settings.session.leases, clock.now(),
                 initial_settings.previous_owner_validity),
+      inherited_vms({initial_settings.expected_vms, initial_settings.expected_vm_set,
+                     initial_settings.members_complete_from},
+                    inherited, clock.now()),
       scheduler(token, initial_settings.scheduler, metrics_registry),
       job_rows([this](const auto& all) { on_job_table(all); },
                [this](const auto& changed) { on_job_changes(changed); }),
@@ -89,7 +92,7 @@
     }
     hold_starts_on_stale_jobs();
     if (!inherited_known) {
-        scheduler.reserve_for_unlisted_vms(unlisted_use());
+        scheduler.reserve_for_unlisted_vms(inherited_vms.missing_capacity(largest_vm, clock.now()));
     }
     const auto decision_start = clock.now();
     const auto decided = scheduler.decide(now(), advisors.room());
@@ -144,6 +147,9 @@
         sessions.size(), usable_capacity.cores.value(), scheduler.in_use().cores.value(),
         start_count, query_count, advisors.room().queries, decision_count, deciding_time.count(),
         report_count, notification_count, status_query_count);
+    if (!inherited_known) {
+        log_wait("owner_waits");
+    }
     deciding_time = base::duration{0};
     decision_count = 0;
     start_count = 0;
@@ -228,7 +234,7 @@
         record.waiting_jobs =
             fleet::waiting_job_counts{state_->owner, number, state_->scheduler.jobs_not_started()};
     }
-    if (state_->inherited_known || state_->all_listed()) {
+    if (state_->inherited_known || state_->inherited_vms.all_accounted(state_->clock.now())) {
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
     }
@@ -236,9 +242,43 @@
     const std::size_t vms = state_->sessions.size();
     record.vm_count = state_->inherited_known ? vms : std::max(vms, state_->settings.expected_vms);
     // A VM that is missing here may still run tasks of a previous owner.
-    const auto vm_set = state_->vm_set();
-    const bool is_complete = state_->inherited_known || vm_set == state_->settings.expected_vm_set;
-    record.vm_set = is_complete ? std::optional<fleet::vm_set_digest>(vm_set) : std::nullopt;
+    state_->encode_vm_record();
+    record.vm_set = state_->vm_set;
+    record.vm_record_checksum = state_->vm_record_checksum;
+}
+
+void owner_task::state::encode_vm_record() const {
+    if (vm_record_revision == inherited_vms.revision()) {
+        return;
+    }
+    vm_record_revision = inherited_vms.revision();
+    vm_set.reset();
+    vm_record_checksum.reset();
+    vm_record_parts.clear();
+    const auto record = inherited_vms.record();
+    if (!record) {
+        return;
+    }
+    vm_set = record->digest();
+    auto parts = fleet::encode_vm_record(*record);
+    std::size_t bytes = settings.limits.row_bytes;  // of the owner's row
+    bool fits = true;
+    for (const auto& it : parts) {
+        bytes += it.size();
+        fits = fits && it.size() <= settings.limits.row_bytes;
+    }
+    if (!fits || bytes > settings.limits.transaction_bytes) {
+        spdlog::error("event=row_too_large table=vm_record bytes={} limit={}", bytes,
+                      settings.limits.row_bytes);
+        return;
+    }
+    vm_record_checksum = fleet::checksum_of(parts);
+    vm_record_parts = std::move(parts);
+}
+
+const std::vector<std::string>& owner_task::vm_record_parts() const {
+    state_->encode_vm_record();
+    return state_->vm_record_parts;
 }
 
 }  // namespace cranberrydock::fleet_daemon
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -8,13 +8,6 @@
 #include <utility>
 
 namespace cranberrydock::fleet_daemon {
-namespace {
-
-// An owner sends each VM a new watch command within 0.7 s, and learns of a higher fencing token
-// from the answer.
-constexpr base::milliseconds previous_owner_detection_time{1'000};
-
-}  // namespace
 
 bool owner_task::state::may_issue_commands() {
     return rights.may_issue_commands();
@@ -31,9 +24,7 @@
     }
     early_reports.erase(vm);
     ++report_count;
-    reported_vms.insert(vm);
-    unresponsive_vms.erase(vm);
-    ended_vms.erase(vm);
+    inherited_vms.reported(vm, watch_sent_at);
     const fleet::completion_number last_listed = scheduler.last_completion(vm);
     scheduler.vm_reported(vm, report, watch_sent_at, now());
     for (const auto& it : report.completions) {
@@ -46,8 +37,7 @@
 }
 
 bool owner_task::state::is_on_record(const fleet::vm_id& vm) const {
-    const auto session = sessions.find(vm);
-    return session != sessions.end() && session->second->created_at() < rights.last_renewal_sent();
+    return inherited_vms.is_on_record(vm, rights.last_renewal_sent());
 }
 
 void owner_task::state::process_early_reports() {
@@ -62,7 +52,7 @@
 
 void owner_task::state::on_reachable(const fleet::vm_id& vm, bool reachable) {
     if (!reachable) {
-        unresponsive_vms.insert(vm);
+        inherited_vms.unresponsive(vm);
     }
     scheduler.vm_reachable(vm, reachable);
     wake();
@@ -74,12 +64,12 @@
     const auto session = sessions.find(vm);
     if (session != sessions.end()) {
         if (gone) {
-            ended_vms.erase(vm);
+            inherited_vms.gone(vm);
             ended_sessions.push_back(std::move(session->second));
             sessions.erase(session);
         } else {
             scheduler.vm_listed(session->second->facts());
-            reported_vms.erase(vm);
+            inherited_vms.report_outdated(vm);
             early_reports.erase(vm);
         }
     }
@@ -88,15 +78,14 @@
 
 void owner_task::state::on_process_ended(const fleet::vm_id& vm) {
     scheduler.vm_process_ended(vm);
-    ended_vms.insert(vm);
-    reported_vms.erase(vm);
+    inherited_vms.ended(vm);
     early_reports.erase(vm);
     wake();
 }
 
 void owner_task::state::on_restarted(const fleet::vm_id& vm) {
     scheduler.vm_restarted(vm);
-    reported_vms.erase(vm);
+    inherited_vms.report_outdated(vm);
     early_reports.erase(vm);
     wake();
 }
@@ -111,7 +100,8 @@
 
 void owner_task::state::send_start(const fleet::start_decision& decision) {
     const auto session = sessions.find(decision.vm);
-    if (session == sessions.end() || !rights.may_issue_commands()) {
+    // The entry may have changed since the last renewal.
+    if (session == sessions.end() || !rights.may_issue_commands() || !is_on_record(decision.vm)) {
         scheduler.start_answered(decision.vm, decision.task, decision.run,
                                  tl::unexpected(fleet::command_failure::not_delivered), now());
         return;
@@ -178,77 +168,86 @@
              }));
 }
 
-// This owner may start inherited tasks only once no previous owner can start them: when every VM
-// has received this owner's fencing token, when the previous owner is known to have ended, or when
-// its permission to issue commands has expired. Until then a previous owner may start inherited
-// tasks on VMs that have not received the token.
-bool owner_task::state::may_start() {
-    if (may_start_known || !members_known || !jobs_known) {
-        return may_start_known;
-    }
-    const auto elapsed = clock.now() - started_at;
-    const bool all_reported = all_listed() && all_vms_satisfy([this](const auto& vm) {
-                                  return reported_vms.count(vm) > 0;
-                              });
-    // A previous owner that can still reach one of the VMs that have reported has learned of this
-    // owner by now. The incarnations of the remaining VMs have ended: there it could start a task
-    // only if it were the first to reach the next incarnation.
-    const bool others_have_ended = all_listed() && elapsed > previous_owner_detection_time &&
-                                   all_vms_satisfy([this](const auto& vm) {
-                                       return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0;
-                                   });
-    const bool earlier_commands_ended = inherited.commands_ended(clock.now());
-    may_start_known = all_reported || others_have_ended || earlier_commands_ended;
-    if (may_start_known) {
+base::milliseconds owner_task::state::owner_age() const {
+    return std::chrono::duration_cast<base::milliseconds>(clock.now() - started_at);
+}
+
+// This owner may start inherited tasks only once no previous owner can start them, and once every
+// VM that may run one of them has been accounted for (fleet/inherited_vms.hpp).
+void owner_task::state::check_inherited_runs() {
+    if (inherited_known || !members_known || !jobs_known) {
+        return;
+    }
+    check_unknown_vms();
+    if (!may_start_known && inherited_vms.starts_ended(clock.now())) {
+        may_start_known = true;
+        const auto& proofs = inherited_vms.proofs();
+        metrics.observe("cranberrydock_owner_wait_ms", "wait=\"previous_starts\"",
+                        static_cast<double>(owner_age().count()));
         spdlog::info(
             "event=owner_starts_work all_judged={} others_have_ended={} earlier_gone={} took_ms={}",
-            all_reported, others_have_ended, earlier_commands_ended,
-            std::chrono::duration_cast<base::milliseconds>(elapsed).count());
+            proofs.all_reported, proofs.others_have_ended, proofs.commands_ended,
+            owner_age().count());
+    }
+    if (inherited_vms.runs_known(clock.now())) {
+        on_inherited_runs_known();
     }
-    return may_start_known;
 }
 
-bool owner_task::state::all_vms_satisfy(
-    const std::function<bool(const fleet::vm_id&)>& predicate) const {
-    return std::all_of(sessions.begin(), sessions.end(),
-                       [&](const auto& it) { return predicate(it.first); });
+void owner_task::state::on_inherited_runs_known() {
+    const bool all_listed = inherited_vms.all_accounted(clock.now());
+    log_wait("owner_wait_ended");
+    inherited_known = true;
+    metrics.observe("cranberrydock_owner_wait_ms", "wait=\"inherited_runs\"",
+                    static_cast<double>(owner_age().count()));
+    if (!all_listed) {
+        metrics.observe("cranberrydock_owner_wait_ms", "wait=\"missing_vms\"",
+                        static_cast<double>(owner_age().count()));
+    }
+    spdlog::info("event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={}",
+                 inherited_vms.ended_by() == fleet::wait_ended_by::reports, sessions.size(),
+                 all_listed, owner_age().count());
+    inherited_jobs.clear();
+    scheduler.inherited_runs_reported(now());
 }
 
-fleet::resources owner_task::state::unlisted_use() const {
-    if (all_listed()) {
-        return {};
+void owner_task::state::check_unknown_vms() {
+    const auto unknown = inherited_vms.unknown(clock.now());
+    if (unknown == vms_unknown) {
+        return;
+    }
+    vms_unknown = unknown;
+    if (unknown == fleet::vms_unknown::nothing) {
+        metrics.observe("cranberrydock_owner_wait_ms", "wait=\"missing_vms\"",
+                        static_cast<double>(owner_age().count()));
     }
-    // If other VMs are listed in place of the missing ones, the number of those is not known.
-    const std::size_t known = sessions.size() < settings.expected_vms ? sessions.size() : 0;
-    const auto missing = static_cast<std::int64_t>(settings.expected_vms - known);
-    return {base::millicores(largest_vm.cores.value() * missing),
-            base::mebibytes(largest_vm.memory.value() * missing),
-            base::accelerator_count(largest_vm.accelerators.value() * missing),
-            {}};
+    log_wait("owner_waits");
 }
 
-// Inherited tasks may be started once every VM that may run one of them has reported its runs or
-// has ended, or once every lease of the previous owners has expired.
-void owner_task::state::check_inherited_runs() {
-    if (inherited_known || !may_start()) {
-        return;
+void owner_task::state::log_wait(const char* event) {
+    std::int64_t inherited_waiting = 0;
+    for (const auto& it : inherited_jobs) {
+        const auto known = scheduler.status_of(it);
+        inherited_waiting += known && known->state == fleet::job_state::queued ? 1 : 0;
     }
-    const bool all_reported = all_listed() && all_vms_satisfy([this](const auto& vm) {
-                                  return reported_vms.count(vm) > 0 || ended_vms.count(vm) > 0;
-                              });
-    // A VM that answers may hold runs whose leases this owner has extended.
-    const bool all_responsive_reported = all_vms_satisfy([this](const auto& vm) {
-        return reported_vms.count(vm) > 0 || unresponsive_vms.count(vm) > 0;
-    });
-    const bool leases_expired = inherited.all_expired(clock.now());
-    if (all_reported || (leases_expired && all_responsive_reported)) {
-        inherited_known = true;
-        spdlog::info(
-            "event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={}",
-            all_reported, sessions.size(), all_listed(),
-            std::chrono::duration_cast<base::milliseconds>(clock.now() - started_at).count());
-        scheduler.inherited_runs_reported(now());
+    std::int64_t waiting = 0;
+    for (const auto& it : scheduler.jobs_not_started()) {
+        waiting += it.second;
     }
+    const auto at = clock.now();
+    const auto missing = inherited_vms.missing_capacity(largest_vm, at);
+    const auto silent = inherited_vms.silent_capacity();
+    const auto ended_by = inherited_vms.ended_by();
+    spdlog::info(
+        "event={} fence={} unknown={} ended_by={} missing_vms={} replaced_vms={} silent_vms={} "
+        "missing_cores={} missing_memory={} silent_cores={} silent_memory={} members_complete={} "
+        "inherited_waiting={} new_waiting={} waited_ms={}",
+        event, owner.value(), fleet::to_string(inherited_vms.unknown(at)),
+        ended_by ? fleet::to_string(*ended_by) : "nothing", inherited_vms.missing_count(at),
+        inherited_vms.replaced_count(), inherited_vms.silent_count(), missing.cores.value(),
+        missing.memory.value(), silent.cores.value(), silent.memory.value(),
+        at >= settings.members_complete_from, inherited_waiting, waiting - inherited_waiting,
+        owner_age().count());
 }
 
 }  // namespace cranberrydock::fleet_daemon
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -52,6 +52,11 @@
     void advance(base::milliseconds by);
     // Loses all state and restarts as another incarnation.
     void crash();
+    // The same under another name.
+    void restart_as(const fleet::vm_id& id) {
+        crash();
+        facts_.id = id;
+    }
 
     struct run {
         fleet::run_number number;
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -224,6 +224,12 @@
         }
 
         void carry_out(const net::http_request& request, const net::http_responder& respond) {
+            const std::string expected = request.header("X-Expect-Instance");
+            if (!expected.empty() && expected != vm->facts().id.str()) {
+                constexpr int status_other_instance = 421;
+                respond(net::json_response(status_other_instance, "{}"));
+                return;
+            }
             site.advance_clock(*this);
             const json body = json::parse(request.body);
             const fleet::fencing_token owner(body.at("fencingToken").get<std::int64_t>());
@@ -773,6 +779,16 @@
     });
 }
 
+void platform_site::replace_vm(int index) {
+    on_loop([&] {
+        auto& handler = *state_->vms[static_cast<std::size_t>(index)];
+        state_->discard_unacknowledged(handler);
+        state_->set_listed(handler, false);
+        handler.vm->restart_as(fleet::vm_id(handler.vm->facts().id.str() + "-next"));
+        handler.write_entry();
+    });
+}
+
 void platform_site::set_vm_command_delay(int index, command_delay delay) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -75,6 +75,8 @@
     void lose_answers(int count);
     // The VM loses its state and restarts as another incarnation.
     void crash_vm(int index);
+    // The same, and another VM takes its place, under another name and the same address.
+    void replace_vm(int index);
     // Ends the VM's process for good; its entry stays in the member list.
     void stop_vm_process(int index);
     // The VM accepts calls and answers none, until it is made responsive again.
