--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -178,4 +178,16 @@
     EXPECT_EQ(record.labels.count(fleet::vm_label("fast")), 1U);
 }
 
+TEST_F(owner_figures, include_duration_of_each_wait) {
+    settings.expected_vms = 2;
+    start_owner();
+    constexpr base::milliseconds longest_lease{4'888};  // 4.5 s on the slowest clock
+    run_for(longest_lease + base::milliseconds{300});
+    for (const auto& it : {"previous_starts", "missing_vms", "inherited_runs"}) {
+        const std::string name =
+            std::string("cranberrydock_owner_wait_ms_count{wait=\"") + it + "\"} 1";
+        EXPECT_NE(metrics.text().find(name), std::string::npos) << metrics.text();
+    }
+}
+
 }  // namespace
--- a/test/failure/new_owner_starts_work_while_vms_are_missing.cpp
+++ b/test/failure/new_owner_starts_work_while_vms_are_missing.cpp
@@ -78,6 +78,10 @@
             wait_timeout));
     }
 
+    bool owner_logs(const std::string& text) {
+        return daemons.log_text(daemons.owner_index()).find(text) != std::string::npos;
+    }
+
     fleet_cluster daemons;
 };
 
@@ -95,6 +99,38 @@
     EXPECT_LT(clock.now() - started_at, max_duration);
 }
 
+// The log names what a new owner waits for, what it holds back, and what ended it.
+TEST_F(replaced_vms, are_named_by_the_wait_for_them) {
+    daemons.site().make_vm_unresponsive(0);
+    daemons.site().set_vm_listed(0, false);
+    kill_owner();
+    EXPECT_TRUE(wait_until(
+        [&] { return owner_logs("unknown=vms_missing ended_by=nothing missing_vms=1"); }));
+    EXPECT_TRUE(owner_logs("missing_cores=8000"));
+    EXPECT_TRUE(wait_until(
+        [&] {
+            return owner_logs("event=owner_wait_ended fence=2 unknown=vms_missing ended_by=expiry");
+        },
+        wait_timeout));
+}
+
+// Without a readable record every VM counts as missing, and the tasks of the missing one wait.
+TEST_F(replaced_vms, are_waited_for_if_record_is_unreadable) {
+    submit_all(0, 0, 8);
+    daemons.site().rewrite_row("vm_record", "0", "\xff not a record");
+    daemons.site().make_vm_unresponsive(0);
+    daemons.site().set_vm_listed(0, false);
+    kill_owner();
+    daemons.site().set_vm_listed(replacement, true);
+    EXPECT_TRUE(wait_until([&] { return owner_logs("event=vm_record_read"); }, wait_timeout));
+    EXPECT_TRUE(owner_logs("matches=false readable=false"));
+    EXPECT_TRUE(wait_until([&] { return owner_logs("unknown=names_differ"); }, wait_timeout));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    daemons.site().make_vm_responsive(0);
+    daemons.site().set_vm_listed(0, true);
+    expect_all_complete(daemons.owner_index(), 0, 8);
+}
+
 // The VM's machine has returned under another name, which proves that its runs have ended.
 TEST_F(replaced_vms, under_their_old_addresses_do_not_delay_inherited_work) {
     submit_all(0, 0, 20);
