--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -57,6 +57,9 @@
       metrics(metrics_registry),
       inherited(initial_settings.session.leases, clock.now(),
                 initial_settings.previous_owner_validity),
+      inherited_vms({initial_settings.expected_vms, initial_settings.expected_vm_set,
+                     initial_settings.members_complete_from},
+                    inherited, clock.now()),
       scheduler(token, initial_settings.scheduler, metrics_registry),
       expected_waits(load_settings(initial_settings.scheduler)),
       job_rows([this](const auto& all) { on_job_table(all); },
@@ -105,7 +108,7 @@
     }
     hold_starts_on_stale_jobs();
     if (!inherited_known) {
-        scheduler.reserve_for_unlisted_vms(unlisted_use());
+        scheduler.reserve_for_unlisted_vms(inherited_vms.missing_capacity(largest_vm, clock.now()));
     }
     const auto decision_start = clock.now();
     const auto decided = scheduler.decide(now(), advisors.room());
@@ -204,6 +207,9 @@
         advisors.room().queries, decision_count, deciding_time.count(), report_count,
         notification_count, status_query_count);
     log_waits();
+    if (!inherited_known) {
+        log_wait("owner_waits");
+    }
     deciding_time = base::duration{0};
     decision_count = 0;
     start_count = 0;
@@ -314,7 +320,7 @@
     }
     // Never those of a previous owner, whose backlog and rate of starts were others.
     record.overloaded = state_->expected_waits.overloaded();
-    if (state_->inherited_known || state_->all_listed()) {
+    if (state_->inherited_known || state_->inherited_vms.all_accounted(state_->clock.now())) {
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
     }
@@ -322,9 +328,43 @@
     const std::size_t vms = state_->sessions.size();
     record.vm_count = state_->inherited_known ? vms : std::max(vms, state_->settings.expected_vms);
     // A VM that is missing here may still run tasks of a previous owner.
-    const auto vm_set = state_->vm_set();
-    const bool is_complete = state_->inherited_known || vm_set == state_->settings.expected_vm_set;
-    record.vm_set = is_complete ? std::optional<fleet::vm_set_digest>(vm_set) : std::nullopt;
+    state_->encode_vm_record();
+    record.vm_set = state_->vm_set;
+    record.vm_record_checksum = state_->vm_record_checksum;
+}
+
+void owner_task::state::encode_vm_record() const {
+    if (vm_record_revision == inherited_vms.revision()) {
+        return;
+    }
+    vm_record_revision = inherited_vms.revision();
+    vm_set.reset();
+    vm_record_checksum.reset();
+    vm_record_parts.clear();
+    const auto record = inherited_vms.record();
+    if (!record) {
+        return;
+    }
+    vm_set = record->digest();
+    auto parts = fleet::encode_vm_record(*record);
+    std::size_t bytes = settings.limits.row_bytes;  // of the owner's row
+    bool fits = true;
+    for (const auto& it : parts) {
+        bytes += it.size();
+        fits = fits && it.size() <= settings.limits.row_bytes;
+    }
+    if (!fits || bytes > settings.limits.transaction_bytes) {
+        spdlog::error("event=row_too_large table=vm_record bytes={} limit={}", bytes,
+                      settings.limits.row_bytes);
+        return;
+    }
+    vm_record_checksum = fleet::checksum_of(parts);
+    vm_record_parts = std::move(parts);
+}
+
+const std::vector<std::string>& owner_task::vm_record_parts() const {
+    state_->encode_vm_record();
+    return state_->vm_record_parts;
 }
 
 }  // namespace cranberrydock::fleet_daemon
