fleet: grants and denials apply to the incarnation that was queried

Callers saw a step wait beside a VM that had restarted under its id. A denial was kept by the VM's number, which the next incarnation inherits, so the step never queried it again; an unexpired ticket of the earlier incarnation kept the step from querying the next one for up to 2.5 s; and an answer that arrived after the restart was recorded for the next incarnation, whose VM rejects the ticket.

Denials are kept with the incarnation, a ticket of another incarnation no longer counts, and an answer applies only to the incarnations that were named.

Evidence: two tests in correctness/placement_queries_name_vms_with_room failed before (started_on_.size(): 0, expected 1). The users' advisor gives the same answer for all incarnations of a VM, so for them the first case saves nothing unless an advisor leaves out a VM that is down.

--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -130,6 +130,7 @@
     std::vector<vm_id> vms;
     milliseconds service_time{0};  // expected processing time at the advisor
     bool is_long = false;          // should not be sent where short queries would queue behind it
+    std::vector<boot_time> boots;  // of `vms`; an answer applies to these incarnations only
 };
 
 // How many more queries may be sent now, and how many of these may be long.
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -62,8 +62,11 @@
     for (vm_record* const vm : round.usable) {
         const auto granted = step.grants.find(vm->number);
         const bool granted_before = granted != step.grants.end();
-        if ((granted_before && now.steady < granted->second.until) ||
-            step.not_granted.count(vm->number) > 0 || !may_run(*vm, work)) {
+        const bool has_ticket = granted_before && now.steady < granted->second.until &&
+                                granted->second.boot == vm->facts.boot;
+        const auto denied = step.not_granted.find(vm->number);
+        const bool is_denied = denied != step.not_granted.end() && denied->second == vm->facts.boot;
+        if (has_ticket || is_denied || !may_run(*vm, work)) {
             continue;
         }
         std::int64_t n =
@@ -107,6 +110,7 @@
             static_cast<double>(it.tasks) * (it.granted_before ? 1.0 : expected_share);
         named_tasks += it.tasks;
         out.vms.push_back(it.vm->facts.id);
+        out.boots.push_back(it.vm->facts.boot);
     }
     if (out.vms.empty()) {
         return std::nullopt;
@@ -157,18 +161,20 @@
         return;
     }
     const auto until = now.steady + answer->ticket_lifetime - state_->settings.ticket_margin;
-    std::set<vm_id> granted;
+    std::map<vm_id, placement_ticket> granted;
     for (const auto& it : answer->grants) {
-        granted.insert(it.vm);
-        const vm_record* const vm = state_->find_vm(it.vm);
-        if (vm != nullptr) {
-            step->grants[vm->number] = {it.ticket, until, vm->facts.boot};
-        }
+        granted[it.vm] = it.ticket;
     }
-    for (const auto& it : query.vms) {
-        const vm_record* const vm = state_->find_vm(it);
-        if (vm != nullptr && granted.count(it) == 0) {
-            step->not_granted.insert(vm->number);
+    for (std::size_t i = 0; i < query.vms.size(); ++i) {
+        const vm_record* const vm = state_->find_vm(query.vms[i]);
+        if (vm == nullptr || vm->facts.boot != query.boots[i]) {
+            continue;  // the incarnation that was queried has ended
+        }
+        const auto it = granted.find(query.vms[i]);
+        if (it != granted.end()) {
+            step->grants[vm->number] = {it->second, until, vm->facts.boot};
+        } else {
+            step->not_granted[vm->number] = vm->facts.boot;
             step->grants.erase(vm->number);
         }
     }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -139,8 +139,8 @@
     int done_count = 0;
     // Keys are VM numbers.
     std::map<std::size_t, grant> grants;
-    // Numbers of VMs that a query named and the advisor did not grant.
-    std::set<std::size_t> not_granted;
+    // The incarnations of VMs that a query named and the advisor did not grant.
+    std::map<std::size_t, boot_time> not_granted;
     bool query_open = false;
     time_point last_query_at{};
     bool open = false;  // in the scheduler's list of open steps
--- a/test/correctness/placement_queries_name_vms_with_room.cpp
+++ b/test/correctness/placement_queries_name_vms_with_room.cpp
@@ -79,7 +79,9 @@
                 fleet::placement_response answer;
                 answer.ticket_lifetime = ticket_lifetime;
                 for (const auto& vm : it.vms) {
-                    answer.grants.push_back({vm, fleet::placement_ticket("ticket")});
+                    if (denied_.count(vm) == 0) {
+                        answer.grants.push_back({vm, fleet::placement_ticket("ticket")});
+                    }
                 }
                 scheduler_.query_answered(it, answer, now());
             }
@@ -102,6 +104,7 @@
     base::metrics metrics_;
     base::time_point time_{base::seconds(100)};
     fleet::scheduler scheduler_{fleet::fencing_token(1), {}, metrics_};
+    std::set<fleet::vm_id> denied_;  // by the advisor
     int starts_without_ticket_ = 0;
     std::map<int, fleet::vm_id> started_on_;  // by the task's index
     std::map<int, fleet::run_number> last_run_;
@@ -163,4 +166,33 @@
     EXPECT_EQ(starts_without_ticket_, 1);
 }
 
+TEST_F(query_test, next_incarnation_of_denied_vm_is_queried) {
+    add_vms(0, 1);
+    denied_.insert(vm(0).id);
+    scheduler_.add_job(make_job("job", "batch", {make_step(1, 1'000)}), nullptr, false, now());
+    run_for(base::seconds(1));
+    ASSERT_EQ(started_on_.size(), 0U);
+    denied_.clear();
+    scheduler_.vm_listed(vm(0, 2));
+    scheduler_.vm_restarted(vm(0).id);
+    scheduler_.vm_reported(vm(0).id, {}, time_, now());
+    run_for(base::seconds(3));
+    EXPECT_EQ(started_on_.size(), 1U);
+}
+
+// The tickets of an earlier incarnation kept the next one from being queried until they expired.
+TEST_F(query_test, next_incarnation_of_granted_vm_is_queried_at_once) {
+    add_vms(0, 1);
+    scheduler_.add_job(make_job("job", "batch", {make_step(2, vm_cores)}), nullptr, false, now());
+    run_for(base::milliseconds(500));
+    ASSERT_EQ(started_on_.size(), 1U);
+    started_on_.clear();
+    scheduler_.vm_process_ended(vm(0).id);
+    scheduler_.vm_listed(vm(0, 2));
+    scheduler_.vm_restarted(vm(0).id);
+    scheduler_.vm_reported(vm(0).id, {}, time_, now());
+    run_for(base::milliseconds(700));
+    EXPECT_EQ(started_on_.size(), 1U);
+}
+
 }  // namespace
