--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -116,12 +116,17 @@
     for (const bool with_room : {true, false}) {
         for (auto it = step.grants.begin(); it != step.grants.end() && !has_enough(); ++it) {
             vm_record* const vm = vms_by_number[it->first];
-            if (vm != nullptr && usable(*vm, now) && now.steady >= it->second.until) {
+            const bool has_ticket = vm != nullptr && now.steady < it->second.until &&
+                                    it->second.boot == vm->facts.boot;
+            if (vm != nullptr && usable(*vm, now) && !has_ticket) {
                 consider_vm(*vm, true, with_room);
             }
         }
         const auto consider_new = [&](vm_record& vm) {
-            if (step.grants.count(vm.number) == 0 && step.not_granted.count(vm.number) == 0) {
+            const auto denied = step.not_granted.find(vm.number);
+            const bool is_denied =
+                denied != step.not_granted.end() && denied->second == vm.facts.boot;
+            if (step.grants.count(vm.number) == 0 && !is_denied) {
                 consider_vm(vm, false, with_room);
             }
         };
@@ -140,6 +145,7 @@
     out.step = *work.ref;
     for (const auto& it : named) {
         out.vms.push_back(it.vm->facts.id);
+        out.boots.push_back(it.vm->facts.boot);
     }
     if (out.vms.empty()) {
         return std::nullopt;
@@ -193,20 +199,21 @@
         return;
     }
     const auto until = now.steady + answer->ticket_lifetime - state_->settings.ticket_margin;
-    std::vector<std::size_t> granted;  // numbers of VMs
+    std::unordered_map<vm_id, placement_ticket> granted;
     granted.reserve(answer->grants.size());
     for (const auto& it : answer->grants) {
-        const vm_record* const vm = state_->find_vm(it.vm);
-        if (vm != nullptr) {
-            granted.push_back(vm->number);
-            step->grants[vm->number] = {it.ticket, until, vm->facts.boot};
-        }
+        granted[it.vm] = it.ticket;
     }
-    std::sort(granted.begin(), granted.end());
-    for (const auto& it : query.vms) {
-        const vm_record* const vm = state_->find_vm(it);
-        if (vm != nullptr && !std::binary_search(granted.begin(), granted.end(), vm->number)) {
-            step->not_granted.insert(vm->number);
+    for (std::size_t i = 0; i < query.vms.size(); ++i) {
+        const vm_record* const vm = state_->find_vm(query.vms[i]);
+        if (vm == nullptr || vm->facts.boot != query.boots[i]) {
+            continue;  // the incarnation that was queried has ended
+        }
+        const auto it = granted.find(query.vms[i]);
+        if (it != granted.end()) {
+            step->grants[vm->number] = {it->second, until, vm->facts.boot};
+        } else {
+            step->not_granted[vm->number] = vm->facts.boot;
             step->grants.erase(vm->number);
         }
     }
