fleet: a gang that its VMs can't hold reserves none of them

Callers saw small tasks wait beside free VMs. A waiting gang that can still meet its objective reserves all VMs granted to it against less urgent work, also if these could not hold it even when empty: too few are granted, or it is wider than the fleet. Such a gang never starts and kept the capacity idle, for as long as its objective lasts, and a long-running one for good.

A gang now reserves VMs only if they hold all of its members without other work.

Evidence: correctness/gang_without_enough_vms_reserves_none, a gang of 5 whole VMs on 4: before, the task behind it was not started (0 starts, expected 1). The gang of 4 on 4 VMs keeps its reservation, before and after.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -170,6 +170,17 @@
     std::map<zone_name, int> in_zone;
 };
 
+// The number of the gang's members that fit into `room` on one VM.
+std::int64_t members_fitting(const step_spec& spec, resources room) {
+    const int limit =
+        spec.max_per_vm > 0 ? std::min(spec.max_per_vm, spec.task_count) : spec.task_count;
+    std::int64_t out = 0;
+    for (; out < limit && fits(spec.need, room); ++out) {
+        room -= spec.need;
+    }
+    return out;
+}
+
 }  // namespace
 
 // Starts the tasks that fit, for a step with independent tasks. Returns false if some have to wait.
@@ -251,13 +262,7 @@
     std::map<rack_name, std::int64_t> rack_room;
     std::vector<share> shares;
     for (vm_record* const vm : allowed_vms(work, round, now)) {
-        std::int64_t n = 0;
-        resources remaining = vm->free();
-        const std::int64_t max_tasks = spec.max_per_vm > 0 ? spec.max_per_vm : count;
-        while (n < std::min(max_tasks, count) && fits(spec.need, remaining)) {
-            remaining -= spec.need;
-            ++n;
-        }
+        const std::int64_t n = members_fitting(spec, vm->free());
         if (n > 0) {
             shares.push_back({vm, n});
             rack_room[vm->facts.rack] += n;
@@ -294,6 +299,26 @@
     return true;
 }
 
+// Reserves the VMs on which the waiting gang may start. Returns false, and reserves none, if they
+// could not hold the gang even without other work.
+bool scheduler::state::reserve_for_gang(const open_step& work, placement_round& round,
+                                        const clock_reading& now) const {
+    const step_spec& spec = *work.step->spec;
+    const auto allowed = allowed_vms(work, round, now);
+    std::int64_t members = 0;
+    for (const vm_record* const vm : allowed) {
+        members += members_fitting(spec, vm->facts.capacity);
+    }
+    if (members < spec.task_count) {
+        return false;
+    }
+    round.reserved.resize(vms_by_number.size(), false);
+    for (const vm_record* const vm : allowed) {
+        round.reserved[vm->number] = true;
+    }
+    return true;
+}
+
 // Whether the step has a valid ticket for some VM, or needs none.
 bool scheduler::state::has_valid_ticket(const open_step& work, const clock_reading& now) const {
     const auto& grants = work.step->grants;
@@ -395,11 +420,7 @@
         round.lookahead_cores -= total_need(work).cores.value();
         if (work.step->spec->gang && work.tier == 0 &&
             reserving_gangs < settings.max_reserving_gangs) {
-            round.reserved.resize(vms_by_number.size(), false);
-            for (const vm_record* const vm : allowed_vms(work, round, now)) {
-                round.reserved[vm->number] = true;
-            }
-            ++reserving_gangs;
+            reserving_gangs += reserve_for_gang(work, round, now) ? 1 : 0;
         }
     }
     move_tasks_off_leaving_vms(round, now, out);
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -341,6 +341,8 @@
                      const clock_reading& now, decisions& out);
     bool place_gang(detail::open_step& work, const detail::placement_round& round,
                     const clock_reading& now, decisions& out);
+    bool reserve_for_gang(const detail::open_step& work, detail::placement_round& round,
+                          const clock_reading& now) const;
     void move_tasks_off_leaving_vms(detail::placement_round& round, const clock_reading& now,
                                     decisions& out);
     void move_tasks(detail::open_step& work, detail::placement_round& round,
