--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -215,6 +215,7 @@
     static constexpr std::int64_t task_lines_per_second = 250;
     base::log_rate_limiter wait_log_limiter{"task_waits", wait_lines_per_second};
     static constexpr std::int64_t wait_lines_per_second = 20;
+    mutable base::log_rate_limiter large_record_log_limiter{"row_too_large", 1};
     // Entries of other writers, which may be many.
     base::log_rate_limiter unreadable_log_limiter{"member_unreadable", unreadable_lines_per_second};
     static constexpr std::int64_t unreadable_lines_per_second = 20;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -354,8 +354,10 @@
         fits = fits && it.size() <= settings.limits.row_bytes;
     }
     if (!fits || bytes > settings.limits.transaction_bytes) {
-        spdlog::error("event=row_too_large table=vm_record bytes={} limit={}", bytes,
-                      settings.limits.row_bytes);
+        if (large_record_log_limiter.allows(clock.now())) {
+            spdlog::error("event=row_too_large table=vm_record bytes={} limit={}", bytes,
+                          settings.limits.transaction_bytes);
+        }
         return;
     }
     vm_record_checksum = fleet::checksum_of(parts);
--- a/test/correctness/new_owner_tells_which_vms_are_missing.cpp
+++ b/test/correctness/new_owner_tells_which_vms_are_missing.cpp
@@ -115,6 +115,24 @@
     }
 }
 
+// The record fits into one transaction and its parts into rows (docs/CAPACITY.md: 37,000 workers).
+TEST_F(missing_vms, of_largest_fleet_fit_on_record) {
+    constexpr int vms = 37'000;
+    constexpr std::size_t row_bytes = 65'536;
+    constexpr std::size_t transaction_bytes = 700'000;
+    for (int i = 0; i < vms; ++i) {
+        record.add(vm("vm-" + std::to_string(i), "address-" + std::to_string(i)));
+    }
+    std::size_t bytes = row_bytes;
+    const auto parts = fleet::encode_vm_record(record);
+    for (const auto& it : parts) {
+        EXPECT_LE(it.size(), row_bytes);
+        bytes += it.size();
+    }
+    EXPECT_LE(bytes, transaction_bytes);
+    EXPECT_EQ(fleet::decode_vm_record(parts)->vms(), record.vms());
+}
+
 // Rolling upgrade: an earlier version neither writes nor keeps the checksum, and reads a row with
 // it.
 TEST_F(missing_vms, are_not_told_from_row_of_earlier_version) {
