--- a/packages/daemon/include/cranberrydock/daemon/fleet_member.hpp
+++ b/packages/daemon/include/cranberrydock/daemon/fleet_member.hpp
@@ -10,7 +10,8 @@
 
 // Runs until a graceful stop after SIGTERM or SIGINT is complete, and returns the exit status of
 // the process. On SIGHUP it reads `settings_path` again and logs whether the file is valid.
+// `refuse_overloaded`: see fleet_daemon::owner_settings.
 int run_fleet_member(const shared_platform::site_settings& settings,
-                     const std::string& settings_path);
+                     const std::string& settings_path, bool refuse_overloaded);
 
 }  // namespace cranberrydock::daemon
--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -38,7 +38,9 @@
 // gang.
 constexpr double gang_start_share = 0.6;
 // The longest time from a decision to the start at the VM, with a relay and a retry.
-constexpr base::milliseconds max_start_delay{1'000};
+constexpr base::milliseconds max_start_delay{1'800};
+// Changes of the jobs are read every 0.7 s, so a shorter limit would hold starts all the time.
+constexpr base::milliseconds min_job_feed_age{2'000};
 constexpr base::milliseconds max_drain{3'000};
 // Shares of the time between SIGTERM and SIGKILL: the first for serving requests while callers move
 // to other daemons, the second for answering the last open requests.
@@ -78,8 +80,7 @@
     out.owner.session.leases.lease =
         std::min(renewed_lease_limit, share_of(site.max_lease, lease_share));
     out.owner.scheduler.gang_start_timeout = share_of(site.gang_timeout, gang_start_share);
-    out.owner.max_job_feed_age =
-        std::max(base::milliseconds{0}, site.cancel_deadline - max_start_delay);
+    out.owner.max_job_feed_age = std::max(min_job_feed_age, site.cancel_deadline - max_start_delay);
     if (site.max_row_bytes > 0) {
         out.owner.limits.row_bytes =
             std::min(site.max_row_bytes, out.owner.limits.transaction_bytes);
@@ -105,7 +106,7 @@
 }  // namespace
 
 int run_fleet_member(const shared_platform::site_settings& settings,
-                     const std::string& settings_path) {
+                     const std::string& settings_path, bool refuse_overloaded) {
     net::event_loop loop;
     base::metrics metrics;
     const auto http = net::make_http_client(loop, connection_limits);
@@ -116,9 +117,10 @@
     const auto advisor = shared_platform::make_placement_advisor(*http, settings.advisor);
     const auto rows = shared_platform::make_platform_rows();
     std::function<void()> stop_when_answered;
-    fleet_daemon::daemon member(loop, *http, *store, *vms, *advisor, *rows,
-                                daemon_settings_of(settings), metrics,
-                                [&stop_when_answered] { stop_when_answered(); });
+    fleet_daemon::daemon_settings member_settings = daemon_settings_of(settings);
+    member_settings.owner.refuse_overloaded = refuse_overloaded;
+    fleet_daemon::daemon member(loop, *http, *store, *vms, *advisor, *rows, member_settings,
+                                metrics, [&stop_when_answered] { stop_when_answered(); });
     shared_platform::caller_request_handler callers(member.callers(),
                                                     [&member] { return member.shutting_down(); });
     shared_platform::readiness_request_handler readiness([&member] { return member.ready(); });
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -27,6 +27,9 @@
               "with --platform=memory: the ADDRESS:PORT to listen on for callers");
 DEFINE_string(workers, "",
               "with --platform=memory: ADDRESS:PORT of each worker VM, separated by commas");
+DEFINE_bool(refuse_overloaded, false,
+            "with --platform=shared: as the owner of the fleet, have the entries refuse new jobs "
+            "of queues that are not expected to serve them in time");
 
 namespace {
 
@@ -107,7 +110,7 @@
     }
     base::init_async_log(settings->vm_name, FLAGS_log.empty() ? "info" : FLAGS_log);
     try {
-        return daemon::run_fleet_member(*settings, path);
+        return daemon::run_fleet_member(*settings, path, FLAGS_refuse_overloaded);
     } catch (const std::exception& error) {
         spdlog::critical("event=start_failed error=\"{}\"", error.what());
         return exit_start_failed;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -10,8 +10,8 @@
 #include <cranberrydock/fleet/scheduler.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/fleet_daemon/advisor_pool.hpp>
-#include <cranberrydock/fleet_daemon/job_layout.hpp>
 #include <cranberrydock/fleet_daemon/command_permission.hpp>
+#include <cranberrydock/fleet_daemon/job_layout.hpp>
 #include <cranberrydock/fleet_daemon/peer.hpp>
 #include <cranberrydock/fleet_daemon/vm_session.hpp>
 #include <cranberrydock/net/event_loop.hpp>
@@ -48,6 +48,8 @@
     // No task is started while the last read of the job table is older than this: jobs may have
     // been cancelled since, and a cancelled job must not start tasks once this time has passed.
     base::milliseconds max_job_feed_age{2'000};
+    // Whether the entries refuse new jobs of queues that are not expected to serve them in time.
+    bool refuse_overloaded = false;
     // Callers can query an ended job for this long.
     base::milliseconds ended_job_retention{150'000};
 };
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -170,11 +170,11 @@
         const bool is_overloaded = after.count(it.first) > 0;
         if (is_overloaded != (before.count(it.first) > 0)) {
             spdlog::info(
-                "event=queue_overloaded queue={} refuses={} wait_ms={} allowed_ms={} "
+                "event=queue_overloaded queue={} overloaded={} refuses={} wait_ms={} allowed_ms={} "
                 "start_wait_ms={} oldest_ms={} tasks_before={:.0f} starts_per_s={:.0f} "
                 "retry_after_ms={} fence={}",
-                it.first.str(), is_overloaded, it.second.wait ? it.second.wait->count() : -1,
-                it.second.allowed_wait.count(),
+                it.first.str(), is_overloaded, is_overloaded && settings.refuse_overloaded,
+                it.second.wait ? it.second.wait->count() : -1, it.second.allowed_wait.count(),
                 it.second.start_wait ? it.second.start_wait->count() : -1,
                 it.second.oldest_age.count(), it.second.waiting_tasks, it.second.starts_per_second,
                 it.second.retry_after.count(), owner.value());
@@ -319,7 +319,10 @@
             fleet::waiting_job_counts{state_->owner, number, state_->scheduler.jobs_not_started()};
     }
     // Never those of a previous owner, whose backlog and rate of starts were others.
-    record.overloaded = state_->expected_waits.overloaded();
+    record.overloaded.clear();
+    if (state_->settings.refuse_overloaded) {
+        record.overloaded = state_->expected_waits.overloaded();
+    }
     if (state_->inherited_known || state_->inherited_vms.all_accounted(state_->clock.now())) {
         record.largest_vm = state_->largest_vm;
         record.labels = state_->labels;
