--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -60,7 +60,7 @@
     // Read by daemons that answer requests about a queue. A new owner keeps the previous owner's
     // count in the row until it has made its own. Empty if there is no count yet.
     std::optional<waiting_job_counts> waiting_jobs;
-    // Queues that cannot serve new work, and for how long this is expected to last.
+    // Queues that cannot serve new jobs in time, and for how long this is expected to last.
     std::map<queue_name, milliseconds> overloaded;
     // The largest VM and every label that a VM has had, so that jobs that can never fit are
     // rejected immediately.
@@ -76,6 +76,9 @@
     // reads: they expire when a VM does not reach the store, and it may still run its tasks. Empty
     // if the owner does not know all of these VMs, or has started no task.
     std::optional<vm_set_digest> vm_set;
+    // The checksum of the rows that list the same VMs (fleet/vm_record.hpp). Empty if there are no
+    // such rows; earlier versions neither write nor keep it.
+    std::optional<std::uint64_t> vm_record_checksum;
 };
 
 std::string encode_owner(const owner_record& record);
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -66,22 +66,46 @@
     dirty_jobs.insert(job.spec.id);
 }
 
+void scheduler::state::mark_started(job_record& job) {
+    remove_from_not_started(job);
+    job.started = true;
+    mark_changed(job);
+}
+
+void scheduler::state::remove_from_not_started(const job_record& job) {
+    if (job.started || is_final(job.state)) {
+        return;
+    }
+    const auto it = jobs_not_started.find(job.spec.queue);
+    if (--it->second == 0) {
+        jobs_not_started.erase(it);
+    }
+}
+
 const queue_config* scheduler::state::find_queue(const queue_name& name) const {
     const auto it = queues.find(name);
     return it == queues.end() ? nullptr : it->second;
 }
 
+void scheduler::state::update_queue(job_record& job) const {
+    job.queue = find_queue(job.spec.queue);
+    if (job.queue != nullptr) {
+        job.query_cost = job.queue->query_cost;
+    }
+}
+
 void scheduler::state::mark_open(const step_ref& ref, job_record& job, step_state& step) {
-    if (!step.open) {
-        step.open = true;
-        open.push_back({ref, &job, &step});
+    if (open.open(ref, job, step)) {
+        step.waits_since = last_decision;
+        step.waits_for = wait_reason::not_considered;
+        count_arrival(job, step);
     }
 }
 
 void scheduler::state::add_occurrence(job_record& job, int occurrence) {
     auto& steps = job.occurrences[occurrence];
     if (!steps.empty()) {
-        return;
+        return;  // the addresses of open steps are in use
     }
     steps.resize(job.spec.steps.size());
     for (std::size_t i = 0; i < steps.size(); ++i) {
@@ -159,7 +183,7 @@
     }
     auto& job = *state_->jobs.emplace(spec.id, std::make_unique<job_record>()).first->second;
     job.spec = spec;
-    job.queue = state_->find_queue(spec.queue);
+    state_->update_queue(job);
     job.inherited = inherited;
     const auto customer = state_->configuration->customers.find(spec.customer);
     if (customer != state_->configuration->customers.end()) {
@@ -198,6 +222,9 @@
             }
         }
     }
+    if (!job.started && !is_final(job.state)) {
+        ++state_->jobs_not_started[spec.queue];
+    }
     for (auto& it : job.occurrences) {
         state_->open_ready_steps(job, it.first);
     }
@@ -278,6 +305,7 @@
     if (is_final(job.state)) {
         return;
     }
+    remove_from_not_started(job);
     job.state = final_state;
     job.ended = now.wall;
     ended.insert(job.spec.id);
@@ -363,6 +391,11 @@
         if (it == jobs.end()) {
             id = jobs_to_forget.erase(id);
         } else if (it->second->saved >= it->second->change && it->second->placed_runs == 0) {
+            for (const auto& occurrence : it->second->occurrences) {
+                for (const auto& step : occurrence.second) {
+                    open.close(step);
+                }
+            }
             jobs.erase(it);
             id = jobs_to_forget.erase(id);
         } else {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -6,6 +6,7 @@
 #include <cranberrydock/fleet/scheduler.hpp>
 
 #include "queue_history.hpp"
+#include "step_order.hpp"
 
 #include <deque>
 #include <map>
@@ -139,11 +140,17 @@
     int done_count = 0;
     // Keys are VM numbers.
     std::map<std::size_t, grant> grants;
-    // Numbers of VMs that a query named and the advisor did not grant.
-    std::set<std::size_t> not_granted;
+    // The incarnations of VMs that a query named and the advisor did not grant.
+    std::map<std::size_t, boot_time> not_granted;
     bool query_open = false;
     time_point last_query_at{};
-    bool open = false;  // in the scheduler's list of open steps
+    // Answers of the advisor since a task was last started. With at least one, the step can't use
+    // the capacity that is free now: none of the VMs granted to it has room.
+    int answers_without_start = 0;
+    // Since when a task has waited while no other one of the step started.
+    time_point waits_since{};
+    time_point considered_at{};  // when `waits_for` was recorded
+    wait_reason waits_for = wait_reason::not_considered;
 
     bool finished() const { return done_count == static_cast<int>(tasks.size()); }
 };
@@ -152,10 +159,13 @@
     job_spec spec;
     // In the current configuration; null: the queue has been removed.
     const queue_config* queue = nullptr;
+    // Of its queue; kept when the queue is removed, since its tasks then still need tickets.
+    std::optional<placement_query_cost> query_cost;
     job_state state = job_state::queued;
     bool inherited = false;
-    bool over_share = false;  // exceeds its customer's entitlement in jobs per second
-    bool started = false;     // at least one task has started
+    bool over_share = false;     // exceeds its customer's entitlement in jobs per second
+    bool started = false;        // at least one task has started
+    bool start_counted = false;  // in the queue's `first_starts`
     unix_time ended;
     // Occurrences whose due time has passed. Those that a previous owner has finished are missing.
     std::map<int, std::vector<step_state>> occurrences;
@@ -172,40 +182,48 @@
     const queue_terms& terms() const { return queue == nullptr ? spec.terms : queue->terms; }
 };
 
-// A step that may have tasks to start. Its job is not removed while the step is open.
-struct open_step_entry {
-    step_ref ref;
-    job_record* job = nullptr;
-    step_state* step = nullptr;
-};
-
-// An open step with its rank in one decision.
+// An open step in one decision.
 struct open_step {
     const step_ref* ref = nullptr;
     job_record* job = nullptr;
     step_state* step = nullptr;
     const queue_terms* terms = nullptr;
     const placement_query_cost* advice = nullptr;  // null: the step needs no placement grants
-    // The rank, in this order of significance. Lower values go first.
     int tier = 0;
-    int urgency = 0;
-    time_point start_by{};
+};
+
+// Limits the queries of one decision to the work that can be placed soon. Each waiting step takes
+// its need from the lookahead of all less urgent ones.
+struct query_lookahead {
+    resources free_now;
+    resources free_soon;  // expected to become free while the queries are being answered
+};
+
+// A usable VM with the free cores that a query could count on when the round began.
+struct vm_with_free_cores {
+    base::millicores free;
+    vm_record* vm = nullptr;
 };
 
 // The state of one round of placement, shared by all open steps.
 struct placement_round {
     std::vector<vm_record*> usable;
-    std::vector<bool> reserved;        // indexed by VM number: reserved for waiting gangs
-    query_budget budget;               // queries that may still be sent
-    std::int64_t lookahead_cores = 0;  // millicores for which queries may still be sent
-    // The same for each customer whose steps have been considered so far.
-    std::map<customer_name, resources> customer_lookahead;
+    std::vector<bool> reserved;  // indexed by VM number: reserved for waiting gangs
+    query_budget budget;         // queries that may still be sent
+    query_lookahead lookahead;   // of the fleet
+    // Of each customer whose steps have been considered so far.
+    std::map<customer_name, query_lookahead> customer_lookahead;
+    // The usable VMs by their free cores, for long and for other queries. Made for the first query.
+    std::vector<vm_with_free_cores> by_free_cores[2];
 
     bool is_reserved(const vm_record& vm) const {
         return vm.number < reserved.size() && reserved[vm.number];
     }
 };
 
+// The number of the step's tasks on the VM, for steps that limit it.
+int running_on(const vm_record& vm, const step_ref& ref);
+
 // A token bucket for a customer's entitlement in jobs per second. Its size is that of one second.
 struct entitlement {
     double tokens = 0;
@@ -231,10 +249,9 @@
     std::unordered_map<vm_id, std::unique_ptr<detail::vm_record>> vms;
     std::vector<detail::vm_record*> vms_by_number;  // indexed by VM number; null: the VM is gone
     std::unordered_map<job_id, std::unique_ptr<detail::job_record>> jobs;
-    // Steps that may have tasks to start, without duplicates. The next decision drops the steps
-    // that have none.
-    std::vector<detail::open_step_entry> open;
-    std::size_t next_sample_offset = 0;  // into the steps beyond the most urgent ones
+    // A step without tasks to start is dropped when a decision considers it.
+    detail::step_order open;
+    base::time_point last_decision{};
     std::map<step_ref, std::vector<detail::expectation>> expectations;  // of open queries
     std::set<step_ref> forming_gangs;               // gangs with members that are being started
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
@@ -247,6 +264,8 @@
     // Jobs that have ended under this owner. Their rows may still arrive from a read of the store
     // that is older than their end.
     std::unordered_set<job_id> ended;
+    // For each queue, the jobs that are neither started nor in a final state.
+    std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
     // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
@@ -257,11 +276,17 @@
     resources unlisted_use;
     std::unordered_map<customer_name, detail::entitlement> entitlements;
     std::map<queue_name, detail::queue_history> history;
+    // Only the counters are kept here.
+    std::map<service_name, service_load> service_counters;
+    std::map<queue_name, queue_load> queue_counters;
     bool inherited_known = false;
     bool starts_held = false;
 
     // scheduler_jobs.cpp
     void mark_changed(detail::job_record& job);
+    // A first task of the job has started.
+    void mark_started(detail::job_record& job);
+    void remove_from_not_started(const detail::job_record& job);
     void open_ready_steps(detail::job_record& job, int occurrence);
     void mark_open(const step_ref& ref, detail::job_record& job, detail::step_state& step);
     void add_occurrence(detail::job_record& job, int occurrence);
@@ -277,6 +302,7 @@
     void stop_runs_of(detail::job_record& job, const std::string& reason);
     void stop_step(const step_ref& ref, detail::step_state& step, const std::string& reason);
     const queue_config* find_queue(const queue_name& name) const;
+    void update_queue(detail::job_record& job) const;
     // Whether queries of this cost must not delay the shortest queries.
     bool is_long_query(const placement_query_cost& cost) const;
     const std::vector<milliseconds>& critical_paths_of(detail::job_record& job,
@@ -316,9 +342,20 @@
     void release_held_completions(const vm_id& vm, const job_id& job, std::uint64_t change);
 
     // step_ranking.cpp
-    std::vector<detail::open_step> ranked_steps(const clock_reading& now);
-    detail::open_step rank(const detail::open_step_entry& entry, const clock_reading& now);
-    void drop_closed_steps();
+    // The steps to consider in one decision, in the order of their ranks.
+    std::vector<detail::open_step_entry*> next_open_steps(const clock_reading& now);
+    detail::step_rank rank_of(const detail::open_step_entry& entry, const clock_reading& now);
+    static detail::open_step make_open_step(const detail::open_step_entry& entry);
+    // Whether the step has tasks that are neither done nor placed, and its job has not ended.
+    static bool has_waiting_tasks(const detail::open_step_entry& entry);
+
+    // scheduler_load.cpp
+    // Counts the waiting tasks of a step that has become ready.
+    void count_arrival(const detail::job_record& job, const detail::step_state& step);
+    // Counts a start that the VM has confirmed, and the cores of a confirmed run that has ended.
+    void count_start(const detail::vm_record& vm, const task_ref& task, const clock_reading& now);
+    void count_release(const detail::vm_record& vm, const detail::placed_run& run);
+    void add_waiting_work(load_sample& out, const clock_reading& now);
 
     // placement.cpp
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
@@ -329,14 +366,21 @@
                      const clock_reading& now, decisions& out);
     bool place_gang(detail::open_step& work, const detail::placement_round& round,
                     const clock_reading& now, decisions& out);
+    bool reserve_for_gang(const detail::open_step& work, detail::placement_round& round,
+                          const clock_reading& now) const;
     void move_tasks_off_leaving_vms(detail::placement_round& round, const clock_reading& now,
                                     decisions& out);
     void move_tasks(detail::open_step& work, detail::placement_round& round,
                     const clock_reading& now, decisions& out);
     bool has_valid_ticket(const detail::open_step& work, const clock_reading& now) const;
-    bool waits_for_limit(const detail::open_step& work, detail::placement_round& round) const;
-    void query_advisor(detail::open_step& work, detail::placement_round& round,
-                       const clock_reading& now, decisions& out);
+    detail::query_lookahead& customer_lookahead(const customer_name& customer,
+                                                detail::placement_round& round) const;
+    bool consider(detail::open_step& work, detail::placement_round& round, const clock_reading& now,
+                  decisions& out);
+    // Returns why the step has to wait.
+    wait_reason query_advisor(detail::open_step& work, detail::placement_round& round,
+                              const clock_reading& now, decisions& out);
+    bool has_room_twice(const detail::open_step_entry& entry, const clock_reading& now) const;
     static start_decision make_start_decision(const detail::vm_record& vm,
                                               const detail::job_record& job,
                                               const detail::step_state& step, const task_ref& task,
@@ -348,8 +392,10 @@
                                                 const clock_reading& now) const;
 
     // placement_queries.cpp
+    static const std::vector<detail::vm_with_free_cores>& vms_by_free_cores(
+        detail::placement_round& round, bool is_long);
     std::optional<placement_query> make_query(detail::open_step& work,
-                                              const detail::placement_round& round,
+                                              detail::placement_round& round,
                                               const clock_reading& now);
     void drop_expectations(const step_ref& ref);
 
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds stop_retry_pause{200};  // before a failed stop command is repeated
 constexpr milliseconds no_room_pause{500};     // for a VM that has less free capacity than recorded
 constexpr milliseconds unhealthy_pause{1'000};
+// The assumed cost of queries for a queue that is not in the configuration.
+constexpr placement_query_cost default_query_cost{milliseconds{50}, base::microseconds{1'000}, {}};
 constexpr std::size_t max_completions_in_report = 500;  // a report with this many may be incomplete
 
 }  // namespace
@@ -152,6 +154,7 @@
         return;
     }
     vm.used -= it->second.need;
+    count_release(vm, it->second);
     const bool unknown = it->second.unknown;
     (unknown ? unknown_use : in_use[it->second.customer]) -= it->second.need;
     unknown_runs.erase({task, vm.facts.id});
@@ -273,6 +276,7 @@
         }
         if (!run->confirmed_at) {
             run->confirmed_at = now.steady;
+            state_->count_start(*vm, task, now);
         }
         return;
     }
@@ -310,6 +314,10 @@
         vm->avoid_until = now.steady + unhealthy_pause;
     } else if (answer.error() == command_failure::ticket_invalid && step != nullptr) {
         step->grants.erase(vm->number);
+        if (job->queue == nullptr && !job->query_cost) {
+            // Its queue was removed before this owner read the configuration.
+            job->query_cost = default_query_cost;
+        }
     }
     state_->release(*vm, task);
     if (step != nullptr && step->spec->gang && !step->finished()) {
@@ -367,6 +375,7 @@
     run->listed = true;
     if (!run->confirmed_at) {
         run->confirmed_at = now.steady;
+        count_start(vm, reported_run.task, now);
     }
     if (run->phase == run_phase::starting) {
         run->phase = run_phase::running;
@@ -378,8 +387,7 @@
     }
     job_record* job = nullptr;
     if (find_step(reported_run.task, &job) != nullptr && !job->started) {
-        job->started = true;
-        mark_changed(*job);
+        mark_started(*job);
     }
 }
 
@@ -428,8 +436,7 @@
     placed.percent = found.percent;
     if (wanted) {
         if (!job->started) {
-            job->started = true;
-            mark_changed(*job);
+            mark_started(*job);
         }
         return;
     }
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -10,6 +10,7 @@
 #include <cranberrydock/fleet/scheduler.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/fleet_daemon/advisor_pool.hpp>
+#include <cranberrydock/fleet_daemon/command_permission.hpp>
 #include <cranberrydock/fleet_daemon/job_layout.hpp>
 #include <cranberrydock/fleet_daemon/peer.hpp>
 #include <cranberrydock/fleet_daemon/vm_session.hpp>
@@ -38,22 +39,24 @@
     // may have started are not started again before its leases have expired.
     std::size_t expected_vms = 0;
     std::optional<fleet::vm_set_digest> expected_vm_set;
+    // Of the rows that list these VMs. Without it, or if they can't be read, all VMs count as
+    // missing where the number or the digest differs.
+    std::optional<std::uint64_t> expected_vm_record;
     // Member entries may be missing before this time, because the store was unavailable until
     // recently.
     base::time_point members_complete_from{};
     // No task is started while the last read of the job table is older than this: jobs may have
     // been cancelled since, and a cancelled job must not start tasks once this time has passed.
     base::milliseconds max_job_feed_age{2'000};
+    // Whether the entries refuse new jobs of queues that are not expected to serve them in time.
+    bool refuse_overloaded = false;
     // Callers can query an ended job for this long.
     base::milliseconds ended_job_retention{150'000};
 };
 
 // The owner's task's view of this daemon's ownership.
-class ownership_view {
+class ownership_view : public command_permission {
 public:
-    virtual ~ownership_view() = default;
-    // Whether commands to VMs may be issued now.
-    virtual bool may_issue_commands() = 0;
     // Whether the store has answered a recent call of this daemon.
     virtual bool store_answers() = 0;
     // When the last renewal of the ownership that the store has confirmed was sent.
@@ -93,9 +96,14 @@
     void job_status(const fleet::job_id& job, const status_callback& done);
 
     // Updates the fields of the owner's row that this owner has figures for, and leaves the others
-    // unchanged. `number` identifies the new count of the waiting jobs.
+    // unchanged, except that the queues that a previous owner could not serve are removed. `number`
+    // identifies the new count of the waiting jobs.
     void describe(fleet::owner_record& record, std::int64_t number) const;
 
+    // The rows of the VMs on record, to be written together with the described row; empty if there
+    // are none to write. Valid until the next call.
+    const std::vector<std::string>& vm_record_parts() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -124,7 +124,7 @@
     standins::unresponsive_vms vms;
     all_rights rights;
     base::metrics metrics;
-    fleet_daemon::advisor_pool advisors{vms, metrics};
+    fleet_daemon::advisor_pool advisors{loop, vms, metrics};
     const std::unique_ptr<fleet::platform_rows> rows = shared_platform::make_platform_rows();
     fleet::owner_record record;
     fleet_daemon::owner_settings settings;
@@ -167,6 +167,16 @@
     EXPECT_EQ(renewed_number(2), 1);
 }
 
+// The backlog and the rate of starts of a previous owner say nothing of this one.
+TEST_F(owner_figures, overload_of_previous_owner_is_not_kept) {
+    record.overloaded[fleet::queue_name("previews")] = base::milliseconds(5'000);
+    store.reads_held = true;
+    start_owner();
+    run_for(short_wait);
+    renewed_number(1);
+    EXPECT_TRUE(record.overloaded.empty());
+}
+
 TEST_F(owner_figures, partial_vm_list_does_not_narrow_limits) {
     record.largest_vm.cores = base::millicores(8'000);
     record.labels = {fleet::vm_label("fast")};
@@ -178,4 +188,16 @@
     EXPECT_EQ(record.labels.count(fleet::vm_label("fast")), 1U);
 }
 
+TEST_F(owner_figures, include_duration_of_each_wait) {
+    settings.expected_vms = 2;
+    start_owner();
+    constexpr base::milliseconds longest_lease{4'888};  // 4.5 s on the slowest clock
+    run_for(longest_lease + base::milliseconds{300});
+    for (const auto& it : {"previous_starts", "missing_vms", "inherited_runs"}) {
+        const std::string name =
+            std::string("cranberrydock_owner_wait_ms_count{wait=\"") + it + "\"} 1";
+        EXPECT_NE(metrics.text().find(name), std::string::npos) << metrics.text();
+    }
+}
+
 }  // namespace
