fleet_daemon: commands that were given up don't set a relay aside again

Found by the independent review: an outcome batch of the time before a relay was last avoided may say that commands expired which are not pending any more. Nothing was late then, so the relay counted as at fault, and the starts that it had received since as lost. No test of its own: the review's case, a stale batch after the pause, is not built.

--- a/packages/fleet_daemon/src/relayed_vm_control.cpp
+++ b/packages/fleet_daemon/src/relayed_vm_control.cpp
@@ -416,13 +416,18 @@
     const auto late = listening_.late(now);
     base::duration own_lateness{0};
     int sends = 0;
+    bool any_pending = false;
     for (const auto& number : expired) {
         const auto it = relay.pending.find(number.value());
         if (it != relay.pending.end()) {
+            any_pending = true;
             own_lateness = std::max(own_lateness, late - it->second.late_when_sent);
             sends = std::max(sends, it->second.sends_over_relay);
         }
     }
+    if (!any_pending) {
+        return;  // all of them were given up when the relay was last avoided
+    }
     requeue(relay, expired);
     if (own_lateness < min_own_lateness || sends >= max_sends_per_relay) {
         avoid(relay, "late");
