fleet: a step that opens again is no arrival

Found by the independent review: each completion reopens its step before the task counts as done, so the estimate of waits counted it as new work and took the arrivals for about twice what they are.

--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -98,7 +98,6 @@
     if (open.open(ref, job, step)) {
         step.waits_since = last_decision;
         step.waits_for = wait_reason::not_considered;
-        count_arrival(job, step);
     }
 }
 
@@ -132,6 +131,7 @@
         });
         if (ready && !steps[i].finished()) {
             mark_open({job.spec.id, occurrence, static_cast<int>(i)}, job, steps[i]);
+            count_arrival(job, steps[i]);
         }
     }
 }
