fleet: steps that were answered have their turn at once

Answered steps are considered in the next decision. A step that has no ticket and gets no query takes nothing from the lookahead, and a gang in time claims the free capacity for three answers at most.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -413,7 +413,8 @@
 bool scheduler::state::consider(open_step& work, placement_round& round, const clock_reading& now,
                                 decisions& out) {
     work.step->considered_at = now.steady;
-    if (has_valid_ticket(work, now)) {
+    const bool has_ticket = has_valid_ticket(work, now);
+    if (has_ticket) {
         const bool placed = work.step->spec->gang ? place_gang(work, round, now, out)
                                                   : place_tasks(work, round, now, out);
         if (placed) {
@@ -428,21 +429,31 @@
     }
     // A step that found no room on the VMs granted to it leaves the capacity that is free now to
     // less urgent steps for a while. Otherwise, wide steps that can't be placed would keep it idle.
-    // A gang that is in time still claims it, since small tasks would take it bit by bit.
-    const bool claims_free_now =
-        !found_no_room_lately(work, now) || (work.step->spec->gang && work.tier == 0);
+    // A gang that is in time claims it for some more answers, since small tasks would take it bit
+    // by bit.
+    constexpr int max_answers_of_claiming_gang = 2;
+    const bool is_claiming_gang = work.step->spec->gang && work.tier == 0 &&
+                                  work.step->answers_without_start <= max_answers_of_claiming_gang;
+    const bool claims_free_now = is_claiming_gang || !found_no_room_lately(work, now);
     const resources need = waiting_need(work);
     query_lookahead& customer = customer_lookahead(work.job->spec.customer, round);
     if (is_used_up(customer, claims_free_now)) {
         work.step->waits_for = wait_reason::customer_limit;
         return false;
     }
-    take(customer, need, claims_free_now);
-    work.step->waits_for = work.advice == nullptr ? wait_reason::no_room
-                           : is_used_up(round.lookahead, claims_free_now)
-                               ? wait_reason::lookahead
-                               : query_advisor(work, round, now, out);
-    take(round.lookahead, need, claims_free_now);
+    wait_reason& reason = work.step->waits_for;
+    if (work.advice == nullptr) {
+        reason = wait_reason::no_room;
+    } else if (!work.step->query_open && is_used_up(round.lookahead, claims_free_now)) {
+        reason = wait_reason::lookahead;
+    } else {
+        reason = query_advisor(work, round, now, out);
+    }
+    // A step that has no ticket and can't get one now leaves the capacity to others.
+    if (has_ticket || reason == wait_reason::query_open || reason == wait_reason::query_sent) {
+        take(customer, need, claims_free_now);
+        take(round.lookahead, need, claims_free_now);
+    }
     return true;
 }
 
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -195,6 +195,8 @@
         return;
     }
     step->query_open = false;
+    // Its tickets would expire before the step's turn if the backlog is long.
+    state_->open.set_due(*step);
     if (answer) {
         ++step->answers_without_start;
     }
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -62,9 +62,8 @@
 decisions scheduler::decide(const clock_reading& now, const query_budget& budget) {
     decisions out;
     if (state_->last_decision == base::time_point{}) {
-        state_->open.for_each([&](detail::open_step_entry& it) {
-            it.step->waits_since = now.steady;
-        });
+        state_->open.for_each(
+            [&](detail::open_step_entry& it) { it.step->waits_since = now.steady; });
     }
     state_->last_decision = now.steady;
     state_->forget_ended_jobs();
@@ -174,9 +173,9 @@
         }
         const auto& entry = *it;
         const auto& step = *entry.step;
-        const auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const auto& task) {
-            return !task.done && task.vm == nullptr;
-        });
+        const auto waiting =
+            std::find_if(step.tasks.begin(), step.tasks.end(),
+                         [](const auto& task) { return !task.done && task.vm == nullptr; });
         if (now.steady - step.waits_since < min_wait || waiting == step.tasks.end() ||
             is_final(entry.job->state) || !state_->has_room_twice(entry, now)) {
             continue;
--- a/packages/fleet/src/scheduler_load.cpp
+++ b/packages/fleet/src/scheduler_load.cpp
@@ -86,9 +86,8 @@
         const auto& paths = critical_paths_of(job, now);
         const auto total_time = *std::max_element(paths.begin(), paths.end());
         const auto remaining = paths[static_cast<std::size_t>(entry.ref.step)];
-        const double objective_ms =
-            static_cast<double>(terms.target_latency.count()) +
-            terms.slack_factor * static_cast<double>(total_time.count());
+        const double objective_ms = static_cast<double>(terms.target_latency.count()) +
+                                    terms.slack_factor * static_cast<double>(total_time.count());
         const milliseconds age(now.wall.value() - nominal_start_of(job, entry.ref.occurrence));
         const bool has_value =
             static_cast<double>((age + remaining).count()) <= settings.late_factor * objective_ms;
--- a/packages/fleet/src/step_order.cpp
+++ b/packages/fleet/src/step_order.cpp
@@ -39,6 +39,7 @@
         remove_rank(*entry);
     }
     by_number_.erase(entry->number);
+    due_.erase(entry);
     entries_.erase(it);
 }
 
@@ -70,6 +71,13 @@
     put_off_.clear();
 }
 
+void step_order::set_due(const step_state& step) {
+    const auto it = entries_.find(&step);
+    if (it != entries_.end()) {
+        due_.insert(it->second.get());
+    }
+}
+
 void step_order::rank_all_again() {
     unranked_.insert(ranked_.begin(), ranked_.end());
     ranked_.clear();
@@ -84,6 +92,7 @@
     }
     const auto rest = it;
     if (rest == ranked_.end()) {
+        due_.clear();
         return out;
     }
     const auto first_sampled =
@@ -102,6 +111,13 @@
         }
         out.insert(wrapped, front.begin(), front.end());
     }
+    for (open_step_entry* const due : std::exchange(due_, {})) {
+        if (ranked_.count(due) > 0) {
+            out.push_back(due);
+        }
+    }
+    std::sort(out.begin(), out.end(), goes_before());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
     sample_from_.rank = it == ranked_.end() ? step_rank{} : (*it)->rank;
     sample_from_.number = it == ranked_.end() ? 0 : (*it)->number;
     return out;
--- a/packages/fleet/src/step_order.hpp
+++ b/packages/fleet/src/step_order.hpp
@@ -58,11 +58,13 @@
     // Returns the step at the next call of take_unranked() after rank_put_off_steps().
     void put_off(open_step_entry& entry) { put_off_.insert(&entry); }
     void rank_put_off_steps();
+    // next_steps() returns the step at its next call.
+    void set_due(const step_state& step);
     // The rank of every step is out of date.
     void rank_all_again();
 
-    // The `most_urgent` first steps, and up to `sampled` of the others: the next ones at each call,
-    // so that all of them have their turn.
+    // The `most_urgent` first steps, those that are due, and up to `sampled` of the others: the
+    // next ones at each call, so that all of them have their turn.
     std::vector<open_step_entry*> next_steps(std::size_t most_urgent, std::size_t sampled);
 
     // The next `n` steps in the order of their opening, others at each call.
@@ -84,6 +86,7 @@
     ranked_set ranked_;
     std::set<open_step_entry*> unranked_;
     std::set<open_step_entry*> put_off_;
+    std::set<open_step_entry*> due_;
     // The ranked steps by the end of their tier.
     std::set<std::pair<unix_time, open_step_entry*>> tier_ends_;
     // Where the next sample begins: a rank, which need not belong to a step any more.
