--- a/packages/fleet/src/step_order.hpp
+++ b/packages/fleet/src/step_order.hpp
@@ -41,6 +41,7 @@
 class step_order {
 public:
     step_order() = default;
+    ~step_order() = default;
     step_order(const step_order&) = delete;
     step_order& operator=(const step_order&) = delete;
 
--- a/test/failure/late_owner_does_not_blame_relays.cpp
+++ b/test/failure/late_owner_does_not_blame_relays.cpp
@@ -23,19 +23,19 @@
 class late_owner : public testing::Test {
 protected:
     late_owner() {
-        fleet.start_on_all_vms();
-        fleet.run_for(delivery_time);
-        EXPECT_EQ(fleet.success_count(), vm_count);
-        fleet.answers.clear();
-        fleet.relayed_vms_backend.received_starts.clear();
+        fleet_.start_on_all_vms();
+        fleet_.run_for(delivery_time);
+        EXPECT_EQ(fleet_.success_count(), vm_count);
+        fleet_.answers.clear();
+        fleet_.relayed_vms_backend.received_starts.clear();
     }
 
     // Blocks the event loop `times` times, with a turn of the loop in between.
     void block_loop(base::milliseconds delay, base::milliseconds duration, int times) {
-        blocking_ = fleet.loop.after(delay, [this, duration, times] {
+        blocking_ = fleet_.loop.after(delay, [this, duration, times] {
             std::this_thread::sleep_for(duration);
             // In the next turn, since the loop's timers count from the start of a turn.
-            blocking_ = fleet.loop.after(base::duration{0}, [this, duration, times] {
+            blocking_ = fleet_.loop.after(base::duration{0}, [this, duration, times] {
                 if (times > 1) {
                     block_loop(turn, duration, times - 1);
                 }
@@ -48,30 +48,30 @@
             fleet::watch_command order;
             order.lease_until = fleet::vm_time(1'000);
             order.acknowledged = fleet::completion_number(9);
-            fleet.owner.watch(fleet.vm(i), fleet::fencing_token(7), order,
-                              [this](const auto& answer) { reports += answer ? 1U : 0U; });
+            fleet_.owner.watch(fleet_.vm(i), fleet::fencing_token(7), order,
+                               [this](const auto& answer) { reports_ += answer ? 1U : 0U; });
         }
     }
 
     std::uint64_t avoided(const std::string& reason) const {
-        return fleet.metrics.value("cranberrydock_relays_avoided_total",
-                                   "reason=\"" + reason + "\"");
+        return fleet_.metrics.value("cranberrydock_relays_avoided_total",
+                                    "reason=\"" + reason + "\"");
     }
 
     void expect_each_started_once() const {
         std::map<int, int> starts;
-        for (const auto& it : fleet.relayed_vms_backend.received_starts) {
+        for (const auto& it : fleet_.relayed_vms_backend.received_starts) {
             ++starts[it.order.task.index];
         }
         EXPECT_EQ(starts.size(), vm_count);
         for (const auto& it : starts) {
             EXPECT_EQ(it.second, 1) << "task " << it.first;
         }
-        EXPECT_TRUE(fleet.direct_vms.received_starts.empty());
+        EXPECT_TRUE(fleet_.direct_vms.received_starts.empty());
     }
 
-    relayed_fleet fleet{vm_count};
-    std::size_t reports = 0;
+    relayed_fleet fleet_{vm_count};
+    std::size_t reports_ = 0;
 
 private:
     std::unique_ptr<net::timer> blocking_;
@@ -81,12 +81,12 @@
 TEST_F(late_owner, sends_expired_commands_again_over_the_same_relay) {
     constexpr base::milliseconds transit{250};
     constexpr base::milliseconds blocked_for{500};
-    fleet.first_relay->pause_time = transit;
-    fleet.second_relay->pause_time = transit;
+    fleet_.first_relay->pause_time = transit;
+    fleet_.second_relay->pause_time = transit;
     block_loop(transit - base::milliseconds{50}, blocked_for, 1);
-    fleet.start_on_all_vms();
-    fleet.run_for(after_every_timeout);
-    EXPECT_EQ(fleet.success_count(), vm_count);
+    fleet_.start_on_all_vms();
+    fleet_.run_for(after_every_timeout);
+    EXPECT_EQ(fleet_.success_count(), vm_count);
     expect_each_started_once();
     EXPECT_EQ(avoided("late"), 0U);
     EXPECT_EQ(avoided("slow"), 0U);
@@ -97,38 +97,38 @@
     constexpr base::milliseconds transit{300};
     constexpr base::milliseconds blocked_for{400};
     constexpr int blocked_turns = 4;
-    for (const auto& it : {fleet.first_relay, fleet.second_relay}) {
+    for (const auto& it : {fleet_.first_relay, fleet_.second_relay}) {
         it->pause_time = transit;
         it->answer_transit_time = transit;
     }
     block_loop(base::milliseconds{100}, blocked_for, blocked_turns);
-    fleet.start_on_all_vms();
+    fleet_.start_on_all_vms();
     watch_all_vms();
-    fleet.run_for(after_every_timeout);
-    EXPECT_EQ(fleet.success_count(), vm_count);
-    EXPECT_EQ(reports, vm_count);
+    fleet_.run_for(after_every_timeout);
+    EXPECT_EQ(fleet_.success_count(), vm_count);
+    EXPECT_EQ(reports_, vm_count);
     expect_each_started_once();
     EXPECT_EQ(avoided("silent") + avoided("slow") + avoided("late"), 0U);
 }
 
 // One relay at fault made all VMs behind it unreachable.
 TEST_F(late_owner, watches_of_avoided_relay_are_repeated_over_another_one) {
-    fleet.first_relay->loses_answers = true;
+    fleet_.first_relay->loses_answers = true;
     watch_all_vms();
-    fleet.start_on_all_vms();
-    fleet.run_for(after_every_timeout);
-    EXPECT_EQ(reports, vm_count);
+    fleet_.start_on_all_vms();
+    fleet_.run_for(after_every_timeout);
+    EXPECT_EQ(reports_, vm_count);
     // The VM may have restarted in between, so a repeated watch acknowledges and extends nothing.
     std::size_t repeated = 0;
-    for (const auto& it : fleet.relayed_vms_backend.received_watches) {
+    for (const auto& it : fleet_.relayed_vms_backend.received_watches) {
         const bool is_poll = it.order.acknowledged == fleet::completion_number(0);
         EXPECT_EQ(is_poll, it.order.lease_until == fleet::vm_time(0));
         repeated += is_poll ? 1 : 0;
     }
     EXPECT_GT(repeated, 0U);
-    EXPECT_EQ(fleet.relayed_vms_backend.received_watches.size(), vm_count + repeated);
+    EXPECT_EQ(fleet_.relayed_vms_backend.received_watches.size(), vm_count + repeated);
     // Starts may have been carried out and are not repeated.
-    EXPECT_GT(fleet.failure_count(fleet::command_failure::answer_lost), 0U);
+    EXPECT_GT(fleet_.failure_count(fleet::command_failure::answer_lost), 0U);
     expect_each_started_once();
 }
 
