--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -19,11 +19,11 @@
 // some of it in the meantime. It is larger for gangs, which need all of their capacity at once.
 constexpr double spare_factor = 1.5;
 constexpr double gang_spare_factor = 2.5;
-// The pause between two queries of a step. It doubles with each answer that leads to no start: when
-// capacity is short, further answers would expire like the last ones, and queries are much of an
-// owner's work.
+// The shortest time between two queries of a step, in general and after an answer that led to no
+// start. When capacity is short, further answers would expire like the last one, and queries are
+// much of an owner's work.
 constexpr milliseconds min_query_interval{300};
-constexpr int max_interval_doublings = 3;
+constexpr milliseconds min_interval_without_room{600};
 // A VM without room now may have some when its ticket is used.
 constexpr double tasks_expected_on_full_vm = 0.25;
 
@@ -68,9 +68,9 @@
 std::optional<placement_query> scheduler::state::make_query(open_step& work, placement_round& round,
                                                             const clock_reading& now) {
     detail::step_state& step = *work.step;
-    if (step.query_open || now.steady - step.last_query_at <
-                               min_query_interval * (1 << std::min(step.answers_without_start,
-                                                                   max_interval_doublings))) {
+    const milliseconds min_interval =
+        step.answers_without_start > 0 ? min_interval_without_room : min_query_interval;
+    if (step.query_open || now.steady - step.last_query_at < min_interval) {
         return std::nullopt;
     }
     const step_spec& spec = *step.spec;
