fleet: a restarted task names what proved the end of its earlier run

Each run that ends now records the proof (completion, missing in a later report, other incarnation, expired lease with its inputs, undelivered start), and the next start of the task logs it in task_restarted, which no limiter drops. When a VM lists the end of a run whose task has been started again, the distance between the end of its lease and that start is logged and measured (cranberrydock_restart_margin_ms); a negative one, or an earlier run that goes on, is an error and counted (cranberrydock_tasks_in_two_places_total).

No decision has changed.

--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -25,6 +25,16 @@
     milliseconds max_lease{6'000};  // the longest lease that a VM accepts
 };
 
+// The inputs of the conclusion that the leases on a VM have expired.
+struct lease_expiry {
+    vm_time lease_until;          // the latest lease end that this owner granted; 0: none
+    vm_time vm_clock;             // the last reading of the VM's clock; 0: none
+    milliseconds reading_age{0};  // of `vm_clock`
+    // For how long `lease_until` has passed if the VM's clock runs at the rate of this process's
+    // clock. Empty if this owner granted no lease.
+    std::optional<milliseconds> expired_for;
+};
+
 // The leases that previous owners may have granted on any VM, listed or not.
 class inherited_leases {
 public:
@@ -67,6 +77,8 @@
     void on_other_incarnation(base::time_point now);
     // Whether every lease that was granted has expired, so that no earlier run exists on the VM.
     bool all_expired(base::time_point now) const;
+    // What all_expired() is concluded from.
+    lease_expiry expiry(base::time_point now) const;
 
 private:
     struct clock_pair {
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -14,6 +14,7 @@
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/base/metrics.hpp>
 #include <cranberrydock/fleet/configuration.hpp>
+#include <cranberrydock/fleet/ended_run.hpp>
 #include <cranberrydock/fleet/job_rows.hpp>
 #include <cranberrydock/fleet/load_estimate.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
@@ -21,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +42,8 @@
     std::string payload;
     checkpoint resume_from;   // empty: start from the beginning
     placement_ticket ticket;  // empty if the queue needs no placement grants
+    // The task's previous run under this owner, with the first command for a run.
+    std::optional<ended_run> previous;
 };
 
 struct stop_decision {
@@ -125,8 +129,10 @@
     // The process that ran the VM's tasks has ended, and so have its confirmed runs. Another
     // incarnation may still carry out commands that have not been answered.
     void vm_process_ended(const vm_id& vm);
-    // All runs that were started on the VM have ended. Removes the VM.
-    void vm_lost(const vm_id& vm, const std::string& reason);
+    // All runs that were started on the VM have ended, since all leases have expired. Removes the
+    // VM.
+    void vm_lost(const vm_id& vm, const std::string& reason, const lease_expiry& expiry,
+                 const clock_reading& now);
     // `requested_at`: when the command that the report answers was sent.
     void vm_reported(const vm_id& vm, const vm_report& report, base::time_point requested_at,
                      const clock_reading& now);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -143,6 +143,11 @@
     place_run(vm, *work.job, *work.step, task, run, now);
     work.step->waits_since = now.steady;
     out.starts.push_back(make_start_decision(vm, *work.job, *work.step, task, run));
+    if (ended_run* const previous =
+            work.step->tasks[static_cast<std::size_t>(index)].previous.get()) {
+        previous->restarted_at = now.steady;
+        out.starts.back().previous = *previous;
+    }
 }
 
 start_decision scheduler::state::make_start_decision(const vm_record& vm,
--- a/packages/fleet/src/run_leases.cpp
+++ b/packages/fleet/src/run_leases.cpp
@@ -75,4 +75,18 @@
     return now > last_reading_->local + worst_case_local_time(left);
 }
 
+lease_expiry vm_leases::expiry(base::time_point now) const {
+    lease_expiry out;
+    out.lease_until = lease_until_;
+    if (last_reading_) {
+        out.vm_clock = last_reading_->vm;
+        out.reading_age = std::chrono::duration_cast<milliseconds>(now - last_reading_->local);
+        if (lease_until_.value() > 0) {
+            out.expired_for =
+                milliseconds(out.vm_clock.value() - lease_until_.value()) + out.reading_age;
+        }
+    }
+    return out;
+}
+
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/scheduler_completions.cpp
+++ b/packages/fleet/src/scheduler_completions.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 void scheduler::state::handle_completion(vm_record& vm, const task_completion& completion,
-                                         const clock_reading& now) {
+                                         vm_time vm_clock, const clock_reading& now) {
     open_up_to(completion.task);
     job_record* job = nullptr;
     step_state* const step = find_step(completion.task, &job);
@@ -33,7 +33,9 @@
         if (!completion.last_checkpoint.empty()) {
             run->saved = completion.last_checkpoint;
         }
-        release(vm, completion.task);
+        release(vm, completion.task, {end_proof::completion, now.steady, {}});
+    } else {
+        check_restart(vm, completion.task, completion.run, completion.kind, vm_clock, now);
     }
     metrics->count("cranberrydock_task_ends_total",
                    std::string("kind=\"") + to_string(completion.kind) + "\"");
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -132,6 +133,7 @@
     run_number last_run;
     vm_record* vm = nullptr;  // where its run is placed; null: it has no run
     checkpoint saved;
+    std::unique_ptr<ended_run> previous;  // its last run that has ended under this owner
 };
 
 struct step_state {
@@ -314,10 +316,23 @@
     detail::placed_run* find_run(detail::vm_record& vm, const task_ref& task, run_number run);
     void place_run(detail::vm_record& vm, detail::job_record& job, detail::step_state& step,
                    const task_ref& task, run_number run, const clock_reading& now);
+    // What ended a run, and when that was learned.
+    struct run_end {
+        end_proof proof = end_proof::completion;
+        base::time_point at{};
+        lease_expiry expiry;
+    };
     // Removes the run from the VM's record. Its task may be started again.
-    void release(detail::vm_record& vm, const task_ref& task);
+    void release(detail::vm_record& vm, const task_ref& task, const run_end& end);
+    // Removes the run from the VM's record without a statement on its end.
+    void forget_run(detail::vm_record& vm, const task_ref& task);
     void drop_lost_runs(detail::vm_record& vm, const std::vector<task_ref>& tasks,
-                        const std::string& reason);
+                        const std::string& reason, const run_end& end);
+    // The VM lists a run that is not on record. If its end was concluded earlier, logs and measures
+    // how close the next start of the task came to it. `ended`: empty while the run goes on.
+    void check_restart(const detail::vm_record& vm, const task_ref& task, run_number run,
+                       std::optional<completion_kind> ended, vm_time vm_clock,
+                       const clock_reading& now);
     void request_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void abandon_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void handle_running(detail::vm_record& vm, const running_task& reported_run,
@@ -330,7 +345,7 @@
 
     // scheduler_completions.cpp
     void handle_completion(detail::vm_record& vm, const task_completion& completion,
-                           const clock_reading& now);
+                           vm_time vm_clock, const clock_reading& now);
     // Quarantines the VM after failures of several jobs.
     void record_failure(detail::vm_record& vm, const job_id& job, const clock_reading& now);
     // Updates the job's progress.
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -72,20 +72,26 @@
         run.stop_outdated = run.stop_pending;
     }
     spdlog::info("event=vm_reborn vm={} runs={} ended={}", id.str(), vm->runs.size(), ended.size());
-    state_->drop_lost_runs(*vm, ended, "vm_reborn");
+    state_->drop_lost_runs(*vm, ended, "vm_reborn",
+                           {end_proof::other_incarnation, state_->last_decision, {}});
 }
 
-void scheduler::vm_lost(const vm_id& id, const std::string& reason) {
+void scheduler::vm_lost(const vm_id& id, const std::string& reason, const lease_expiry& expiry,
+                        const clock_reading& now) {
     vm_record* const vm = state_->find_vm(id);
     if (vm == nullptr) {
         return;
     }
-    spdlog::info("event=vm_lost vm={} reason={} runs={}", id.str(), reason, vm->runs.size());
+    spdlog::info(
+        "event=vm_lost vm={} reason={} runs={} lease_until={} vm_clock={} "
+        "reading_age_ms={} expired_for_ms={}",
+        id.str(), reason, vm->runs.size(), expiry.lease_until.value(), expiry.vm_clock.value(),
+        expiry.reading_age.count(), expiry.expired_for ? expiry.expired_for->count() : 0);
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         lost.push_back(it.first);
     }
-    state_->drop_lost_runs(*vm, lost, reason);
+    state_->drop_lost_runs(*vm, lost, reason, {end_proof::lease_expired, now.steady, expiry});
     state_->vms_by_number[vm->number] = nullptr;
     state_->vms.erase(id);
 }
@@ -105,16 +111,17 @@
         }
     }
     spdlog::info("event=vm_ended vm={} runs={} lost={}", id.str(), vm->runs.size(), lost.size());
-    state_->drop_lost_runs(*vm, lost, "vm_ended");
+    state_->drop_lost_runs(*vm, lost, "vm_ended",
+                           {end_proof::other_incarnation, state_->last_decision, {}});
 }
 
 void scheduler::state::drop_lost_runs(vm_record& vm, const std::vector<task_ref>& tasks,
-                                      const std::string& reason) {
+                                      const std::string& reason, const run_end& end) {
     // A gang that has lost a member cannot continue, so the other members are stopped.
     std::vector<step_ref> broken_gangs;
     for (const auto& task : tasks) {
         metrics->count("cranberrydock_runs_lost_total", "reason=\"" + reason + "\"");
-        release(vm, task);
+        release(vm, task, end);
         job_record* job = nullptr;
         step_state* const step = find_step(task, &job);
         if (step != nullptr && step->spec->gang && !step->finished()) {
@@ -148,11 +155,69 @@
     ++job.placed_runs;
 }
 
-void scheduler::state::release(vm_record& vm, const task_ref& task) {
+void scheduler::state::release(vm_record& vm, const task_ref& task, const run_end& end) {
     const auto it = vm.runs.find(task);
     if (it == vm.runs.end()) {
         return;
     }
+    job_record* job = nullptr;
+    step_state* const step = find_step(task, &job);
+    if (step != nullptr && !it->second.unknown) {
+        auto& previous = step->tasks[static_cast<std::size_t>(task.index)].previous;
+        previous = std::make_unique<ended_run>();
+        previous->vm = vm.facts.id;
+        previous->run = it->second.run;
+        previous->adopted = it->second.adopted;
+        previous->proof = end.proof;
+        previous->proved_at = end.at;
+        previous->expiry = end.expiry;
+    }
+    forget_run(vm, task);
+}
+
+void scheduler::state::check_restart(const vm_record& vm, const task_ref& task, run_number run,
+                                     std::optional<completion_kind> ended, vm_time vm_clock,
+                                     const clock_reading& now) {
+    job_record* job = nullptr;
+    const step_state* const step = find_step(task, &job);
+    if (step == nullptr) {
+        return;
+    }
+    const auto& state = step->tasks[static_cast<std::size_t>(task.index)];
+    const bool is_elsewhere = state.vm != nullptr && state.vm != &vm;
+    const ended_run* const earlier = state.previous.get();
+    const bool is_previous =
+        earlier != nullptr && earlier->vm == vm.facts.id && earlier->run == run;
+    const bool is_restarted = is_previous && earlier->restarted_at;
+    // A run of a previous owner, whose leases are not on record here.
+    const bool is_inherited =
+        !is_previous && is_elsewhere && ended == completion_kind::lease_expired;
+    if (!is_restarted && !is_inherited && !(is_elsewhere && !ended)) {
+        return;
+    }
+    const auto margin =
+        is_restarted ? restart_margin(*earlier, vm_clock, now.steady) : std::nullopt;
+    if (margin && ended) {
+        metrics->observe("cranberrydock_restart_margin_ms", "",
+                         static_cast<double>(margin->count()));
+    }
+    const bool in_two_places = (is_elsewhere && !ended) || (margin && margin->count() < 0);
+    if (in_two_places) {
+        metrics->count("cranberrydock_tasks_in_two_places_total", "");
+    }
+    spdlog::log(in_two_places ? spdlog::level::err : spdlog::level::info,
+                "event={} task={} vm={} run={} kind={} vm_clock={} last_run={} last_run_vm={} "
+                "proof={} margin_ms={} fence={}",
+                in_two_places ? "task_in_two_places" : "earlier_run_ended", to_string(task),
+                vm.facts.id.str(), run.value(), ended ? to_string(*ended) : "running",
+                vm_clock.value(), state.last_run.value(),
+                state.vm == nullptr ? "none" : state.vm->facts.id.str(),
+                is_previous ? to_string(earlier->proof) : "none",
+                margin ? std::to_string(margin->count()) : "unknown", owner.value());
+}
+
+void scheduler::state::forget_run(vm_record& vm, const task_ref& task) {
+    const auto it = vm.runs.find(task);
     vm.used -= it->second.need;
     count_release(vm, it->second);
     const bool unknown = it->second.unknown;
@@ -319,7 +384,10 @@
             job->query_cost = default_query_cost;
         }
     }
-    state_->release(*vm, task);
+    const bool not_delivered = answer.error() == command_failure::not_delivered;
+    state_->release(
+        *vm, task,
+        {not_delivered ? end_proof::not_delivered : end_proof::start_refused, now.steady, {}});
     if (step != nullptr && step->spec->gang && !step->finished()) {
         state_->stop_step({task.job, task.occurrence, task.step}, *step, "gang_member_refused");
     }
@@ -354,10 +422,13 @@
     for (const auto& it : report.completions) {
         if (it.number > vm->last_completion) {
             vm->last_completion = it.number;
-            state_->handle_completion(*vm, it, now);
+            state_->handle_completion(*vm, it, report.now, now);
         }
     }
     for (const auto& it : report.running) {
+        if (state_->find_run(*vm, it.task, it.run) == nullptr) {
+            state_->check_restart(*vm, it.task, it.run, std::nullopt, report.now, now);
+        }
         state_->handle_running(*vm, it, now);
     }
     if (report.completions.size() < max_completions_in_report) {
@@ -460,7 +531,7 @@
         // The run is being stopped. The task does not start elsewhere until it has ended.
         const placed_run previous = vm->runs.at(task);
         const clock_reading original_time{previous.placed_at, {}};
-        release(*vm, task);
+        forget_run(*vm, task);
         place_run(*vm, *job, *step, task, previous.run, original_time);
         auto& run = vm->runs.at(task);
         run.start_pending = false;
@@ -480,8 +551,7 @@
 // Removes the runs that the report shows neither as running nor as completed, if the report was
 // requested late enough to prove that they are gone.
 void scheduler::state::drop_missing_runs(vm_record& vm, const vm_report& report,
-                                         base::time_point requested_at,
-                                         const clock_reading& /*now*/) {
+                                         base::time_point requested_at, const clock_reading& now) {
     std::set<std::pair<task_ref, std::int32_t>> listed;
     for (const auto& it : report.running) {
         listed.insert({it.task, it.run.value()});
@@ -507,7 +577,7 @@
             spdlog::warn("event=run_vanished vm={} task={} run={}", vm.facts.id.str(),
                          to_string(it), run.run.value());
         }
-        release(vm, it);
+        release(vm, it, {end_proof::not_listed, now.steady, {}});
         job_record* job = nullptr;
         step_state* const step = find_step(it, &job);
         if (step != nullptr && step->spec->gang && !step->finished()) {
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -76,6 +76,7 @@
     void on_address_reused();
     // Whether no earlier run can exist on the VM.
     bool leases_expired(base::time_point now) const { return leases_.all_expired(now); }
+    fleet::lease_expiry expiry(base::time_point now) const { return leases_.expiry(now); }
 
 private:
     void send_watch();
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -60,6 +60,8 @@
     fleet::completion_number acknowledgeable_completion(const fleet::vm_id& vm) override;
     bool may_issue_commands() override;
     void send_start(const fleet::start_decision& decision);
+    // Logs what proved that the task's earlier run had ended.
+    void log_restart(const fleet::start_decision& decision);
     void send_stop(const fleet::stop_decision& decision);
     void check_inherited_runs();
     void on_inherited_runs_known();
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -60,8 +60,10 @@
 
 void owner_task::state::on_lost(const fleet::vm_id& vm, const std::string& reason, bool gone) {
     early_reports.erase(vm);
-    scheduler.vm_lost(vm, reason);
     const auto session = sessions.find(vm);
+    const auto expiry =
+        session == sessions.end() ? fleet::lease_expiry{} : session->second->expiry(clock.now());
+    scheduler.vm_lost(vm, reason, expiry, now());
     if (session != sessions.end()) {
         if (gone) {
             inherited_vms.gone(vm);
@@ -120,6 +122,7 @@
                      decision.vm.str(), fleet::to_string(decision.task), decision.run.value(),
                      owner.value(), !decision.resume_from.empty());
     }
+    log_restart(decision);
     vms.start(
         session->second->facts(), owner, command,
         alive.guard([this, decision, sent](const auto& answer) {
@@ -148,6 +151,29 @@
         }));
 }
 
+// Never limited: the line is the only record of why a second run was allowed.
+void owner_task::state::log_restart(const fleet::start_decision& decision) {
+    if (!decision.previous || decision.previous->proof == fleet::end_proof::start_refused) {
+        return;
+    }
+    const fleet::ended_run& earlier = *decision.previous;
+    const auto at = clock.now();
+    const auto age_ms = [at](base::time_point since) {
+        return std::chrono::duration_cast<base::milliseconds>(at - since).count();
+    };
+    const auto& expiry = earlier.expiry;
+    spdlog::info(
+        "event=task_restarted vm={} task={} run={} fence={} earlier_vm={} earlier_run={} "
+        "earlier_adopted={} proof={} proof_age_ms={} lease_until={} vm_clock={} reading_age_ms={} "
+        "expired_for_ms={}",
+        decision.vm.str(), fleet::to_string(decision.task), decision.run.value(), owner.value(),
+        earlier.vm.str(), earlier.run.value(), earlier.adopted, fleet::to_string(earlier.proof),
+        age_ms(earlier.proved_at), expiry.lease_until.value(), expiry.vm_clock.value(),
+        expiry.vm_clock.value() == 0 ? 0 : expiry.reading_age.count() + age_ms(earlier.proved_at),
+        expiry.expired_for ? std::to_string(expiry.expired_for->count() + age_ms(earlier.proved_at))
+                           : "unknown");
+}
+
 void owner_task::state::send_stop(const fleet::stop_decision& decision) {
     const auto session = sessions.find(decision.vm);
     if (session == sessions.end()) {
--- a/test/correctness/placement_queries_name_vms_with_room.cpp
+++ b/test/correctness/placement_queries_name_vms_with_room.cpp
@@ -129,7 +129,7 @@
             is_used = is_used || it.second == id;
         }
         if (!is_used) {
-            scheduler_.vm_lost(id, "test");
+            scheduler_.vm_lost(id, "test", {}, now());
         }
     }
     add_vms(60, 160);
--- /dev/null
+++ b/test/correctness/restarted_task_names_proof_of_earlier_end.cpp
@@ -0,0 +1,148 @@
+// Guards against a task that is started again without a record of what proved that its earlier run
+// had ended, and against a run in two places that the owner sees and does not report.
+#include <cranberrydock/fleet/scheduler.hpp>
+
+#include "standins/fleet_test_data.hpp"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace cranberrydock;
+using namespace cranberrydock::standins;
+using base::milliseconds;
+
+class restarted_task : public testing::Test {
+public:
+    restarted_task() {
+        owner.configure(
+            std::make_shared<const fleet::fleet_configuration>(two_queue_configuration()));
+        list(first, 1);
+        owner.inherited_runs_reported(now);
+        owner.add_job(make_job("job", "urgent", {make_step(1, 1'000)}), nullptr, false, now);
+        start = next_start();
+        owner.start_answered(first, start.task, start.run, fleet::vm_time(1), now);
+        list(second, 1);
+    }
+
+    void list(const fleet::vm_id& id, std::int64_t vm_clock) {
+        fleet::vm_info facts;
+        facts.id = id;
+        facts.service = fleet::service_name("svc");
+        facts.capacity = vm_capacity_of(1'000);
+        owner.vm_listed(facts);
+        fleet::vm_report out;
+        out.now = fleet::vm_time(vm_clock);
+        owner.vm_reported(id, out, now.steady, now);
+    }
+
+    void pass(int ms) { now.steady += milliseconds(ms); }
+
+    fleet::start_decision next_start() {
+        pass(1);
+        const auto decided = owner.decide(now, {});
+        EXPECT_EQ(decided.starts.size(), 1U);
+        return decided.starts.empty() ? fleet::start_decision{} : decided.starts.front();
+    }
+
+    // The leases of the first VM, which end at 5,000 on its clock, count as expired.
+    fleet::start_decision lapse() {
+        fleet::lease_expiry expiry;
+        expiry.lease_until = fleet::vm_time(5'000);
+        expiry.vm_clock = fleet::vm_time(500);
+        owner.vm_lost(first, "lease_lapsed", expiry, now);
+        return next_start();
+    }
+
+    // The first VM answers again; its clock reads `vm_clock`.
+    void report_first(std::int64_t vm_clock, bool is_running) {
+        fleet::vm_info facts;
+        facts.id = first;
+        facts.service = fleet::service_name("svc");
+        facts.capacity = vm_capacity_of(1'000);
+        owner.vm_listed(facts);
+        fleet::vm_report report;
+        report.now = fleet::vm_time(vm_clock);
+        if (is_running) {
+            report.running = {{start.task, start.run, {}, 0}};
+        } else {
+            report.completions = {{fleet::completion_number(1),
+                                   start.task,
+                                   start.run,
+                                   fleet::completion_kind::lease_expired,
+                                   {}}};
+        }
+        owner.vm_reported(first, report, now.steady, now);
+    }
+
+    std::uint64_t in_two_places() {
+        return metrics.value("cranberrydock_tasks_in_two_places_total", "");
+    }
+
+    const fleet::vm_id first{"first"};
+    const fleet::vm_id second{"second"};
+    base::metrics metrics;
+    fleet::clock_reading now{base::time_point(std::chrono::seconds(100)),
+                             fleet::unix_time(1'000'000)};
+    fleet::scheduler owner{fleet::fencing_token(1), {}, metrics};
+    fleet::start_decision start;
+};
+
+TEST_F(restarted_task, has_none_at_its_first_start) {
+    EXPECT_FALSE(start.previous);
+}
+
+TEST_F(restarted_task, names_expired_lease_and_its_inputs) {
+    const auto again = lapse();
+    ASSERT_TRUE(again.previous);
+    EXPECT_EQ(again.previous->vm, first);
+    EXPECT_EQ(again.previous->run, start.run);
+    EXPECT_EQ(again.previous->proof, fleet::end_proof::lease_expired);
+    EXPECT_EQ(again.previous->expiry.lease_until, fleet::vm_time(5'000));
+}
+
+TEST_F(restarted_task, names_refused_and_undelivered_starts) {
+    owner.vm_restarted(second);  // only the first VM is usable
+    for (const auto& it :
+         {std::make_pair(fleet::command_failure::no_room, fleet::end_proof::start_refused),
+          std::make_pair(fleet::command_failure::not_delivered, fleet::end_proof::not_delivered)}) {
+        owner.add_job(make_job(fleet::to_string(it.second), "urgent", {make_step(1, 1)}), nullptr,
+                      false, now);
+        fleet::vm_report report;
+        report.completions = {
+            {fleet::completion_number(1), start.task, start.run, fleet::completion_kind::done, {}}};
+        owner.vm_reported(first, report, now.steady, now);
+        const auto refused = next_start();
+        owner.start_answered(first, refused.task, refused.run, tl::make_unexpected(it.first), now);
+        pass(2'000);
+        const auto again = next_start();
+        ASSERT_TRUE(again.previous);
+        EXPECT_EQ(again.previous->proof, it.second);
+    }
+}
+
+// The task was started again 1,000 ms before the report, when the VM's clock read 5,300.
+TEST_F(restarted_task, measures_time_since_end_of_earlier_lease) {
+    lapse();
+    pass(1'000);
+    report_first(6'300, false);
+    EXPECT_EQ(in_two_places(), 0U);
+    EXPECT_NE(metrics.text().find("cranberrydock_restart_margin_ms_sum 300"), std::string::npos)
+        << metrics.text();
+}
+
+TEST_F(restarted_task, is_reported_if_started_before_lease_has_ended) {
+    lapse();
+    pass(1'000);
+    report_first(5'900, false);
+    EXPECT_EQ(in_two_places(), 1U);
+}
+
+TEST_F(restarted_task, is_reported_if_earlier_run_goes_on) {
+    lapse();
+    pass(1'000);
+    report_first(6'300, true);
+    EXPECT_EQ(in_two_places(), 1U);
+}
+
+}  // namespace
--- a/test/standins/faulty_fleet.cpp
+++ b/test/standins/faulty_fleet.cpp
@@ -403,7 +403,7 @@
     node* const watched = find(vm);
     if (watched == nullptr) {
         // The member list no longer has the VM.
-        scheduler_->vm_lost(vm, "left");
+        scheduler_->vm_lost(vm, "left", {}, now());
         return;
     }
     if (watched->session != session) {
@@ -412,14 +412,14 @@
     scheduler_->vm_reachable(vm, false);
     if (time_ > watched->lease_until + base::milliseconds(100) && !watched->lost) {
         watched->lost = true;
-        scheduler_->vm_lost(vm, "lease_expired");
+        scheduler_->vm_lost(vm, "lease_expired", {}, now());
         scheduler_->vm_listed(watched->vm->facts());
     }
     after_for_owner(watch_retry, [this, vm] {
         if (node* const it = find(vm)) {
             send_watch(*it);
         } else {
-            scheduler_->vm_lost(vm, "left");
+            scheduler_->vm_lost(vm, "left", {}, now());
         }
     });
 }
@@ -428,7 +428,7 @@
                              const fleet::vm_report& report, base::time_point requested_at) {
     node* const watched = find(vm);
     if (watched == nullptr) {
-        scheduler_->vm_lost(vm, "left");
+        scheduler_->vm_lost(vm, "left", {}, now());
         return;
     }
     if (watched->session != session) {
@@ -445,7 +445,7 @@
         if (node* const it = find(vm)) {
             send_watch(*it);
         } else {
-            scheduler_->vm_lost(vm, "left");
+            scheduler_->vm_lost(vm, "left", {}, now());
         }
     });
 }
