test: runs of expired leases that end within the stop time

The stand-in's VMs ended the runs of an expired lease at once; with stop_time they take that long, as the platform allows for a stop. An owner whose process is killed and starts again takes the fleet over at once as its own successor and starts the tasks of a silent VM 4,888 ms later, while their runs last for up to 4,592 ms (a lease of 4.5 s on a clock that is 2 % slow) and the stop time. One daemon starts both runs, the first ends as lapsed and without a stop: the users' record.

--- a/test/standins/fleet_vm.cpp
+++ b/test/standins/fleet_vm.cpp
@@ -29,7 +29,7 @@
         return tl::make_unexpected(command_failure::superseded);
     }
     const auto behavior = behavior_(order.task, order.run);
-    running_[order.task] = {order.run, behavior.run_time, behavior};
+    running_[order.task] = {order.run, behavior.run_time, behavior, {}, {}};
     return now_;
 }
 
@@ -44,7 +44,12 @@
     highest_ended = std::max(highest_ended, run);
     const auto it = running_.find(task);
     if (it != running_.end() && it->second.number <= run) {
-        end_run(task, fleet::completion_kind::stopped);
+        if (stop_time_.count() == 0) {
+            end_run(task, fleet::completion_kind::stopped);
+        } else if (!it->second.ends_at) {
+            it->second.end_kind = fleet::completion_kind::stopped;
+            it->second.ends_at = fleet::vm_time(now_.value() + stop_time_.count());
+        }
     }
     return now_;
 }
@@ -88,8 +93,14 @@
     for (auto& it : running_) {
         // The simulation, which sees all members of a gang, ends the runs of gangs.
         it.second.remaining -= it.second.behavior.gang_size > 0 ? base::milliseconds{0} : by;
-        if (now_ > lease_until_) {
-            ended_runs.emplace_back(it.first, fleet::completion_kind::lease_expired);
+        if (!it.second.ends_at && now_ > lease_until_) {
+            it.second.end_kind = fleet::completion_kind::lease_expired;
+            it.second.ends_at = fleet::vm_time(lease_until_.value() + stop_time_.count());
+        }
+        if (it.second.ends_at) {
+            if (now_ > *it.second.ends_at) {
+                ended_runs.emplace_back(it.first, it.second.end_kind);
+            }
         } else if (it.second.remaining.count() <= 0) {
             ended_runs.emplace_back(it.first, it.second.behavior.fails
                                                   ? fleet::completion_kind::failed
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -29,8 +30,11 @@
     using task_behavior_function =
         std::function<task_behavior(const fleet::task_ref&, fleet::run_number)>;
 
-    fleet_vm(fleet::vm_info facts, task_behavior_function work)
-        : facts_(std::move(facts)), behavior_(std::move(work)) {}
+    // Runs that are stopped or whose lease has expired end after `stop_time`. Until then they are
+    // listed as running and hold their capacity.
+    fleet_vm(fleet::vm_info facts, task_behavior_function work,
+             base::milliseconds stop_time = base::milliseconds{0})
+        : facts_(std::move(facts)), behavior_(std::move(work)), stop_time_(stop_time) {}
 
     const fleet::vm_info& facts() const { return facts_; }
 
@@ -62,6 +66,9 @@
         fleet::run_number number;
         base::milliseconds remaining{0};
         task_behavior behavior;
+        // Why and when the run ends, once that is decided.
+        fleet::completion_kind end_kind = fleet::completion_kind::done;
+        std::optional<fleet::vm_time> ends_at;
     };
     const std::map<fleet::task_ref, run>& running() const { return running_; }
     // Ends a run for an external reason, such as the end of another member of its gang.
@@ -70,6 +77,7 @@
 private:
     fleet::vm_info facts_;
     task_behavior_function behavior_;
+    base::milliseconds stop_time_;
     fleet::vm_time now_{1'000};
     fleet::fencing_token fencing_token_;
     fleet::vm_time lease_until_;
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -168,7 +168,7 @@
             fleet::vm_info facts;
             facts.id = fleet::vm_id("i-" + std::to_string(number));
             facts.boot = fleet::boot_time(1'000 + number);
-            vm = std::make_unique<fleet_vm>(facts, [this](const auto& task, const auto&) {
+            const auto behavior = [this](const auto& task, const auto& /*run*/) {
                 task_behavior out;
                 if (site.plan.behavior) {
                     out = site.plan.behavior(task);
@@ -178,7 +178,8 @@
                 }
                 out.need.cores = base::millicores(1'000);
                 return out;
-            });
+            };
+            vm = std::make_unique<fleet_vm>(facts, behavior, site.plan.stop_time);
         }
         net::event_loop& loop() const { return site.loop; }
 
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -30,6 +30,10 @@
     int vms_per_rack = 0;  // 0: all VMs are on one rack
     std::int64_t vm_millicores = 8'000;
     base::milliseconds task_time{300};
+    // How long a VM takes to end runs that are stopped or whose lease has expired, and the bound on
+    // it in the daemons' settings.
+    base::milliseconds stop_time{0};
+    base::milliseconds max_stop_time{400};
     // Returns the address through which the daemons reach a listener of the platform; empty: the
     // listener's own address.
     std::function<net::endpoint(const net::endpoint&)> route;
