fleet: an expired lease leaves a VM the time to end its runs

An ordinary change of owner hides the gap, since it takes over half a second; an owner whose process is killed and starts again takes over at once and has nothing to spare.

Expired leases prove the end of runs only after the site's stopMs has passed as well, for leases of this owner, of previous owners and of the next incarnation alike.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -77,6 +77,7 @@
         max_job_parts);
     out.drain = std::min(max_drain, share_of(site.stop_grace, drain_share));
     out.owner.session.leases.max_lease = site.max_lease;
+    out.owner.session.leases.max_stop_time = site.max_stop_time;
     out.owner.session.leases.lease =
         std::min(renewed_lease_limit, share_of(site.max_lease, lease_share));
     out.owner.scheduler.gang_start_timeout = share_of(site.gang_timeout, gang_start_share);
--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -4,7 +4,8 @@
 // - The VM reports its completion, or a report that was requested later does not list the run.
 // - The incarnation of the VM that held the run has ended: the VM's entry or its report has a later
 //   boot time, or another VM answers at its address.
-// - Every lease that an owner can have granted has expired on the VM's own clock.
+// - Every lease that an owner can have granted has expired on the VM's own clock, and the VM has
+//   had the time that it may take to end its runs.
 //
 // Refused and reset connections, missing answers, a missing member entry and a change of owner
 // prove nothing: the VM may continue its runs, and others may reach it.
@@ -23,6 +24,8 @@
 struct lease_settings {
     milliseconds lease{4'500};      // granted with each renewal
     milliseconds max_lease{6'000};  // the longest lease that a VM accepts
+    // The longest time that a VM takes to end its runs once their lease has expired.
+    milliseconds max_stop_time{0};
 };
 
 // The inputs of the conclusion that the leases on a VM have expired.
@@ -46,14 +49,15 @@
     void on_previous_owner_ended(base::time_point known_at);
     // Whether no previous owner issues commands any more.
     bool commands_ended(base::time_point now) const { return now >= commands_end_; }
-    // Whether every lease of a previous owner has expired.
+    // Whether every lease of a previous owner has expired, and the runs have ended.
     bool all_expired(base::time_point now) const { return now >= expiry_; }
     // The same for a VM that has received this owner's fencing token by `reported_at`: since then
     // it has rejected the commands of previous owners.
     bool all_expired(base::time_point now, base::time_point reported_at) const;
 
 private:
-    milliseconds longest_lease_;  // on this process's clock
+    milliseconds
+        longest_run_;  // from a lease's grant to the end of its runs, on this process's clock
     base::time_point commands_end_;
     base::time_point expiry_;
 };
@@ -75,7 +79,8 @@
     // Another incarnation of the VM has taken its place. Commands for the earlier incarnation may
     // reach it and grant it a lease.
     void on_other_incarnation(base::time_point now);
-    // Whether every lease that was granted has expired, so that no earlier run exists on the VM.
+    // Whether every lease that was granted has expired and the VM has had the time to end its runs,
+    // so that no earlier run exists on it.
     bool all_expired(base::time_point now) const;
     // What all_expired() is concluded from.
     lease_expiry expiry(base::time_point now) const;
--- a/packages/fleet/src/run_leases.cpp
+++ b/packages/fleet/src/run_leases.cpp
@@ -22,17 +22,17 @@
 
 inherited_leases::inherited_leases(const lease_settings& settings, base::time_point owner_since,
                                    milliseconds command_validity)
-    : longest_lease_(worst_case_local_time(settings.lease)),
+    : longest_run_(worst_case_local_time(settings.lease + settings.max_stop_time)),
       commands_end_(owner_since + command_validity),
-      expiry_(commands_end_ + longest_lease_) {}
+      expiry_(commands_end_ + longest_run_) {}
 
 void inherited_leases::on_previous_owner_ended(base::time_point known_at) {
     commands_end_ = std::min(commands_end_, known_at);
-    expiry_ = commands_end_ + longest_lease_;
+    expiry_ = commands_end_ + longest_run_;
 }
 
 bool inherited_leases::all_expired(base::time_point now, base::time_point reported_at) const {
-    return now >= std::min(expiry_, reported_at + longest_lease_);
+    return now >= std::min(expiry_, reported_at + longest_run_);
 }
 
 void vm_leases::on_report(vm_time vm_clock, base::time_point now) {
@@ -55,7 +55,8 @@
 void vm_leases::on_other_incarnation(base::time_point now) {
     if (last_reading_) {
         // Commands issued from now on grant no lease until the new incarnation has reported.
-        expiry_not_before_ = now + worst_case_local_time(settings_.max_lease);
+        expiry_not_before_ =
+            now + worst_case_local_time(settings_.max_lease + settings_.max_stop_time);
     }
     last_reading_.reset();
     first_reported_.reset();  // the new incarnation does not know this owner's fencing token
@@ -72,7 +73,7 @@
         return true;
     }
     const milliseconds left(lease_until_.value() - last_reading_->vm.value());
-    return now > last_reading_->local + worst_case_local_time(left);
+    return now > last_reading_->local + worst_case_local_time(left + settings_.max_stop_time);
 }
 
 lease_expiry vm_leases::expiry(base::time_point now) const {
--- a/test/correctness/runs_are_given_up_only_after_proof.cpp
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -51,6 +51,43 @@
     EXPECT_TRUE(vm.all_expired(start + validity + slowest_lease + margin));
 }
 
+constexpr milliseconds stop_time{900};
+
+class leases_with_stop_time : public leases {
+public:
+    leases_with_stop_time() {
+        settings.max_stop_time = stop_time;
+        inherited = fleet::inherited_leases(settings, start, validity);
+    }
+
+    fleet::vm_leases vm_with_stop_time{{lease, milliseconds(6'000), stop_time}, inherited};
+};
+
+TEST_F(leases_with_stop_time, of_previous_owner_are_followed_by_end_of_runs) {
+    EXPECT_FALSE(inherited.all_expired(start + validity + slowest_lease + stop_time));
+    EXPECT_TRUE(inherited.all_expired(start + validity + slowest_lease + stop_time + margin));
+    inherited.on_previous_owner_ended(start);
+    EXPECT_FALSE(inherited.all_expired(start + slowest_lease + stop_time));
+    EXPECT_TRUE(inherited.all_expired(start + slowest_lease + stop_time + margin));
+}
+
+TEST_F(leases_with_stop_time, of_this_owner_are_followed_by_end_of_runs) {
+    const auto reported = start + validity;
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), reported);
+    vm_with_stop_time.grant(reported);
+    EXPECT_FALSE(vm_with_stop_time.all_expired(reported + slowest_lease + stop_time));
+    EXPECT_TRUE(vm_with_stop_time.all_expired(reported + slowest_lease + stop_time + margin));
+}
+
+TEST_F(leases_with_stop_time, of_next_incarnation_are_followed_by_end_of_runs) {
+    const auto restarted = start + validity + slowest_lease;
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), restarted);
+    vm_with_stop_time.on_other_incarnation(restarted);
+    EXPECT_FALSE(vm_with_stop_time.all_expired(restarted + milliseconds(6'250) + stop_time));
+    EXPECT_TRUE(
+        vm_with_stop_time.all_expired(restarted + milliseconds(6'250) + stop_time + margin));
+}
+
 // The first report comes before the first lease: until then the VM's clock is not known.
 TEST_F(leases, of_vm_that_fell_silent_after_first_report_are_inherited) {
     vm.on_report(fleet::vm_time(1'000), start + milliseconds(100));
