fleet: a VM that ends runs later than its bound is waited for longer

The bound on a VM's stop time is the platform's promise; a VM that wants for a core can break it, and its owner went on by the bound. A report that lists runs after the end of their lease shows how late the VM is: it is logged (vm_ends_runs_late), and from then on the owner leaves this VM as much time after a lease before it starts its tasks elsewhere.

New test leases_with_stop_time.of_vm_that_ends_runs_late_are_waited_for_longer, which could not fail first, since on_report has a new argument.

--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -69,8 +69,12 @@
     vm_leases(const lease_settings& settings, const inherited_leases& inherited)
         : settings_(settings), inherited_(inherited) {}
 
-    // The VM's clock read `vm_clock` in a report that was received at `now`.
-    void on_report(vm_time vm_clock, base::time_point now);
+    // The VM's clock read `vm_clock` in a report that was received at `now`. `has_runs`: the report
+    // lists runs, so if every lease had expired, the VM takes at least that long to end them.
+    void on_report(vm_time vm_clock, base::time_point now, bool has_runs);
+    // The longest time that the VM may take to end its runs: the site's bound, or longer if a
+    // report has shown so.
+    milliseconds max_stop_time() const { return settings_.max_stop_time; }
     // Whether the current incarnation has sent a report.
     bool has_report() const { return last_reading_.has_value(); }
     // The end of the lease for a command that is issued now; 0 without a report of the current
--- a/packages/fleet/src/run_leases.cpp
+++ b/packages/fleet/src/run_leases.cpp
@@ -35,7 +35,11 @@
     return now >= std::min(expiry_, reported_at + longest_run_);
 }
 
-void vm_leases::on_report(vm_time vm_clock, base::time_point now) {
+void vm_leases::on_report(vm_time vm_clock, base::time_point now, bool has_runs) {
+    if (has_runs && lease_until_.value() > 0) {
+        const milliseconds late(vm_clock.value() - lease_until_.value());
+        settings_.max_stop_time = std::max(settings_.max_stop_time, late);
+    }
     last_reading_ = clock_pair{vm_clock, now};
     if (!first_reported_) {
         first_reported_ = now;
--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -89,7 +89,12 @@
     end_reported_ = false;
     expiry_reported_ = false;
     boot_ = report.boot;
-    leases_.on_report(report.now, clock_.now());
+    const auto stop_time_before = leases_.max_stop_time();
+    leases_.on_report(report.now, clock_.now(), !report.running.empty());
+    if (leases_.max_stop_time() > stop_time_before) {
+        spdlog::warn("event=vm_ends_runs_late vm={} late_ms={} bound_ms={}", facts_.id.str(),
+                     leases_.max_stop_time().count(), stop_time_before.count());
+    }
     if (!report.completions.empty()) {
         last_listed_completion_ = report.completions.back().number;
     }
--- a/test/correctness/runs_are_given_up_only_after_proof.cpp
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -73,15 +73,29 @@
 
 TEST_F(leases_with_stop_time, of_this_owner_are_followed_by_end_of_runs) {
     const auto reported = start + validity;
-    vm_with_stop_time.on_report(fleet::vm_time(1'000), reported);
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), reported, false);
     vm_with_stop_time.grant(reported);
     EXPECT_FALSE(vm_with_stop_time.all_expired(reported + slowest_lease + stop_time));
     EXPECT_TRUE(vm_with_stop_time.all_expired(reported + slowest_lease + stop_time + margin));
 }
 
+// The VM lists runs 2 s after the end of its lease.
+TEST_F(leases_with_stop_time, of_vm_that_ends_runs_late_are_waited_for_longer) {
+    const milliseconds late(2'000);
+    const auto reported = start + validity;
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), reported, false);
+    const auto lease_end = vm_with_stop_time.grant(reported);
+    const auto again = reported + lease + late;
+    vm_with_stop_time.on_report(fleet::vm_time(lease_end.value() + late.count()), again, true);
+    EXPECT_EQ(vm_with_stop_time.max_stop_time(), late);
+    vm_with_stop_time.grant(again);
+    EXPECT_FALSE(vm_with_stop_time.all_expired(again + slowest_lease + late));
+    EXPECT_TRUE(vm_with_stop_time.all_expired(again + slowest_lease + late + margin));
+}
+
 TEST_F(leases_with_stop_time, of_next_incarnation_are_followed_by_end_of_runs) {
     const auto restarted = start + validity + slowest_lease;
-    vm_with_stop_time.on_report(fleet::vm_time(1'000), restarted);
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), restarted, false);
     vm_with_stop_time.on_other_incarnation(restarted);
     EXPECT_FALSE(vm_with_stop_time.all_expired(restarted + milliseconds(6'250) + stop_time));
     EXPECT_TRUE(
@@ -90,7 +104,7 @@
 
 // The first report comes before the first lease: until then the VM's clock is not known.
 TEST_F(leases, of_vm_that_fell_silent_after_first_report_are_inherited) {
-    vm.on_report(fleet::vm_time(1'000), start + milliseconds(100));
+    vm.on_report(fleet::vm_time(1'000), start + milliseconds(100), false);
     EXPECT_FALSE(vm.all_expired(start + milliseconds(100)));
     EXPECT_FALSE(vm.all_expired(start + lease));
     EXPECT_TRUE(vm.all_expired(start + milliseconds(100) + slowest_lease + margin));
@@ -98,7 +112,7 @@
 
 TEST_F(leases, last_until_vm_clock_has_passed_them) {
     const auto granted_at = start + validity + slowest_lease + margin;
-    vm.on_report(fleet::vm_time(1'000), granted_at);
+    vm.on_report(fleet::vm_time(1'000), granted_at, false);
     EXPECT_EQ(vm.grant(granted_at), fleet::vm_time(1'000 + lease.count()));
     EXPECT_FALSE(vm.all_expired(granted_at + lease));
     EXPECT_TRUE(vm.all_expired(granted_at + slowest_lease + margin));
