fleet: the distance of a restart to leases of previous owners

It knows the latest time at which they can end; the start of the task is measured against that, and inherited_runs_known says by how much it was past. A lower bound, at the rate of the owner's clock. No decision has changed.

--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -51,13 +51,17 @@
     bool commands_ended(base::time_point now) const { return now >= commands_end_; }
     // Whether every lease of a previous owner has expired, and the runs have ended.
     bool all_expired(base::time_point now) const { return now >= expiry_; }
+    // The latest end of a lease of a previous owner on a clock that runs at the rate of this
+    // process's clock.
+    base::time_point latest_lease_end() const { return commands_end_ + lease_; }
     // The same for a VM that has received this owner's fencing token by `reported_at`: since then
     // it has rejected the commands of previous owners.
     bool all_expired(base::time_point now, base::time_point reported_at) const;
 
 private:
-    milliseconds
-        longest_run_;  // from a lease's grant to the end of its runs, on this process's clock
+    milliseconds lease_;
+    // From a lease's grant to the end of its runs, on this process's clock.
+    milliseconds longest_run_;
     base::time_point commands_end_;
     base::time_point expiry_;
 };
--- a/packages/fleet/src/run_leases.cpp
+++ b/packages/fleet/src/run_leases.cpp
@@ -22,7 +22,8 @@
 
 inherited_leases::inherited_leases(const lease_settings& settings, base::time_point owner_since,
                                    milliseconds command_validity)
-    : longest_run_(worst_case_local_time(settings.lease + settings.max_stop_time)),
+    : lease_(settings.lease),
+      longest_run_(worst_case_local_time(settings.lease + settings.max_stop_time)),
       commands_end_(owner_since + command_validity),
       expiry_(commands_end_ + longest_run_) {}
 
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -195,8 +195,15 @@
     if (!is_restarted && !is_inherited && !(is_elsewhere && !ended)) {
         return;
     }
-    const auto margin =
-        is_restarted ? restart_margin(*earlier, vm_clock, now.steady) : std::nullopt;
+    auto margin = is_restarted ? restart_margin(*earlier, vm_clock, now.steady) : std::nullopt;
+    if (is_inherited && latest_inherited_lease_end) {
+        const auto newer = state.vm->runs.find(task);
+        if (newer != state.vm->runs.end() && !newer->second.adopted) {
+            // A lower bound: the lease may have ended earlier.
+            margin = std::chrono::duration_cast<milliseconds>(newer->second.placed_at -
+                                                              *latest_inherited_lease_end);
+        }
+    }
     if (margin && ended) {
         metrics->observe("cranberrydock_restart_margin_ms", "",
                          static_cast<double>(margin->count()));
@@ -212,7 +219,9 @@
                 vm.facts.id.str(), run.value(), ended ? to_string(*ended) : "running",
                 vm_clock.value(), state.last_run.value(),
                 state.vm == nullptr ? "none" : state.vm->facts.id.str(),
-                is_previous ? to_string(earlier->proof) : "none",
+                is_previous    ? to_string(earlier->proof)
+                : is_inherited ? "inherited"
+                               : "none",
                 margin ? std::to_string(margin->count()) : "unknown", owner.value());
 }
 
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -230,11 +230,17 @@
         metrics.observe("cranberrydock_owner_wait_ms", "wait=\"missing_vms\"",
                         static_cast<double>(owner_age().count()));
     }
-    spdlog::info("event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={}",
-                 inherited_vms.ended_by() == fleet::wait_ended_by::reports, sessions.size(),
-                 all_listed, owner_age().count());
+    const auto expired_for =
+        std::chrono::duration_cast<base::milliseconds>(clock.now() - inherited.latest_lease_end());
+    spdlog::info(
+        "event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={} "
+        "expired_for_ms={} fence={}",
+        inherited_vms.ended_by() == fleet::wait_ended_by::reports, sessions.size(), all_listed,
+        owner_age().count(), expired_for.count(), owner.value());
     inherited_jobs.clear();
-    scheduler.inherited_runs_reported(now());
+    const bool by_expiry = inherited_vms.ended_by() == fleet::wait_ended_by::expiry;
+    scheduler.inherited_runs_reported(
+        now(), by_expiry ? std::optional(inherited.latest_lease_end()) : std::nullopt);
 }
 
 void owner_task::state::check_unknown_vms() {
--- a/test/correctness/restarted_task_names_proof_of_earlier_end.cpp
+++ b/test/correctness/restarted_task_names_proof_of_earlier_end.cpp
@@ -145,4 +145,34 @@
     EXPECT_EQ(in_two_places(), 1U);
 }
 
+// A run of a previous owner on a VM that was silent until its leases had expired.
+TEST_F(restarted_task, measures_time_since_end_of_inherited_leases) {
+    base::metrics measured;
+    fleet::scheduler next{fleet::fencing_token(2), {}, measured};
+    next.configure(std::make_shared<const fleet::fleet_configuration>(two_queue_configuration()));
+    next.add_job(make_job("job", "urgent", {make_step(1, 1'000)}), nullptr, true, now);
+    fleet::vm_info facts;
+    facts.service = fleet::service_name("svc");
+    facts.capacity = vm_capacity_of(1'000);
+    for (const auto& it : {first, second}) {
+        facts.id = it;
+        next.vm_listed(facts);
+    }
+    next.vm_reported(second, {}, now.steady, now);
+    const auto latest_lease_end = now.steady;
+    pass(400);
+    next.inherited_runs_reported(now, latest_lease_end);
+    ASSERT_EQ(next.decide(now, {}).starts.size(), 1U);
+    fleet::vm_report report;
+    report.completions = {{fleet::completion_number(1),
+                           start.task,
+                           start.run,
+                           fleet::completion_kind::lease_expired,
+                           {}}};
+    pass(100);
+    next.vm_reported(first, report, now.steady, now);
+    EXPECT_NE(measured.text().find("cranberrydock_restart_margin_ms_sum 400"), std::string::npos)
+        << measured.text();
+}
+
 }  // namespace
