fleet: an owner's row that can't be read has an unknown owner

A row of the owner that can't be decoded was taken for a free one, whose previous owner has ended: the next owner waited for the leases of a process that may go on issuing commands for 6.5 s, and started its tasks again up to 6.5 s too early. The row's writer is unknown now: it is taken over like an unresponsive owner, and its commands and leases are waited for. The new test could not fail first, since the case had no name; before, such a row was read as no row, and next() gave acquire with previous_owner_ended() at once (free_or_own_row_is_taken_at_once). 13 of 13 of fleet_ownership pass.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -84,6 +84,9 @@
 std::string encode_owner(const owner_record& record);
 // Empty if the row cannot be decoded.
 std::optional<owner_record> decode_owner(const std::string& value);
+// Stands for a row that can't be decoded: its writer is unknown and may issue commands. `last` is
+// the row's last readable content.
+owner_record unknown_owner(const owner_record& last);
 
 struct ownership_settings {
     milliseconds renewal_interval{400};
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -110,6 +110,17 @@
     }
 }
 
+owner_record unknown_owner(const owner_record& last) {
+    owner_record out;
+    out.holder = "unknown";
+    out.process_run = "unknown";
+    out.token = last.token;
+    out.largest_vm = last.largest_vm;
+    out.labels = last.labels;
+    out.vm_count = last.vm_count;
+    return out;
+}
+
 ownership::ownership(std::string holder, std::string run, const ownership_settings& settings)
     : holder_(std::move(holder)), run_(std::move(run)), settings_(settings) {}
 
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -421,6 +421,7 @@
         auto record = fleet::decode_owner(row.value);
         if (!record && !row.removed) {
             spdlog::error("event=row_unreadable table=fleet row=owner");
+            record = fleet::unknown_owner(ownership.record());
         }
         const fleet::owner_record previous_record = ownership.record();
         const std::string& holder_before = previous_record.holder;
--- a/test/correctness/fleet_ownership_changes_safely.cpp
+++ b/test/correctness/fleet_ownership_changes_safely.cpp
@@ -57,6 +57,22 @@
     EXPECT_FALSE(daemon.previous_owner_ended());
 }
 
+// A row that can't be read was taken for a free one, whose last owner has ended.
+TEST_F(fleet_ownership, is_taken_from_unknown_owner_like_from_unresponsive_one) {
+    read(held_by("vm-2", "7"), 1);
+    daemon.holder_ended("7");
+    daemon.row_read(fleet::unknown_owner(daemon.record()), fleet::store_version(2), now);
+    pass(settings.renewal_interval);
+    daemon.row_unchanged(now);
+    EXPECT_EQ(daemon.next(now), ownership::step::none);
+    pass(settings.takeover_after);
+    daemon.row_unchanged(now);
+    EXPECT_EQ(daemon.next(now), ownership::step::acquire);
+    EXPECT_FALSE(daemon.previous_owner_ended());
+    EXPECT_FALSE(daemon.record().earlier_owners_ended);
+    EXPECT_EQ(daemon.next_fencing_token(), fleet::fencing_token(4));
+}
+
 TEST_F(fleet_ownership, store_outage_does_not_count) {
     read(held_by("vm-2", "7"), 1);
     pass(settings.takeover_after);
