fleet: an unanswered write makes an owner from when it was sent

An owner may issue commands for 6.5 s after it sent the write that stands in its row, and the next owner counts on that. A daemon that learned from the feed that one of its writes had made it the owner took the time of its latest write, though that is conditional on the same version as the ones before it and may have been refused. The store may carry out an unanswered write up to 6 s later, so the daemon issued commands, and held its row for newer, by as much. ownership::failed ignored whether the outcome was known, and losing the fleet moved the time on as well.

The send time of the first write for a version of the row is remembered until the row has another version: one of these writes is the one that stands, and the first is the safe choice. The outcome of a write no longer matters, so failed() doesn't take it.

fleet_ownership.gained_by_unanswered_write_is_valid_from_when_that_was_sent and fleet_ownership.lost_renewals_do_not_extend_validity failed before (the time of the second write and of the third renewal), 14 of 14 pass.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -138,13 +138,14 @@
     void renew_soon() { next_write_ = {}; }
     // `sent`: when the write was sent.
     void written(store_version version, const owner_record& record, base::time_point sent);
-    // `outcome_unknown`: the write may have been applied, or may still be.
-    void failed(bool outcome_unknown, base::time_point now);
+    // The write may have been applied, or may still be, until the row has another version.
+    void failed(base::time_point now);
 
     // Whether commands may be issued.
     bool may_issue_commands(base::time_point now) const;
     bool owns() const { return owns_; }
-    // When the last confirmed renewal was sent.
+    // When the last confirmed renewal was sent, or earlier if it is not known which write the row
+    // holds.
     base::time_point last_renewal_sent() const { return last_renewal_sent_; }
     // Steps down as owner. The content of the row decides who owns the fleet next.
     void step_down() { owns_ = false; }
@@ -187,7 +188,9 @@
     std::string unresponsive_run_;
     bool previous_owner_ended_ = false;
     milliseconds stagger_{0};
-    base::time_point last_write_sent_{};  // when the latest write was sent, confirmed or not
+    // When the first write that is conditional on `version_` was sent. If the next version of the
+    // row is this daemon's, any of these writes may be the one that was carried out.
+    std::optional<base::time_point> first_write_sent_;
 };
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -130,10 +130,13 @@
     const bool is_own = record_.holder == holder_ && record_.process_run == run_;
     const bool is_deferred = now < takeovers_deferred_until_;
     if (owns_ != is_own && !retired_ && !(is_own && is_deferred)) {
-        // A write whose outcome was unknown may have made this daemon the owner.
         owns_ = is_own;
-        last_renewal_sent_ = last_write_sent_;
+        if (is_own && first_write_sent_) {
+            // A write whose outcome was unknown has made this daemon the owner.
+            last_renewal_sent_ = *first_write_sent_;
+        }
     }
+    first_write_sent_.reset();
 }
 
 // `count_made_after`: if the record has a new count, the count was made after this point in time.
@@ -167,7 +170,7 @@
     }
     if (owns_) {
         writing_ = true;
-        last_write_sent_ = now;
+        first_write_sent_ = first_write_sent_.value_or(now);
         next_write_ = now + settings_.renewal_interval;
         return step::renew;
     }
@@ -190,7 +193,7 @@
         return step::none;
     }
     writing_ = true;
-    last_write_sent_ = now;
+    first_write_sent_ = first_write_sent_.value_or(now);
     previous_owner_ended_ = record_.holder.empty() || ended;
     return step::acquire;
 }
@@ -202,6 +205,7 @@
         return;  // the change feed has already delivered a later write of another daemon
     }
     version_ = version;
+    first_write_sent_.reset();
     set_record(record, sent);
     version_written_after_ = sent;
     last_read_ = sent;
@@ -211,7 +215,7 @@
     unchanged_until_ = sent;
 }
 
-void ownership::failed(bool /*outcome_unknown*/, base::time_point now) {
+void ownership::failed(base::time_point now) {
     constexpr milliseconds retry_pause{100};
     writing_ = false;
     next_write_ = now + retry_pause;
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -534,7 +534,7 @@
                 }
                 stored_vm_record.clear();
                 const auto& error = answer.error();
-                ownership.failed(error.failure == fleet::store_failure::answer_lost, clock.now());
+                ownership.failed(clock.now());
                 metrics.count("cranberrydock_ownership_write_failures_total", "");
                 if (error.failure == fleet::store_failure::conflict) {
                     for (const auto& it : error.rows) {
--- a/test/correctness/fleet_ownership_changes_safely.cpp
+++ b/test/correctness/fleet_ownership_changes_safely.cpp
@@ -135,13 +135,47 @@
 TEST_F(fleet_ownership, is_gained_despite_lost_answer) {
     read(held_by("", ""), 1);
     ASSERT_EQ(daemon.next(now), ownership::step::acquire);
-    daemon.failed(true, now);
+    daemon.failed(now);
     pass(base::milliseconds(50));
     read(held_by("vm-1", "100"), 2);
     EXPECT_TRUE(daemon.owns());
     EXPECT_TRUE(daemon.may_issue_commands(now));
 }
 
+// The row holds the first write; the second one, sent much later, was not applied.
+TEST_F(fleet_ownership, gained_by_unanswered_write_is_valid_from_when_that_was_sent) {
+    read(held_by("", ""), 1);
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    const auto first_sent = now;
+    pass(std::chrono::seconds(2));
+    daemon.failed(now);
+    daemon.row_unchanged(now);
+    pass(base::milliseconds(200));
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    pass(base::milliseconds(50));
+    daemon.failed(now);
+    read(held_by("vm-1", "100"), 2);
+    EXPECT_TRUE(daemon.owns());
+    EXPECT_EQ(daemon.last_renewal_sent(), first_sent);
+    EXPECT_FALSE(daemon.may_issue_commands(first_sent + settings.validity));
+}
+
+// The answer to the first renewal is lost, and so is the row's version that it made.
+TEST_F(fleet_ownership, lost_renewals_do_not_extend_validity) {
+    read(held_by("", ""), 1);
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    daemon.written(fleet::store_version(2), held_by("vm-1", "100"), now);
+    const auto confirmed = now;
+    for (int i = 0; i < 3; ++i) {
+        pass(settings.renewal_interval);
+        ASSERT_EQ(daemon.next(now), ownership::step::renew);
+        daemon.failed(now);
+    }
+    read(held_by("vm-2", "7"), 3);
+    EXPECT_FALSE(daemon.owns());
+    EXPECT_EQ(daemon.last_renewal_sent(), confirmed);
+}
+
 TEST_F(fleet_ownership, ends_when_another_owner_is_read) {
     read(held_by("", ""), 1);
     ASSERT_EQ(daemon.next(now), ownership::step::acquire);
