fleet_daemon: an owner's lateness is no evidence that a VM is silent

An owner that was late processed no report of a VM for 8 s, then gave up its runs at the first failed watch (`lease_lapsed`) and started their tasks elsewhere. Two of the runs had ended as done before, which the VM listed a second later: callers saw work that was complete run again.

An expired lease proves that a run has ended, not that it ended without success. The failure that followed was that of a watch which had been sent before the expiry and failed because the owner had not listened.

A VM with expired leases is now given up only once a watch that was sent after the expiry has failed, and this process has listened for 200 ms since it was sent. An owner that is late between moments of listening still gets there, after some turns of its event loop. For a VM that is silent the wait beyond the lease is at most one watch (600 ms after a failure, more through relays that fail) and one retry pause (150 ms).

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -1,16 +1,23 @@
 // The owner's session with one VM. It renews the lease of the runs on the VM, receives the VM's
 // reports of running and completed runs, and reports when all earlier runs must have ended
 // (fleet/run_leases.hpp).
+//
+// An expired lease proves that a run has ended, not how: it may be done, and only the VM's next
+// report says so. The runs are therefore given up only if the VM does not report either once the
+// lease has expired and this process is listening. For a silent VM that takes one watch command and
+// one retry pause longer than the lease.
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/fleet/run_leases.hpp>
 #include <cranberrydock/fleet/vm_control.hpp>
 #include <cranberrydock/fleet_daemon/lifetime.hpp>
+#include <cranberrydock/fleet_daemon/listening_clock.hpp>
 #include <cranberrydock/net/event_loop.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cranberrydock::fleet_daemon {
@@ -20,6 +27,8 @@
     // How long the VM may keep a watch command open while no run completes.
     base::milliseconds wait{700};
     base::milliseconds retry_pause{150};
+    // For how long a VM with expired leases must have been silent while this process listened.
+    base::milliseconds confirming_silence{200};
     // After a report with completions, the next watch command is sent once they are durable, since
     // the VM would answer it at once with the same completions. This is the polling interval.
     base::milliseconds completion_poll_period{20};
@@ -56,7 +65,8 @@
 public:
     vm_session(net::event_loop& loop, fleet::vm_control& vms, const fleet::vm_info& facts,
                fleet::fencing_token owner, const session_settings& settings,
-               const fleet::inherited_leases& inherited, session_listener& listener);
+               const fleet::inherited_leases& inherited, const listening_clock& listening,
+               session_listener& listener);
 
     const fleet::vm_info& facts() const { return facts_; }
     base::time_point created_at() const { return created_at_; }
@@ -83,6 +93,9 @@
     void on_answer(base::time_point watch_sent_at, const fleet::vm_report& report);
     void on_failure(fleet::command_failure failure);
     void check_lease_expiry();
+    // Whether a watch command that was sent after the leases had expired has not been answered,
+    // although this process listened.
+    bool is_silent() const;
     // Sends the next watch command once the listed completions are durable, or at `latest`.
     void send_watch_when_saved(base::time_point latest);
     void send_watch_later(base::milliseconds pause);
@@ -92,6 +105,7 @@
     fleet::vm_info facts_;
     fleet::fencing_token owner_;
     session_settings settings_;
+    const listening_clock& listening_;
     session_listener& listener_;
     base::suspend_aware_clock clock_;
     base::time_point created_at_ = clock_.now();
@@ -103,6 +117,9 @@
     // Since the last report. Before the first one there are no runs whose leases could expire.
     bool end_reported_ = false;
     bool expiry_reported_ = true;
+    // The time listened when the first watch command since the leases' expiry was sent. Empty if
+    // they have not expired or the VM has answered since.
+    std::optional<base::duration> unanswered_since_;
     std::unique_ptr<net::timer> next_watch_;
     lifetime lifetime_;
 };
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -257,8 +257,8 @@
     }
     spdlog::info("event=vm_seen vm={} address={} zone={} leaving={}", id.str(), facts->address,
                  facts->zone.str(), facts->leaving);
-    session =
-        std::make_unique<vm_session>(loop, vms, *facts, owner, settings.session, inherited, *this);
+    session = std::make_unique<vm_session>(loop, vms, *facts, owner, settings.session, inherited,
+                                           listening, *this);
     session->start();
     return true;
 }
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -5,6 +5,7 @@
 #include <cranberrydock/base/log_rate_limiter.hpp>
 #include <cranberrydock/fleet/inherited_vms.hpp>
 #include <cranberrydock/fleet_daemon/job_layout.hpp>
+#include <cranberrydock/fleet_daemon/listening_clock.hpp>
 #include <cranberrydock/fleet_daemon/owner_task.hpp>
 #include <cranberrydock/fleet_daemon/table_follower.hpp>
 
@@ -132,6 +133,10 @@
     // Answers callers that have waited too long for a job's end to be saved that the job is active.
     void answer_overdue_callers();
 
+    // Decisions are also made periodically without an event: quarantines end, and jobs reach their
+    // start time.
+    static constexpr base::milliseconds tick_period{50};
+
     net::event_loop& loop;
     fleet::row_store& store;
     fleet::vm_control& vms;
@@ -143,6 +148,7 @@
     owner_settings settings;
     base::metrics& metrics;
     base::suspend_aware_clock clock;
+    listening_clock listening{tick_period};
     fleet::inherited_leases inherited;
     fleet::inherited_vms inherited_vms;
 
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -13,9 +13,6 @@
 // The pause between two decisions is this multiple of the time that the last one took, so that
 // other events are processed in between.
 constexpr int pause_per_decision_time = 4;
-// Decisions are also made periodically without an event: quarantines end, and jobs reach their
-// start time.
-constexpr base::milliseconds tick_period{50};
 // How long a query for changes stays open. A lost answer delays the changes by slightly more.
 constexpr base::milliseconds follow_wait{700};
 constexpr base::milliseconds log_period{2'000};
@@ -70,7 +67,9 @@
       members(loop, store, rows.member_table(), {fleet::partition_name("")}, follow_wait,
               members_batch_pause, member_rows) {
     started_at = clock.now();
+    listening.restart(started_at);
     tick = loop.every(tick_period, [this] {
+        listening.tick(clock.now());
         process_early_reports();
         check_inherited_runs();
         if (jobs_known) {
--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -14,12 +14,14 @@
 
 vm_session::vm_session(net::event_loop& loop, fleet::vm_control& vms, const fleet::vm_info& facts,
                        fleet::fencing_token owner, const session_settings& settings,
-                       const fleet::inherited_leases& inherited, session_listener& listener)
+                       const fleet::inherited_leases& inherited, const listening_clock& listening,
+                       session_listener& listener)
     : loop_(loop),
       vms_(vms),
       facts_(facts),
       owner_(owner),
       settings_(settings),
+      listening_(listening),
       listener_(listener),
       leases_(settings.leases, inherited) {}
 
@@ -57,6 +59,11 @@
         send_watch_later(settings_.retry_pause);
         return;
     }
+    if (!leases_expired(watch_sent_at)) {
+        unanswered_since_.reset();
+    } else if (!unanswered_since_) {
+        unanswered_since_ = listening_.listened(watch_sent_at);
+    }
     fleet::watch_command command;
     // The lease of an unresponsive VM is not extended, so that its work can be started elsewhere
     // sooner.
@@ -88,6 +95,7 @@
     failures_ = 0;
     end_reported_ = false;
     expiry_reported_ = false;
+    unanswered_since_.reset();
     boot_ = report.boot;
     const auto stop_time_before = leases_.max_stop_time();
     leases_.on_report(report.now, clock_.now(), !report.running.empty());
@@ -134,8 +142,13 @@
     check_lease_expiry();
 }
 
+bool vm_session::is_silent() const {
+    return unanswered_since_ &&
+           listening_.listened(clock_.now()) - *unanswered_since_ >= settings_.confirming_silence;
+}
+
 void vm_session::check_lease_expiry() {
-    if (!leases_expired(clock_.now())) {
+    if (!leases_expired(clock_.now()) || !is_silent()) {
         send_watch_later(settings_.retry_pause);
         return;
     }
