fleet: a task waits for the end of all of its runs

After changes of owner, several VMs may list runs of one task. The task kept one VM only: when the run there ended, the task counted as without a run and was started a third time, while another VM, which had been told to stop, still ran it (TWICE). So it was with runs that were found before their job (assign_unknown_runs, where the last one found stood for all), with a run beside the adopted one (adopt_run), with a run on a VM that was lost, and with members of gangs.

The task's VM is now null exactly if no VM has a run of it on record. Runs beside the one at that VM are kept in a set, which is empty in normal operation; when the run at the task's VM ends, the next of the set takes its place. A release costs one look at an empty set.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -131,7 +131,9 @@
     bool done = false;
     std::vector<run_number> failed_runs;  // empty for a long-running task
     run_number last_run;
-    vm_record* vm = nullptr;  // where its run is placed; null: it has no run
+    // Where its run is placed. Null exactly if no VM has a run of it on record; only then it may be
+    // started.
+    vm_record* vm = nullptr;
     checkpoint saved;
     std::unique_ptr<ended_run> previous;  // its last run that has ended under this owner
 };
@@ -259,6 +261,9 @@
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
     std::set<std::pair<vm_id, task_ref>> stopping;  // runs with a requested stop
     std::set<std::pair<task_ref, vm_id>> unknown_runs;  // runs of unknown jobs
+    // Runs of known tasks that have another run on record, at `task_state::vm`. All of them are
+    // being stopped.
+    std::set<std::pair<task_ref, vm_id>> further_runs;
     // Completions of unknown jobs.
     std::map<job_id, std::vector<detail::held_completion>> held_completions;
     std::set<std::pair<vm_id, task_ref>> starts_to_retry;  // start commands without an answer
@@ -326,6 +331,9 @@
     void release(detail::vm_record& vm, const task_ref& task, const run_end& end);
     // Removes the run from the VM's record without a statement on its end.
     void forget_run(detail::vm_record& vm, const task_ref& task);
+    // One of the task's runs is not on record any more.
+    void remove_further_run(const detail::vm_record& vm, const task_ref& task,
+                            detail::task_state& state);
     void drop_lost_runs(detail::vm_record& vm, const std::vector<task_ref>& tasks,
                         const std::string& reason, const run_end& end);
     // The VM lists a run that is not on record. If its end was concluded earlier, logs and measures
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -150,7 +150,11 @@
     in_use[new_run.customer] += new_run.need;
     vm.runs.emplace(task, new_run);
     auto& state = step.tasks[static_cast<std::size_t>(task.index)];
-    state.vm = &vm;
+    if (state.vm == nullptr) {
+        state.vm = &vm;
+    } else {
+        further_runs.insert({task, vm.facts.id});
+    }
     state.last_run = std::max(state.last_run, run);
     ++job.placed_runs;
 }
@@ -236,16 +240,33 @@
     if (!saved.empty()) {
         state.saved = saved;
     }
-    if (state.vm == &vm) {
+    if (!further_runs.empty()) {
+        remove_further_run(vm, task, state);
+    } else if (state.vm == &vm) {
         state.vm = nullptr;
     }
     if (is_final(job->state)) {
         jobs_to_forget.insert(task.job);
-    } else if (!state.done) {
+    } else if (!state.done && state.vm == nullptr) {
         mark_open({task.job, task.occurrence, task.step}, *job, *step);
     }
 }
 
+void scheduler::state::remove_further_run(const vm_record& vm, const task_ref& task,
+                                          detail::task_state& state) {
+    if (state.vm != &vm) {
+        further_runs.erase({task, vm.facts.id});
+        return;
+    }
+    const auto next = further_runs.lower_bound({task, {}});
+    if (next == further_runs.end() || !(next->first == task)) {
+        state.vm = nullptr;
+        return;
+    }
+    state.vm = find_vm(next->second);
+    further_runs.erase(next);
+}
+
 void scheduler::state::request_stop(vm_record& vm, placed_run& run, const std::string& reason) {
     if (run.phase != run_phase::stopping) {
         run.phase = run_phase::stopping;
@@ -495,7 +516,6 @@
         request_stop(vm, placed, "job_unknown");
         return;
     }
-    vm_record* const assigned_vm = step->tasks[static_cast<std::size_t>(found.task.index)].vm;
     place_run(vm, *job, *step, found.task, found.run, now);
     auto& placed = vm.runs.at(found.task);
     placed.start_pending = false;
@@ -511,9 +531,6 @@
         }
         return;
     }
-    if (assigned_vm != nullptr) {
-        step->tasks[static_cast<std::size_t>(found.task.index)].vm = assigned_vm;
-    }
     request_stop(vm, placed, "not_wanted");
 }
 
