fleet: a run listed behind another one of its task stays on record

A VM may list a run of a task while another run of it is on record for the same VM: the start of a later one is unanswered, or was answered and carried out by another incarnation. The listed run was dropped, since the newer run stood for the task. When that was released (refused, stopped or missing from the report), the task counted as without a run and was started once more, also on other VMs, beside the run that the VM had listed (TWICE).

The VM's record now keeps such a run until the next report, and it takes the place of the one that is released: it is adopted, or stopped if it is not wanted. The next report, an expired lease and another incarnation clear the record, which is empty in normal operation.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -82,6 +82,8 @@
     bool reachable = true;
     std::map<task_ref, placed_run> runs;
     resources used;  // the sum over `runs`
+    // Runs in the last report of tasks that have another run in `runs`.
+    std::map<task_ref, running_task> concealed;
     // The capacity that steps are expected to take here if their open queries are granted,
     // separately for short and for long queries.
     resources expected_by_short_queries;
@@ -331,6 +333,7 @@
     void release(detail::vm_record& vm, const task_ref& task, const run_end& end);
     // Removes the run from the VM's record without a statement on its end.
     void forget_run(detail::vm_record& vm, const task_ref& task);
+    bool has_further_run(const task_ref& task) const;
     // One of the task's runs is not on record any more.
     void remove_further_run(const detail::vm_record& vm, const task_ref& task,
                             detail::task_state& state);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -60,6 +60,7 @@
     vm->reported = false;
     vm->last_completion = {};
     vm->unsaved.clear();
+    vm->concealed.clear();
     std::vector<task_ref> ended;
     for (auto& it : vm->runs) {
         placed_run& run = it.second;
@@ -87,6 +88,7 @@
         "reading_age_ms={} expired_for_ms={}",
         id.str(), reason, vm->runs.size(), expiry.lease_until.value(), expiry.vm_clock.value(),
         expiry.reading_age.count(), expiry.expired_for ? expiry.expired_for->count() : 0);
+    vm->concealed.clear();
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         lost.push_back(it.first);
@@ -103,6 +105,7 @@
     }
     vm->reported = false;
     vm->ended = true;
+    vm->concealed.clear();
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         const placed_run& run = it.second;
@@ -177,6 +180,12 @@
         previous->expiry = end.expiry;
     }
     forget_run(vm, task);
+    const auto other = vm.concealed.find(task);
+    if (other != vm.concealed.end()) {
+        const running_task found = std::move(other->second);
+        vm.concealed.erase(other);
+        adopt_run(vm, found, {end.at, {}});
+    }
 }
 
 void scheduler::state::check_restart(const vm_record& vm, const task_ref& task, run_number run,
@@ -252,17 +261,25 @@
     }
 }
 
+bool scheduler::state::has_further_run(const task_ref& task) const {
+    if (further_runs.empty()) {
+        return false;
+    }
+    const auto it = further_runs.lower_bound({task, {}});
+    return it != further_runs.end() && it->first == task;
+}
+
 void scheduler::state::remove_further_run(const vm_record& vm, const task_ref& task,
                                           detail::task_state& state) {
     if (state.vm != &vm) {
         further_runs.erase({task, vm.facts.id});
         return;
     }
-    const auto next = further_runs.lower_bound({task, {}});
-    if (next == further_runs.end() || !(next->first == task)) {
+    if (!has_further_run(task)) {
         state.vm = nullptr;
         return;
     }
+    const auto next = further_runs.lower_bound({task, {}});
     state.vm = find_vm(next->second);
     further_runs.erase(next);
 }
@@ -440,6 +457,7 @@
     vm->reported = true;
     vm->ended = false;
     vm->reachable = true;
+    vm->concealed.clear();
     for (const auto& it : report.completions) {
         if (it.number > vm->last_completion) {
             vm->last_completion = it.number;
@@ -490,7 +508,8 @@
     job_record* job = nullptr;
     step_state* const step = find_step(found.task, &job);
     if (vm.runs.count(found.task) > 0) {
-        // Another run of the same task is on record; the newer run was started last.
+        // Another run of the same task is on record, whose start may be unanswered.
+        vm.concealed[found.task] = found;
         return;
     }
     const bool wanted = step != nullptr && job->inherited && !is_final(job->state) &&
--- a/test/correctness/task_waits_for_all_of_its_runs.cpp
+++ b/test/correctness/task_waits_for_all_of_its_runs.cpp
@@ -115,4 +115,32 @@
     EXPECT_EQ(starts(), 2U);
 }
 
+TEST_F(runs_of_one_task, listed_run_behind_unanswered_start_on_same_vm_holds_task_back) {
+    owner.vm_reported(first, {}, now.steady, now);
+    owner.vm_lost(third, "left", {}, now);
+    add_job();
+    pass(1);
+    const auto decided = owner.decide(now, {}).starts;
+    ASSERT_EQ(decided.size(), 1U);
+    list_run(first, task, 1);
+    owner.start_answered(first, task, decided[0].run,
+                         tl::make_unexpected(fleet::command_failure::superseded), now);
+    EXPECT_EQ(starts(), 0U);
+    list_end(first, 1, fleet::completion_kind::failed);
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(runs_of_one_task, listed_run_in_place_of_confirmed_one_holds_task_back) {
+    owner.vm_reported(first, {}, now.steady, now);
+    owner.vm_lost(third, "left", {}, now);
+    add_job();
+    pass(1);
+    const auto decided = owner.decide(now, {}).starts;
+    ASSERT_EQ(decided.size(), 1U);
+    owner.start_answered(first, task, decided[0].run, fleet::vm_time(1), now);
+    pass(1);
+    list_run(first, task, 1);
+    EXPECT_EQ(starts(), 0U);
+}
+
 }  // namespace
