fleet: work that can't use free capacity leaves the lookahead to others

What callers saw: tasks waited for more than 3 s beside free VMs, without a query, behind work that could not start anyway.

Change: a step takes at most what its customer may still use, a gang that its VMs can't hold takes nothing unless it is in time, and a step that needs no query takes only from what is free soon.

--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -192,6 +192,8 @@
     const queue_terms* terms = nullptr;
     const placement_query_cost* advice = nullptr;  // null: the step needs no placement grants
     int tier = 0;
+    // The gang can't run on the VMs that it may use, whatever ends there.
+    bool needs_other_vms = false;
 };
 
 // Limits the queries of one decision to the work that can be placed soon. Each waiting step takes
