--- a/test/standins/raw_http.hpp
+++ b/test/standins/raw_http.hpp
@@ -67,6 +67,15 @@
     // sends nothing for `generous`.
     std::string read_message_head() { return read_until("\r\n\r\n"); }
 
+    // Waits for bytes and returns at most `limit` of those that have arrived; "" if the other end
+    // closes the connection.
+    std::string read_part(std::size_t limit) const {
+        std::string out(limit, '\0');
+        const ssize_t n = recv(fd_, out.data(), limit, 0);
+        out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return out;
+    }
+
     // Reads the next response and returns its body; without a Content-Length its head, and
     // "nothing" if no response comes.
     std::string read_response_body() {
