fleet: expired leases prove nothing after a later owner may have begun

A task could run twice within one term of an owner, with two ordinary starts and no stop: an owner that loses both the store and a VM at one moment goes on issuing commands for 6.5 s after its last renewal, and took the VM's runs for ended 5.3 s after its last report. Another daemon owns the fleet by then, and if it reaches the VM, it has extended the lease of these runs. The first owner started their tasks again on a VM that the new owner had not reached.

Leases that a later owner has granted are not known to the earlier one, so it now takes leases for expired only as of its last confirmed renewal: that write was conditional on the row's version, so there was no later owner by then. The same holds for the leases that a new owner has inherited.

--- a/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
@@ -90,8 +90,9 @@
     const starts_ended_proofs& proofs() const { return proofs_; }
     // Whether inherited tasks may be started: every VM that can hold one of them has reported or
     // ended, or every lease has expired. Once true, it stays true. Requires that the jobs are
-    // known.
-    bool runs_known(base::time_point now);
+    // known. `renewal_sent`: of this owner's row as it stands; no later owner had extended a lease
+    // by then.
+    bool runs_known(base::time_point now, base::time_point renewal_sent);
     std::optional<wait_ended_by> ended_by() const { return ended_by_; }
 
     // What this owner is to put on record: all listed VMs, and the missing ones until the inherited
--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -5,7 +5,8 @@
 // - The incarnation of the VM that held the run has ended: the VM's entry or its report has a later
 //   boot time, or another VM answers at its address.
 // - Every lease that an owner can have granted has expired on the VM's own clock, and the VM has
-//   had the time that it may take to end its runs.
+//   had the time that it may take to end its runs. A later owner may have granted some, so an owner
+//   concludes this only for the time of its last confirmed renewal.
 //
 // Refused and reset connections, missing answers, a missing member entry and a change of owner
 // prove nothing: the VM may continue its runs, and others may reach it.
--- a/packages/fleet/src/inherited_vms.cpp
+++ b/packages/fleet/src/inherited_vms.cpp
@@ -229,14 +229,14 @@
     return starts_ended_;
 }
 
-bool inherited_vms::runs_known(base::time_point now) {
+bool inherited_vms::runs_known(base::time_point now, base::time_point renewal_sent) {
     if (ended_by_ || !starts_ended(now)) {
         return ended_by_.has_value();
     }
     if (all_accounted(now) &&
         all_holders([](const vm_state& it) { return it.reported || it.ended; })) {
         ended_by_ = wait_ended_by::reports;
-    } else if (leases_.all_expired(now) && all_holders([](const vm_state& it) {
+    } else if (leases_.all_expired(renewal_sent) && all_holders([](const vm_state& it) {
                    // A VM that answers may hold runs whose leases this owner has extended.
                    return it.reported || it.unresponsive;
                })) {
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/vm_session.hpp
@@ -50,6 +50,8 @@
     virtual fleet::completion_number acknowledgeable_completion(const fleet::vm_id& vm) = 0;
     // Whether commands may be issued now.
     virtual bool may_issue_commands() = 0;
+    // No later owner had granted a lease by this time.
+    virtual base::time_point last_renewal_sent() = 0;
 };
 
 class vm_session {
@@ -74,8 +76,8 @@
     void on_other_incarnation();
     // A command for this VM was answered by another VM at its address, so this VM has ended.
     void on_address_reused();
-    // Whether no earlier run can exist on the VM.
-    bool leases_expired(base::time_point now) const { return leases_.all_expired(now); }
+    // Whether no run that began before can have existed on the VM at that time.
+    bool leases_expired(base::time_point at) const { return leases_.all_expired(at); }
     fleet::lease_expiry expiry(base::time_point now) const { return leases_.expiry(now); }
 
 private:
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -59,6 +59,7 @@
     void on_higher_fencing_token(const fleet::vm_id& vm) override;
     fleet::completion_number acknowledgeable_completion(const fleet::vm_id& vm) override;
     bool may_issue_commands() override;
+    base::time_point last_renewal_sent() override;
     void send_start(const fleet::start_decision& decision);
     // Logs what proved that the task's earlier run had ended.
     void log_restart(const fleet::start_decision& decision);
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -13,6 +13,10 @@
     return rights.may_issue_commands();
 }
 
+base::time_point owner_task::state::last_renewal_sent() {
+    return rights.last_renewal_sent();
+}
+
 void owner_task::state::on_report(const fleet::vm_id& vm, const fleet::vm_report& report,
                                   base::time_point watch_sent_at) {
     if (!jobs_known || !is_on_record(vm)) {
@@ -215,7 +219,7 @@
             proofs.all_reported, proofs.others_have_ended, proofs.commands_ended,
             owner_age().count());
     }
-    if (inherited_vms.runs_known(clock.now())) {
+    if (inherited_vms.runs_known(clock.now(), rights.last_renewal_sent())) {
         on_inherited_runs_known();
     }
 }
--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -135,7 +135,8 @@
 }
 
 void vm_session::check_lease_expiry() {
-    if (!leases_expired(clock_.now())) {
+    // A later owner may have extended the leases since the last renewal.
+    if (!leases_expired(listener_.last_renewal_sent())) {
         send_watch_later(settings_.retry_pause);
         return;
     }
--- a/test/correctness/new_owner_tells_which_vms_are_missing.cpp
+++ b/test/correctness/new_owner_tells_which_vms_are_missing.cpp
@@ -67,8 +67,10 @@
     for (const auto& it : {"first", "second-next", "fourth"}) {
         known.reported(fleet::vm_id(it), start);
     }
-    EXPECT_FALSE(known.runs_known(expired - milliseconds(200)));
-    EXPECT_TRUE(known.runs_known(expired));
+    const auto before = expired - milliseconds(200);
+    EXPECT_FALSE(known.runs_known(before, before));
+    EXPECT_FALSE(known.runs_known(expired, before));  // a later owner may have extended a lease
+    EXPECT_TRUE(known.runs_known(expired, expired));
     EXPECT_EQ(known.ended_by(), fleet::wait_ended_by::expiry);
     EXPECT_EQ(known.record()->vms().size(), 3U);
 }
@@ -86,7 +88,7 @@
     known.reported(fleet::vm_id("fourth"), moved_at);
     EXPECT_EQ(known.unknown(start), fleet::vms_unknown::nothing);
     known.reported(first.id, start);
-    EXPECT_TRUE(known.runs_known(start));
+    EXPECT_TRUE(known.runs_known(start, start));
     EXPECT_EQ(known.ended_by(), fleet::wait_ended_by::reports);
 }
 
--- a/test/correctness/vm_is_queried_again_after_completions_are_saved.cpp
+++ b/test/correctness/vm_is_queried_again_after_completions_are_saved.cpp
@@ -42,7 +42,11 @@
         return saved;
     }
     bool may_issue_commands() override { return true; }
+    base::time_point last_renewal_sent() override {
+        return renewal_sent.value_or(base::suspend_aware_clock().now());
+    }
 
+    std::optional<base::time_point> renewal_sent;  // empty: just now
     fleet::completion_number saved;
     int lost = 0;
     int ended = 0;
@@ -159,6 +163,23 @@
     EXPECT_EQ(listener.lost, 1);
 }
 
+// A later owner may have extended the leases since this one's last renewal.
+TEST_F(vm_session_test, vm_is_not_given_up_before_renewal_that_follows_lease) {
+    list_one_completion();
+    run_for(settings.unsaved_poll_period * 2);
+    const base::suspend_aware_clock clock;
+    listener.renewal_sent = clock.now() + settings.leases.lease;
+    const auto expired = clock.now() + settings.leases.lease + lease_slack;
+    while (clock.now() < expired) {
+        vm.answer(tl::make_unexpected(fleet::command_failure::answer_lost));
+        run_for(settings.retry_pause * 2);
+    }
+    EXPECT_EQ(listener.lost, 0);
+    listener.renewal_sent = clock.now();
+    vm.answer(tl::make_unexpected(fleet::command_failure::answer_lost));
+    EXPECT_EQ(listener.lost, 1);
+}
+
 // The address of an ended VM was given to another VM, which answers every request with
 // `other_incarnation`. These answers must not prolong the time for which the runs of the ended VM
 // count as running.
--- a/test/property/only_unseen_runs_delay_new_owner.cpp
+++ b/test/property/only_unseen_runs_delay_new_owner.cpp
@@ -195,7 +195,7 @@
             }
         }
         if (all_processed && now_ >= current_.since + validity + longest_expiry) {
-            RC_ASSERT(current_.vms->runs_known(now_));
+            RC_ASSERT(current_.vms->runs_known(now_, now_));
         }
     }
 
@@ -267,7 +267,7 @@
     void start_tasks() { start_for(current_, 3); }
 
     void start_for(owner& by, int count) {
-        by.was_known = by.was_known || by.vms->runs_known(now_);
+        by.was_known = by.was_known || by.vms->runs_known(now_, now_);
         fleet::resources unseen;
         if (!by.was_known) {
             unseen = by.vms->missing_capacity(cores(vm_cores), now_) + by.vms->silent_capacity();
