--- a/packages/fleet_daemon/src/vm_session.cpp
+++ b/packages/fleet_daemon/src/vm_session.cpp
@@ -148,7 +148,8 @@
 }
 
 void vm_session::check_lease_expiry() {
-    if (!leases_expired(clock_.now()) || !is_silent()) {
+    // A later owner may have extended the leases since the last renewal.
+    if (!leases_expired(listener_.last_renewal_sent()) || !is_silent()) {
         send_watch_later(settings_.retry_pause);
         return;
     }
