fleet: a start is not repeated beside a run that was found since

A start without an answer is repeated, also when a report had shown another run of its task meanwhile. That run is being stopped, but until it ends the repeat could start the task beside it (TWICE), even if the first start had never arrived.

Such a start is abandoned: its run is stopped, and the task waits until no VM has a run of it on record.

--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -345,6 +345,11 @@
             }
             continue;
         }
+        if (has_further_run(it.second) || vm->concealed.count(it.second) > 0) {
+            run->second.start_pending = false;
+            abandon_start(*vm, run->second, "another_run_found");
+            continue;
+        }
         out.starts.push_back(make_start_decision(*vm, *job, *step, it.second, run->second.run));
     }
     starts_to_retry.clear();
--- a/test/correctness/task_waits_for_all_of_its_runs.cpp
+++ b/test/correctness/task_waits_for_all_of_its_runs.cpp
@@ -143,4 +143,19 @@
     EXPECT_EQ(starts(), 0U);
 }
 
+// A repeat could start the task beside the run that was found meanwhile.
+TEST_F(runs_of_one_task, unanswered_start_is_not_repeated_beside_found_run) {
+    add_job();
+    pass(1);
+    const auto decided = owner.decide(now, {}).starts;
+    ASSERT_EQ(decided.size(), 1U);
+    list_run(first, task, 1);
+    owner.start_answered(third, task, decided[0].run,
+                         tl::make_unexpected(fleet::command_failure::answer_lost), now);
+    pass(1);
+    const auto next = owner.decide(now, {});
+    EXPECT_EQ(next.starts.size(), 0U);
+    EXPECT_EQ(next.stops.size(), 2U);
+}
+
 }  // namespace
