fleet: a gang that is done is not run again by starts on their way

A gang's runs were given up after their lease, its members were started elsewhere, and then the VM listed the earlier runs as done. For independent tasks the newer runs were stopped and their unanswered starts not repeated. For a gang both went on: the members of a finished gang end without a stop, which holds for the run that is done, but not for a newer one. Callers would see the gang run a second time (TWICE).

The members of newer runs are now stopped like other tasks, whether or not their starts have arrived. Runs with the number of the one that is done still end by themselves.

--- a/packages/fleet/src/scheduler_completions.cpp
+++ b/packages/fleet/src/scheduler_completions.cpp
@@ -16,6 +16,14 @@
 
 constexpr std::size_t failed_jobs_before_quarantine = 2;
 
+placed_run* run_of(const detail::task_state& state, const task_ref& task) {
+    if (state.vm == nullptr) {
+        return nullptr;
+    }
+    const auto it = state.vm->runs.find(task);
+    return it == state.vm->runs.end() ? nullptr : &it->second;
+}
+
 }  // namespace
 
 void scheduler::state::handle_completion(vm_record& vm, const task_completion& completion,
@@ -90,9 +98,22 @@
     }
     if (task.done && task.vm != nullptr) {
         // Another run of the task is still placed.
-        const auto other = task.vm->runs.find(completion.task);
-        if (other != task.vm->runs.end() && !step.spec->gang) {
-            request_stop(*task.vm, other->second, "already_done");
+        if (step.spec->gang) {
+            stop_newer_members(step, completion);
+        } else if (placed_run* const other = run_of(task, completion.task)) {
+            request_stop(*task.vm, *other, "already_done");
+        }
+    }
+}
+
+// Stops the members of a gang's runs that were started later than the one that is done.
+void scheduler::state::stop_newer_members(step_state& step, const task_completion& completion) {
+    task_ref member = completion.task;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        member.index = static_cast<int>(i);
+        placed_run* const run = run_of(step.tasks[i], member);
+        if (run != nullptr && run->run > completion.run) {
+            request_stop(*step.tasks[i].vm, *run, "already_done");
         }
     }
 }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -362,6 +362,7 @@
     // Updates the job's progress.
     void apply_completion(detail::job_record& job, detail::step_state& step,
                           const task_completion& completion, const clock_reading& now);
+    void stop_newer_members(detail::step_state& step, const task_completion& completion);
     // Applies completions that were received before the job, which has become known.
     void apply_held_completions(const job_id& job, const clock_reading& now);
     // The VM may forget the completions that it holds for the job once the job's `change` is saved.
