fleet: a step of which VMs were denied goes on asking for others

Cause, by a trace: two queries named 16 VMs, and the advisor granted none of them. Each such answer counted as a proof that the step can't use the capacity that is free now, so for 2.5, 5 and 10 s it was to leave that to others. It then depended on what is free soon, which gangs that waited for occupied VMs had used up. 577,000 of 600,000 millicores were free meanwhile, and all advisers.

Change: only an answer that grants a VM shows that the step found no room.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -73,8 +73,9 @@
     constexpr milliseconds first_pause{2'500};
     constexpr int max_doublings = 2;
     const int answers = work.step->answers_without_start;
-    return answers > 0 && now.steady - work.step->last_query_at <
-                              first_pause * (1 << std::min(answers - 1, max_doublings));
+    return answers > 0 && work.step->last_answer_granted &&
+           now.steady - work.step->last_query_at <
+               first_pause * (1 << std::min(answers - 1, max_doublings));
 }
 
 // What the step takes its need from.
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -146,9 +146,11 @@
     std::map<std::size_t, boot_time> not_granted;
     bool query_open = false;
     time_point last_query_at{};
-    // Answers of the advisor since a task was last started. With at least one, the step can't use
-    // the capacity that is free now: none of the VMs granted to it has room.
+    // Answers of the advisor since a task was last started. If the last one granted a VM, the step
+    // can't use the capacity that is free now: none of the VMs granted to it has room. Otherwise,
+    // VMs with room may remain that no query has named.
     int answers_without_start = 0;
+    bool last_answer_granted = false;
     // Since when a task has waited while no other one of the step started.
     time_point waits_since{};
     time_point considered_at{};  // when `waits_for` was recorded
--- a/test/correctness/unplaceable_gangs_do_not_keep_capacity_idle.cpp
+++ b/test/correctness/unplaceable_gangs_do_not_keep_capacity_idle.cpp
@@ -144,4 +144,20 @@
     EXPECT_EQ(started.size(), std::size_t{small_jobs});
 }
 
+TEST_F(work_that_waits, step_of_which_vms_were_denied_asks_for_others) {
+    // The gangs wait for VMs that hold other tasks.
+    granted_vms.erase("gang");
+    add_jobs(10, "long-", "urgent", make_step(1, 8'000), base::milliseconds(0));
+    run_for(base::milliseconds(500));
+    auto gang = make_step(vm_count, 9'000);
+    gang.gang = true;
+    add_jobs(4, "gang-", "urgent", gang, base::milliseconds(30'000));
+    run_for(base::milliseconds(500));
+    granted_vms["small"] = {};
+    add_jobs(1, "small-", "batch", make_step(2, 2'000), base::milliseconds(30'000));
+    run_for(base::milliseconds(600));
+    granted_vms.erase("small");  // VMs that no query has named yet
+    EXPECT_EQ(run_for(base::milliseconds(1'200)).size(), std::size_t{1});
+}
+
 }  // namespace
