fleet: a peer that refuses connections is named refused, not process_ended

peer_liveness::process_ended stood for a connection that was not established, which says nothing about the process (fleet/run_leases.hpp).

No word on the wire or in the logs changes.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/peer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/peer.hpp
@@ -35,12 +35,11 @@
 
 enum class peer_liveness {
     answers,
-    process_ended,  // its VM refuses the connection: no process listens on the port
-    unresponsive,   // no answer within the timeout
+    refused,       // no connection was established, so it has received nothing; it may run on
+    unresponsive,  // no answer within the timeout
 };
 using probe_callback = std::function<void(peer_liveness)>;
-// The error is `process_ended` if the peer certainly did not receive the commands, else
-// `unresponsive`.
+// The error is `refused` if the peer certainly did not receive the commands, else `unresponsive`.
 using exchange_result = tl::expected<outcome_batch, peer_liveness>;
 
 // Client of another daemon. A peer forwards placement queries to the placement advisor from its own
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -404,7 +404,7 @@
         }
         it->second->probe(probe_timeout,
                           alive.guard([this, run = record.process_run](peer_liveness liveness) {
-                              if (liveness == peer_liveness::process_ended) {
+                              if (liveness == peer_liveness::refused) {
                                   ownership.holder_refused(run);
                               } else if (liveness == peer_liveness::answers) {
                                   owner_last_answer = clock.now();
--- a/packages/fleet_daemon/src/peer.cpp
+++ b/packages/fleet_daemon/src/peer.cpp
@@ -84,7 +84,7 @@
                 done(peer_liveness::answers);
             } else {
                 done(result.error().failure == net::http_failure::not_sent
-                         ? peer_liveness::process_ended
+                         ? peer_liveness::refused
                          : peer_liveness::unresponsive);
             }
         });
@@ -115,16 +115,16 @@
 
     void exchange_commands(const command_batch& batch, base::milliseconds timeout,
                            std::function<void(exchange_result)> done) override {
-        call(commands_path, detail::encode(batch), timeout,
-             [done = std::move(done)](const net::http_result& result) {
-                 const bool not_sent =
-                     !result && result.error().failure == net::http_failure::not_sent;
-                 done(decoded<exchange_result>(
-                     result,
-                     tl::unexpected(not_sent ? peer_liveness::process_ended
-                                             : peer_liveness::unresponsive),
-                     detail::decode_outcome_batch));
-             });
+        call(
+            commands_path, detail::encode(batch), timeout,
+            [done = std::move(done)](const net::http_result& result) {
+                const bool not_sent =
+                    !result && result.error().failure == net::http_failure::not_sent;
+                done(decoded<exchange_result>(
+                    result,
+                    tl::unexpected(not_sent ? peer_liveness::refused : peer_liveness::unresponsive),
+                    detail::decode_outcome_batch));
+            });
     }
 
     void follow_configuration(fleet::store_version after, base::milliseconds wait,
--- a/packages/fleet_daemon/src/relayed_vm_control.cpp
+++ b/packages/fleet_daemon/src/relayed_vm_control.cpp
@@ -321,8 +321,7 @@
                 // The relay has been avoided since, and reports on later commands as well.
                 apply_outcomes(*it->second, *result);
             } else if (is_current) {
-                on_exchange_failed(*it->second, sent,
-                                   result.error() == peer_liveness::process_ended);
+                on_exchange_failed(*it->second, sent, result.error() == peer_liveness::refused);
             }
         }));
 }
--- a/test/failure/relay_failure_does_not_change_command_outcomes.cpp
+++ b/test/failure/relay_failure_does_not_change_command_outcomes.cpp
@@ -38,7 +38,7 @@
 
 TEST(relay, ended_relay_is_replaced_by_second) {
     relayed_fleet fleet(vm_count);
-    fleet.first_relay->process_ended = true;
+    fleet.first_relay->refuses = true;
     fleet.start_on_all_vms();
     fleet.run_for(delivery_time);
     EXPECT_EQ(fleet.success_count(), vm_count);
@@ -48,8 +48,8 @@
 
 TEST(relay, commands_are_sent_directly_without_relays) {
     relayed_fleet fleet(vm_count);
-    fleet.first_relay->process_ended = true;
-    fleet.second_relay->process_ended = true;
+    fleet.first_relay->refuses = true;
+    fleet.second_relay->refuses = true;
     fleet.start_on_all_vms();
     fleet.run_for(delivery_time);
     EXPECT_EQ(fleet.success_count(), vm_count);
--- a/test/standins/relayed_fleet.hpp
+++ b/test/standins/relayed_fleet.hpp
@@ -72,9 +72,9 @@
     void exchange_commands(const fleet_daemon::command_batch& batch, base::milliseconds timeout,
                            std::function<void(fleet_daemon::exchange_result)> done) override {
         ++exchange_count;
-        if (process_ended) {
+        if (refuses) {
             after(base::milliseconds{1},
-                  [done] { done(tl::unexpected(fleet_daemon::peer_liveness::process_ended)); });
+                  [done] { done(tl::unexpected(fleet_daemon::peer_liveness::refused)); });
             return;
         }
         const auto answered = std::make_shared<bool>(false);
@@ -105,7 +105,7 @@
     }
 
     int exchange_count = 0;
-    bool process_ended = false;
+    bool refuses = false;
     bool loses_answers = false;
     base::milliseconds pause_time{0};  // before it processes each batch that it receives
     base::milliseconds answer_transit_time{0};
