fleet: an owner that answers a probe counts as refusing no more

One refused connection (a broken path, a daemon whose port opens a moment later) marked the owner's process as refusing for as long as it held the row. From then on every daemon would take the row after 550 ms without a renewal instead of 1.3 s, at a renewal interval of 400 ms: one late renewal changes the owner. Safety did not depend on it, since a refusal does not count as the previous owner's end.

--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -116,12 +116,15 @@
     void holder_ended(const std::string& run) { ended_run_ = run; }
     // The holder's VM refused a connection. A broken network can have the same effect.
     void holder_refused(const std::string& run) { refusing_run_ = run; }
-    // The holder has become unresponsive, or responsive again.
+    // The holder has become unresponsive, or has answered.
     void holder_unresponsive(const std::string& run) { unresponsive_run_ = run; }
     void holder_responsive(const std::string& run) {
         if (unresponsive_run_ == run) {
             unresponsive_run_.clear();
         }
+        if (refusing_run_ == run) {
+            refusing_run_.clear();
+        }
     }
     // Whether the process of the previous owner is known to have ended.
     bool previous_owner_ended() const { return previous_owner_ended_; }
--- a/test/correctness/fleet_ownership_changes_safely.cpp
+++ b/test/correctness/fleet_ownership_changes_safely.cpp
@@ -107,6 +107,17 @@
     EXPECT_FALSE(daemon.previous_owner_ended());
 }
 
+TEST_F(fleet_ownership, answer_after_refused_connection_clears_the_refusal) {
+    read(held_by("vm-2", "7"), 1);
+    daemon.holder_refused("7");
+    daemon.holder_responsive("7");
+    pass(settings.takeover_after_refusal);
+    daemon.row_unchanged(now);
+    EXPECT_EQ(daemon.next(now), ownership::step::none);
+    daemon.holder_refused("7");
+    EXPECT_EQ(daemon.next(now), ownership::step::acquire);
+}
+
 TEST_F(fleet_ownership, unreachable_owner_is_replaced_sooner) {
     read(held_by("vm-2", "7"), 1);
     daemon.holder_unresponsive("6");  // an earlier run
