test: the owner of the figures' test renews its row

owner_figures.include_duration_of_each_wait failed on the joined code: its stand-in of the daemon never renewed the row, and an owner takes inherited leases for expired only as of its last confirmed renewal. The stand-in says that the row was renewed just now, as those of the other tests do; the checks are unchanged.

--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -84,7 +84,7 @@
 public:
     bool may_issue_commands() override { return true; }
     bool store_answers() override { return true; }
-    base::time_point last_renewal_sent() override { return {}; }
+    base::time_point last_renewal_sent() override { return base::suspend_aware_clock().now(); }
     void renew_soon() override {}
     void on_superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
