fleet: a later process proves an owner's end only at its address

An owner that finds its own machine's name in the owner's row, or learns that a later run of the previous owner's daemon has announced itself, took the earlier process for ended and waited 6.5 s less for the leases that it may still grant. Only a name said so. Where the earlier process goes on beside its replacement (paused, or not ended yet), it issues commands until it learns of the takeover, and a task may run twice.

The owner's row now has the address at which its process listens, and a later run proves the end of the earlier one only if it listens there: a second process can't take an address in use, and a daemon sends nothing before it has taken its own. As deployed, with fixed addresses, an overlap was not possible and nothing changes; a daemon whose addresses have changed, or that follows one of an earlier version, takes the fleet over as quickly as before and waits for the leases as after any other takeover.

fleet_ownership.own_predecessor_at_another_address_may_not_have_ended failed before (2 of 2 addresses) and passes.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -126,6 +126,8 @@
                                                     [&member] { return member.shutting_down(); });
     shared_platform::readiness_request_handler readiness([&member] { return member.ready(); });
     fleet_daemon::peer_request_handler peers(member.services_for_peers(), metrics);
+    // Nothing is sent before the loop runs: an announced daemon has taken the addresses of any
+    // earlier process.
     const net::http_server caller_server(loop, settings.callers, {}, callers);
     const net::http_server readiness_server(loop, settings.readiness, {}, readiness);
     const net::http_server peer_server(loop, settings.peers, {}, peers);
--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -56,6 +56,9 @@
     std::string holder;  // name of the daemon's VM; empty: the fleet has no owner
     std::string
         process_run;  // names the daemon's process; a later one on that VM may take over at once
+    // Where that process listens. Only when a later process listens there has it ended for certain.
+    // Empty: not known.
+    std::string address;
     fencing_token token;
     // Read by daemons that answer requests about a queue. A new owner keeps the previous owner's
     // count in the row until it has made its own. Empty if there is no count yet.
@@ -103,7 +106,9 @@
 
 class ownership {
 public:
-    ownership(std::string holder, std::string run, const ownership_settings& settings);
+    // `address`: where this process listens.
+    ownership(std::string holder, std::string run, std::string address,
+              const ownership_settings& settings);
 
     // The row was read. `record` is empty if there is no row.
     void row_read(const std::optional<owner_record>& record, store_version version,
@@ -166,6 +171,7 @@
 
     std::string holder_;
     std::string run_;
+    std::string address_;
     ownership_settings settings_;
     owner_record record_;
     store_version version_;
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -47,6 +47,7 @@
                 {"labels", std::move(labels)},
                 {"vms", record.vm_count},
                 {"run", record.process_run},
+                {"address", record.address},
                 {"fence", record.token.value()},
                 {"earlier_ended", record.earlier_owners_ended},
                 {"overloaded_ms", std::move(overloaded)},
@@ -73,6 +74,8 @@
         owner_record out;
         out.holder = fields.at("holder").get<std::string>();
         out.process_run = fields.at("run").get<std::string>();
+        // Earlier versions do not write the address.
+        out.address = fields.value("address", std::string());
         out.token = fencing_token(fields.at("fence").get<std::int64_t>());
         // Earlier versions do not write which count it is.
         if (fields.contains("count")) {
@@ -110,8 +113,12 @@
     }
 }
 
-ownership::ownership(std::string holder, std::string run, const ownership_settings& settings)
-    : holder_(std::move(holder)), run_(std::move(run)), settings_(settings) {}
+ownership::ownership(std::string holder, std::string run, std::string address,
+                     const ownership_settings& settings)
+    : holder_(std::move(holder)),
+      run_(std::move(run)),
+      address_(std::move(address)),
+      settings_(settings) {}
 
 void ownership::row_read(const std::optional<owner_record>& record, store_version version,
                          base::time_point now) {
@@ -194,7 +201,9 @@
     }
     writing_ = true;
     first_write_sent_ = first_write_sent_.value_or(now);
-    previous_owner_ended_ = record_.holder.empty() || ended;
+    const bool is_replaced = is_own_predecessor && record_.address == address_;
+    previous_owner_ended_ =
+        record_.holder.empty() || is_replaced || record_.process_run == ended_run_;
     return step::acquire;
 }
 
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -82,7 +82,8 @@
           settings(initial_settings),
           metrics(metrics_registry),
           stopped(std::move(on_stopped)),
-          ownership(initial_settings.vm_name, initial_settings.run, initial_settings.ownership),
+          ownership(initial_settings.vm_name, initial_settings.run, initial_settings.peers.text(),
+                    initial_settings.ownership),
           layout(initial_settings.job_parts),
           advisors(event_loop, placement, metrics),
           callers(loop, store, layout, *this, metrics, initial_settings.owner.limits),
@@ -320,22 +321,25 @@
         zone.set_daemons(candidates);
     }
 
-    // A VM has one daemon, so when a later run of the owner's daemon has announced itself, the
-    // owner's process has ended. The same holds for the previous owner.
+    // A daemon announces itself once it listens, so when a later run announces the owner's address,
+    // the owner's process has ended. The same holds for the previous owner.
     void check_for_restarted_owner() {
         const auto& record = ownership.record();
-        const auto holder = peer_records.find(record.holder);
-        if (holder != peer_records.end() &&
-            detail::began_later(record.process_run, holder->second.run)) {
+        if (is_replaced(record.holder, record.process_run, record.address)) {
             ownership.holder_ended(record.process_run);
         }
-        const auto previous_daemon = peer_records.find(previous_holder);
-        if (local_owner && previous_daemon != peer_records.end() &&
-            detail::began_later(previous_run, previous_daemon->second.run)) {
+        if (local_owner && is_replaced(previous_holder, previous_run, previous_address)) {
             local_owner->on_previous_owner_ended();
         }
     }
 
+    bool is_replaced(const std::string& holder, const std::string& run,
+                     const std::string& address) const {
+        const auto it = peer_records.find(holder);
+        return it != peer_records.end() && it->second.address.text() == address &&
+               detail::began_later(run, it->second.run);
+    }
+
     // Computes the delay of a takeover. Of the daemons with the most cores, the one with the
     // fastest connection to the store has the shortest delay.
     void set_stagger() {
@@ -464,6 +468,7 @@
         if (step == fleet::ownership::step::acquire) {
             previous_holder = ownership.record().holder;
             previous_run = ownership.record().process_run;
+            previous_address = ownership.record().address;
             previous_vm_count = ownership.record().vm_count;
             previous_vm_set = ownership.record().vm_set;
             previous_vm_record = ownership.record().vm_record_checksum;
@@ -474,6 +479,7 @@
         fleet::owner_record record = ownership.record();
         record.holder = settings.vm_name;
         record.process_run = settings.run;
+        record.address = settings.peers.text();
         record.overloaded.clear();  // of an owner that has ended
         if (step == fleet::ownership::step::acquire) {
             record.token = ownership.next_fencing_token();
@@ -682,6 +688,7 @@
     // From the owner's row that this daemon took over.
     std::string previous_holder;
     std::string previous_run;
+    std::string previous_address;
     std::size_t previous_vm_count = 0;
     std::optional<fleet::vm_set_digest> previous_vm_set;
     std::optional<std::uint64_t> previous_vm_record;
--- a/test/correctness/age_of_waiting_count_starts_when_it_was_made.cpp
+++ b/test/correctness/age_of_waiting_count_starts_when_it_was_made.cpp
@@ -35,7 +35,7 @@
     static constexpr base::milliseconds interval{400};
     base::time_point now{std::chrono::seconds(50)};
     std::int64_t version = 0;
-    fleet::ownership daemon{"vm-1", "100", {}};
+    fleet::ownership daemon{"vm-1", "100", {}, {}};
 };
 
 TEST_F(waiting_count, survives_encoding) {
--- a/test/correctness/fleet_ownership_changes_safely.cpp
+++ b/test/correctness/fleet_ownership_changes_safely.cpp
@@ -30,7 +30,7 @@
 
     fleet::ownership_settings settings;
     base::time_point now{std::chrono::seconds(50)};
-    ownership daemon{"vm-1", "100", settings};
+    ownership daemon{"vm-1", "100", "10.0.0.1:1", settings};
 };
 
 TEST_F(fleet_ownership, is_not_taken_before_first_read) {
@@ -78,7 +78,7 @@
     pass(settings.takeover_after_unresponsive - settings.max_read_gap);
     EXPECT_EQ(daemon.next(now), ownership::step::acquire);
 
-    ownership disconnected("vm-1", "100", settings);
+    ownership disconnected("vm-1", "100", "10.0.0.1:1", settings);
     disconnected.row_read(held_by("vm-2", "7"), fleet::store_version(1), now);
     disconnected.holder_unresponsive("7");
     pass(std::chrono::seconds(60));
@@ -90,12 +90,27 @@
     EXPECT_EQ(daemon.next(now), ownership::step::acquire);
     EXPECT_TRUE(daemon.previous_owner_ended());
 
-    ownership restarted("vm-1", "101", settings);
-    restarted.row_read(held_by("vm-1", "100"), fleet::store_version(1), now);
+    ownership restarted("vm-1", "101", "10.0.0.1:1", settings);
+    auto predecessor = held_by("vm-1", "100");
+    predecessor.address = "10.0.0.1:1";
+    restarted.row_read(fleet::decode_owner(fleet::encode_owner(predecessor)),
+                       fleet::store_version(1), now);
     EXPECT_EQ(restarted.next(now), ownership::step::acquire);
     EXPECT_TRUE(restarted.previous_owner_ended());
 }
 
+// Its process may go on beside this one unless this one listens in its place.
+TEST_F(fleet_ownership, own_predecessor_at_another_address_may_not_have_ended) {
+    for (const char* const address : {"10.0.0.1:2", ""}) {
+        ownership restarted("vm-1", "101", "10.0.0.1:1", settings);
+        auto predecessor = held_by("vm-1", "100");
+        predecessor.address = address;
+        restarted.row_read(predecessor, fleet::store_version(1), now);
+        EXPECT_EQ(restarted.next(now), ownership::step::acquire);
+        EXPECT_FALSE(restarted.previous_owner_ended());
+    }
+}
+
 TEST_F(fleet_ownership, refused_connections_do_not_prove_owner_ended) {
     read(held_by("vm-2", "7"), 1);
     daemon.holder_refused("7");
