--- a/test/failure/lapsed_run_ends_before_its_task_is_started_again.cpp
+++ b/test/failure/lapsed_run_ends_before_its_task_is_started_again.cpp
@@ -52,6 +52,13 @@
     fleet_cluster daemons;
 };
 
+// Refused connections are retried soon, so that the expiry is found at once.
+TEST_P(vm_with_slow_stops, ends_runs_while_it_refuses_connections) {
+    start_job();
+    daemons.site().set_vm_refuses_connections(cut_vm, true);
+    expect_started_again_in_one_place();
+}
+
 TEST_P(vm_with_slow_stops, ends_runs_before_owner_starts_their_tasks_again) {
     start_job();
     daemons.site().make_vm_unresponsive(cut_vm);
