fleet: the measure of restarts counts from when a run had to end

It is measured from the lease and the stop time now. - The distance drifted with the time until the VM answered (0.7 s became -0.5 s after 60 s on a clock 2 % slow). The VM's clock at the restart is interpolated between its readings. - A refused start hid the run before it, and the end of that run was then taken for a previous owner's. It does not any more. - A listed end that refutes the proof (a start that counted as undelivered) was no error; the end of a run as done was no warning. - The record of the earlier run was kept for tasks that are done (160 B each). - A VM that was suspended for a minute counted as 60 s late from then on; it is waited for at most as long as the longest lease.

The test names_refused_and_undelivered_starts held the second finding as expected; it is replaced by names_undelivered_start and names_run_before_refused_start.

--- a/packages/fleet/include/cranberrydock/fleet/ended_run.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ended_run.hpp
@@ -35,9 +35,10 @@
     std::optional<base::time_point> restarted_at;
 };
 
-// By how much a task was started again later than the lease of its earlier run ended on the clock
-// of the earlier run's VM. Negative: the run may not have ended by then. `report` was received at
-// `now`. Empty if the end was proved otherwise, or by the lease of a previous owner.
+// By how much a task was started again later than its earlier run had to end: its lease, and the
+// VM's time to stop, on the clock of that VM, which read `report` at `now`. Negative: the run may
+// not have ended by then. Empty if the end was proved otherwise, or by the lease of a previous
+// owner.
 std::optional<milliseconds> restart_margin(const ended_run& earlier, vm_time report,
                                            base::time_point now);
 
--- a/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/run_leases.hpp
@@ -31,9 +31,10 @@
 
 // The inputs of the conclusion that the leases on a VM have expired.
 struct lease_expiry {
-    vm_time lease_until;          // the latest lease end that this owner granted; 0: none
-    vm_time vm_clock;             // the last reading of the VM's clock; 0: none
-    milliseconds reading_age{0};  // of `vm_clock`
+    vm_time lease_until;            // the latest lease end that this owner granted; 0: none
+    vm_time vm_clock;               // the last reading of the VM's clock; 0: none
+    milliseconds reading_age{0};    // of `vm_clock`
+    milliseconds max_stop_time{0};  // that the VM was left after its lease
     // For how long `lease_until` has passed if the VM's clock runs at the rate of this process's
     // clock. Empty if this owner granted no lease.
     std::optional<milliseconds> expired_for;
@@ -52,15 +53,15 @@
     bool commands_ended(base::time_point now) const { return now >= commands_end_; }
     // Whether every lease of a previous owner has expired, and the runs have ended.
     bool all_expired(base::time_point now) const { return now >= expiry_; }
-    // The latest end of a lease of a previous owner on a clock that runs at the rate of this
+    // The latest end of the runs of a previous owner on a clock that runs at the rate of this
     // process's clock.
-    base::time_point latest_lease_end() const { return commands_end_ + lease_; }
+    base::time_point latest_run_end() const { return commands_end_ + lease_and_stop_; }
     // The same for a VM that has received this owner's fencing token by `reported_at`: since then
     // it has rejected the commands of previous owners.
     bool all_expired(base::time_point now, base::time_point reported_at) const;
 
 private:
-    milliseconds lease_;
+    milliseconds lease_and_stop_;
     // From a lease's grant to the end of its runs, on this process's clock.
     milliseconds longest_run_;
     base::time_point commands_end_;
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -150,9 +150,9 @@
     // inherited_runs_reported().
     void reserve_for_unlisted_vms(const resources& capacity);
     // Every VM that may run an inherited task has reported, or its leases have expired.
-    // `latest_lease_end`: of the leases of previous owners; only for the measure of restarts.
+    // `latest_run_end`: of previous owners; only for the measure of restarts.
     void inherited_runs_reported(const clock_reading& now,
-                                 std::optional<base::time_point> latest_lease_end = std::nullopt);
+                                 std::optional<base::time_point> latest_run_end = std::nullopt);
 
     // Answers to decisions. Commands that have to be repeated are among the next decisions.
     void start_answered(const vm_id& vm, const task_ref& task, run_number run,
--- a/packages/fleet/src/ended_run.cpp
+++ b/packages/fleet/src/ended_run.cpp
@@ -27,8 +27,17 @@
         !earlier.restarted_at) {
         return std::nullopt;
     }
-    const auto age = std::chrono::duration_cast<milliseconds>(now - *earlier.restarted_at);
-    return milliseconds(report.value() - earlier.expiry.lease_until.value()) - age;
+    // The VM's clock at the restart lies between its last reading and the report.
+    const lease_expiry& expiry = earlier.expiry;
+    const base::time_point read_at = earlier.proved_at - expiry.reading_age;
+    const auto since_reading = std::chrono::duration<double, std::milli>(now - read_at);
+    const auto to_restart =
+        std::chrono::duration<double, std::milli>(*earlier.restarted_at - read_at);
+    const auto on_vm_clock = static_cast<double>(report.value() - expiry.vm_clock.value());
+    const double share = since_reading.count() > 0 ? to_restart / since_reading : 0;
+    const auto vm_clock_at_restart =
+        expiry.vm_clock.value() + static_cast<std::int64_t>(on_vm_clock * share);
+    return milliseconds(vm_clock_at_restart - expiry.lease_until.value()) - expiry.max_stop_time;
 }
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/run_leases.cpp
+++ b/packages/fleet/src/run_leases.cpp
@@ -22,7 +22,7 @@
 
 inherited_leases::inherited_leases(const lease_settings& settings, base::time_point owner_since,
                                    milliseconds command_validity)
-    : lease_(settings.lease),
+    : lease_and_stop_(settings.lease + settings.max_stop_time),
       longest_run_(worst_case_local_time(settings.lease + settings.max_stop_time)),
       commands_end_(owner_since + command_validity),
       expiry_(commands_end_ + longest_run_) {}
@@ -39,7 +39,9 @@
 void vm_leases::on_report(vm_time vm_clock, base::time_point now, bool has_runs) {
     if (has_runs && lease_until_.value() > 0) {
         const milliseconds late(vm_clock.value() - lease_until_.value());
-        settings_.max_stop_time = std::max(settings_.max_stop_time, late);
+        // A VM that was suspended may be late by any time; that says nothing of the next time.
+        settings_.max_stop_time =
+            std::max(settings_.max_stop_time, std::min(late, settings_.max_lease));
     }
     last_reading_ = clock_pair{vm_clock, now};
     if (!first_reported_) {
@@ -84,6 +86,7 @@
 lease_expiry vm_leases::expiry(base::time_point now) const {
     lease_expiry out;
     out.lease_until = lease_until_;
+    out.max_stop_time = settings_.max_stop_time;
     if (last_reading_) {
         out.vm_clock = last_reading_->vm;
         out.reading_age = std::chrono::duration_cast<milliseconds>(now - last_reading_->local);
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -35,9 +35,9 @@
 }
 
 void scheduler::inherited_runs_reported(const clock_reading& /*now*/,
-                                        std::optional<base::time_point> latest_lease_end) {
+                                        std::optional<base::time_point> latest_run_end) {
     state_->inherited_known = true;
-    state_->latest_inherited_lease_end = latest_lease_end;
+    state_->latest_inherited_run_end = latest_run_end;
     state_->open.rank_put_off_steps();
     // A gang that is incomplete now cannot become complete, so its members are stopped.
     for (auto& it : state_->jobs) {
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -253,6 +253,7 @@
     const auto finish = [&step](task_state& done_task) {
         step.done_count += done_task.done ? 0 : 1;
         done_task.done = true;
+        done_task.previous.reset();
     };
     if (step.spec->gang) {
         // A gang is done once one of its members is.
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -293,7 +293,7 @@
     std::map<service_name, service_load> service_counters;
     std::map<queue_name, queue_load> queue_counters;
     bool inherited_known = false;
-    std::optional<base::time_point> latest_inherited_lease_end;  // of previous owners
+    std::optional<base::time_point> latest_inherited_run_end;  // of previous owners
     bool starts_held = false;
 
     // scheduler_jobs.cpp
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -87,7 +87,8 @@
         "event=vm_lost vm={} reason={} runs={} lease_until={} vm_clock={} "
         "reading_age_ms={} expired_for_ms={}",
         id.str(), reason, vm->runs.size(), expiry.lease_until.value(), expiry.vm_clock.value(),
-        expiry.reading_age.count(), expiry.expired_for ? expiry.expired_for->count() : 0);
+        expiry.reading_age.count(),
+        expiry.expired_for ? std::to_string(expiry.expired_for->count()) : "unknown");
     vm->concealed.clear();
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
@@ -169,7 +170,8 @@
     }
     job_record* job = nullptr;
     step_state* const step = find_step(task, &job);
-    if (step != nullptr && !it->second.unknown) {
+    // A refused start was no run, so it does not hide the one before it.
+    if (step != nullptr && !it->second.unknown && end.proof != end_proof::start_refused) {
         auto& previous = step->tasks[static_cast<std::size_t>(task.index)].previous;
         previous = std::make_unique<ended_run>();
         previous->vm = vm.facts.id;
@@ -203,29 +205,37 @@
         earlier != nullptr && earlier->vm == vm.facts.id && earlier->run == run;
     const bool is_restarted = is_previous && earlier->restarted_at;
     // A run of a previous owner, whose leases are not on record here.
-    const bool is_inherited =
-        !is_previous && is_elsewhere && ended == completion_kind::lease_expired;
+    const bool is_inherited = !is_previous && is_elsewhere && job->inherited &&
+                              ended == completion_kind::lease_expired &&
+                              run.value() <= owner.value() * settings.runs_per_fencing_token;
+    // A run that the VM lists had not ended with its incarnation, and its start was delivered.
+    const bool is_refuted = is_restarted && earlier->proof != end_proof::lease_expired &&
+                            earlier->proof != end_proof::completion;
     if (!is_restarted && !is_inherited && !(is_elsewhere && !ended)) {
         return;
     }
     auto margin = is_restarted ? restart_margin(*earlier, vm_clock, now.steady) : std::nullopt;
-    if (is_inherited && latest_inherited_lease_end) {
+    if (is_inherited && latest_inherited_run_end) {
         const auto newer = state.vm->runs.find(task);
         if (newer != state.vm->runs.end() && !newer->second.adopted) {
-            // A lower bound: the lease may have ended earlier.
+            // A lower bound: the run may have ended earlier.
             margin = std::chrono::duration_cast<milliseconds>(newer->second.placed_at -
-                                                              *latest_inherited_lease_end);
+                                                              *latest_inherited_run_end);
         }
     }
     if (margin && ended) {
         metrics->observe("cranberrydock_restart_margin_ms", "",
                          static_cast<double>(margin->count()));
     }
-    const bool in_two_places = (is_elsewhere && !ended) || (margin && margin->count() < 0);
+    const bool in_two_places =
+        (is_elsewhere && !ended) || is_refuted || (margin && margin->count() < 0);
     if (in_two_places) {
         metrics->count("cranberrydock_tasks_in_two_places_total", "");
     }
-    spdlog::log(in_two_places ? spdlog::level::err : spdlog::level::info,
+    const bool was_done = ended == completion_kind::done;
+    spdlog::log(in_two_places ? spdlog::level::err
+                : was_done    ? spdlog::level::warn
+                              : spdlog::level::info,
                 "event={} task={} vm={} run={} kind={} vm_clock={} last_run={} last_run_vm={} "
                 "proof={} margin_ms={} fence={}",
                 in_two_places ? "task_in_two_places" : "earlier_run_ended", to_string(task),
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -240,7 +240,7 @@
                         static_cast<double>(owner_age().count()));
     }
     const auto expired_for =
-        std::chrono::duration_cast<base::milliseconds>(clock.now() - inherited.latest_lease_end());
+        std::chrono::duration_cast<base::milliseconds>(clock.now() - inherited.latest_run_end());
     spdlog::info(
         "event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={} "
         "expired_for_ms={} fence={}",
@@ -249,7 +249,7 @@
     inherited_jobs.clear();
     const bool by_expiry = inherited_vms.ended_by() == fleet::wait_ended_by::expiry;
     scheduler.inherited_runs_reported(
-        now(), by_expiry ? std::optional(inherited.latest_lease_end()) : std::nullopt);
+        now(), by_expiry ? std::optional(inherited.latest_run_end()) : std::nullopt);
 }
 
 void owner_task::state::check_unknown_vms() {
--- a/test/correctness/restarted_task_names_proof_of_earlier_end.cpp
+++ b/test/correctness/restarted_task_names_proof_of_earlier_end.cpp
@@ -50,6 +50,8 @@
         fleet::lease_expiry expiry;
         expiry.lease_until = fleet::vm_time(5'000);
         expiry.vm_clock = fleet::vm_time(500);
+        expiry.reading_age = milliseconds(5'000);
+        expiry.max_stop_time = milliseconds(400);
         owner.vm_lost(first, "lease_lapsed", expiry, now);
         return next_start();
     }
@@ -101,40 +103,65 @@
     EXPECT_EQ(again.previous->expiry.lease_until, fleet::vm_time(5'000));
 }
 
-TEST_F(restarted_task, names_refused_and_undelivered_starts) {
+TEST_F(restarted_task, names_undelivered_start) {
     owner.vm_restarted(second);  // only the first VM is usable
-    for (const auto& it :
-         {std::make_pair(fleet::command_failure::no_room, fleet::end_proof::start_refused),
-          std::make_pair(fleet::command_failure::not_delivered, fleet::end_proof::not_delivered)}) {
-        owner.add_job(make_job(fleet::to_string(it.second), "urgent", {make_step(1, 1)}), nullptr,
-                      false, now);
-        fleet::vm_report report;
-        report.completions = {
-            {fleet::completion_number(1), start.task, start.run, fleet::completion_kind::done, {}}};
-        owner.vm_reported(first, report, now.steady, now);
-        const auto refused = next_start();
-        owner.start_answered(first, refused.task, refused.run, tl::make_unexpected(it.first), now);
-        pass(2'000);
-        const auto again = next_start();
-        ASSERT_TRUE(again.previous);
-        EXPECT_EQ(again.previous->proof, it.second);
-    }
+    owner.add_job(make_job("other", "urgent", {make_step(1, 1)}), nullptr, false, now);
+    fleet::vm_report report;
+    report.completions = {
+        {fleet::completion_number(1), start.task, start.run, fleet::completion_kind::done, {}}};
+    owner.vm_reported(first, report, now.steady, now);
+    const auto refused = next_start();
+    owner.start_answered(first, refused.task, refused.run,
+                         tl::make_unexpected(fleet::command_failure::not_delivered), now);
+    pass(2'000);
+    const auto again = next_start();
+    ASSERT_TRUE(again.previous);
+    EXPECT_EQ(again.previous->proof, fleet::end_proof::not_delivered);
+}
+
+TEST_F(restarted_task, names_run_before_refused_start) {
+    const auto refused = lapse();
+    owner.start_answered(second, refused.task, refused.run,
+                         tl::make_unexpected(fleet::command_failure::no_room), now);
+    pass(2'000);
+    const auto again = next_start();
+    ASSERT_TRUE(again.previous);
+    EXPECT_EQ(again.previous->vm, first);
+    EXPECT_EQ(again.previous->proof, fleet::end_proof::lease_expired);
 }
 
-// The task was started again 1,000 ms before the report, when the VM's clock read 5,300.
-TEST_F(restarted_task, measures_time_since_end_of_earlier_lease) {
+// The VM's clock read 500 at 5,001 ms before the restart, which was 60 s before the report. Its
+// runs had to end at 5,400. At 98 % of the rate of the owner's clock it read 5,400 at the restart.
+TEST_F(restarted_task, measures_time_since_its_earlier_run_had_to_end) {
     lapse();
-    pass(1'000);
-    report_first(6'300, false);
+    pass(60'000);
+    report_first(500 + 65'001 * 98 / 100, false);
     EXPECT_EQ(in_two_places(), 0U);
-    EXPECT_NE(metrics.text().find("cranberrydock_restart_margin_ms_sum 300"), std::string::npos)
+    EXPECT_NE(metrics.text().find("cranberrydock_restart_margin_ms_sum 0"), std::string::npos)
         << metrics.text();
 }
 
-TEST_F(restarted_task, is_reported_if_started_before_lease_has_ended) {
+TEST_F(restarted_task, is_reported_if_started_while_vm_may_stop_its_earlier_run) {
     lapse();
     pass(1'000);
-    report_first(5'900, false);
+    report_first(500 + 5'001 - 200 + 1'000, false);
+    EXPECT_EQ(in_two_places(), 1U);
+}
+
+TEST_F(restarted_task, is_reported_if_undelivered_start_was_carried_out) {
+    owner.add_job(make_job("other", "urgent", {make_step(1, 1)}), nullptr, false, now);
+    const auto other = next_start();
+    owner.start_answered(other.vm, other.task, other.run,
+                         tl::make_unexpected(fleet::command_failure::not_delivered), now);
+    pass(2'000);
+    EXPECT_EQ(next_start().task, other.task);
+    fleet::vm_report report;
+    report.completions = {{fleet::completion_number(1),
+                           other.task,
+                           other.run,
+                           fleet::completion_kind::lease_expired,
+                           {}}};
+    owner.vm_reported(other.vm, report, now.steady, now);
     EXPECT_EQ(in_two_places(), 1U);
 }
 
@@ -159,9 +186,9 @@
         next.vm_listed(facts);
     }
     next.vm_reported(second, {}, now.steady, now);
-    const auto latest_lease_end = now.steady;
+    const auto latest_run_end = now.steady;
     pass(400);
-    next.inherited_runs_reported(now, latest_lease_end);
+    next.inherited_runs_reported(now, latest_run_end);
     ASSERT_EQ(next.decide(now, {}).starts.size(), 1U);
     fleet::vm_report report;
     report.completions = {{fleet::completion_number(1),
--- a/test/correctness/runs_are_given_up_only_after_proof.cpp
+++ b/test/correctness/runs_are_given_up_only_after_proof.cpp
@@ -93,6 +93,15 @@
     EXPECT_TRUE(vm_with_stop_time.all_expired(again + slowest_lease + late + margin));
 }
 
+// A VM that was suspended for a minute answers before it has ended its runs.
+TEST_F(leases_with_stop_time, of_suspended_vm_are_waited_for_at_most_as_long_as_a_lease) {
+    const auto reported = start + validity;
+    vm_with_stop_time.on_report(fleet::vm_time(1'000), reported, false);
+    const auto lease_end = vm_with_stop_time.grant(reported);
+    vm_with_stop_time.on_report(fleet::vm_time(lease_end.value() + 60'000), reported, true);
+    EXPECT_EQ(vm_with_stop_time.max_stop_time(), settings.max_lease);
+}
+
 TEST_F(leases_with_stop_time, of_next_incarnation_are_followed_by_end_of_runs) {
     const auto restarted = start + validity + slowest_lease;
     vm_with_stop_time.on_report(fleet::vm_time(1'000), restarted, false);
