fleet_daemon: a relayed start arrives before the cancellation deadline

An owner starts tasks while its last read of the jobs is up to 2 s old, and a relay may pass a start on up to 1.8 s after the decision (1.2 s in the queue and the 0.6 s of a command's lifetime). So a task of a job whose cancellation the owner had not been told of could start 3.8 s after the caller was told, with a deadline of 3 s (UNASKED).

A start now carries the time of the last read plus the deadline, and is not queued for longer than leaves a lifetime before that. Nothing changes while the jobs are read in time: a read is up to 0.9 s old then, and the queue's own limit of 1.2 s comes first. While the store does not answer no job can be cancelled, and starts have no such limit.

Without the check the new case fails: the late start is received too.

--- a/packages/daemon/src/fleet_member.cpp
+++ b/packages/daemon/src/fleet_member.cpp
@@ -82,6 +82,7 @@
         std::min(renewed_lease_limit, share_of(site.max_lease, lease_share));
     out.owner.scheduler.gang_start_timeout = share_of(site.gang_timeout, gang_start_share);
     out.owner.max_job_feed_age = std::max(min_job_feed_age, site.cancel_deadline - max_start_delay);
+    out.owner.cancel_deadline = site.cancel_deadline;
     if (site.max_row_bytes > 0) {
         out.owner.limits.row_bytes =
             std::min(site.max_row_bytes, out.owner.limits.transaction_bytes);
--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -1,11 +1,13 @@
 // Interfaces to the worker VMs and to the placement advisor.
 #pragma once
 
+#include <cranberrydock/base/clock.hpp>
 #include <cranberrydock/fleet/work.hpp>
 
 #include <tl/expected.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -81,6 +83,9 @@
     vm_time lease_until;
     checkpoint resume_from;
     placement_ticket ticket;
+    // On this process's clock; the VM is to receive the command by then or not at all. Not part of
+    // the message.
+    std::optional<base::time_point> not_after;
 };
 
 struct watch_command {
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/owner_task.hpp
@@ -46,8 +46,10 @@
     // recently.
     base::time_point members_complete_from{};
     // No task is started while the last read of the job table is older than this: jobs may have
-    // been cancelled since, and a cancelled job must not start tasks once this time has passed.
+    // been cancelled since.
     base::milliseconds max_job_feed_age{2'000};
+    // A cancelled job starts no tasks once this time has passed.
+    base::milliseconds cancel_deadline{3'000};
     // Whether the entries refuse new jobs of queues that are not expected to serve them in time.
     bool refuse_overloaded = false;
     // Callers can query an ended job for this long.
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -115,6 +115,10 @@
     command.resume_from = decision.resume_from;
     command.ticket = decision.ticket;
     command.lease_until = session->second->lease_from_now();
+    if (rights.store_answers()) {
+        // The job may have been cancelled since it was last read.
+        command.not_after = jobs.as_of() + settings.cancel_deadline;
+    }
     metrics.count("cranberrydock_starts_total", "");
     const auto sent = clock.now();
     if (start_log_limiter.allows(sent)) {
--- a/packages/fleet_daemon/src/relayed_vm_control.cpp
+++ b/packages/fleet_daemon/src/relayed_vm_control.cpp
@@ -336,8 +336,12 @@
 }
 
 bool relayed_vm_control::is_outdated(const open_command& open) const {
-    return open.issued < issued_before_pause_ ||
-           clock_.now() - open.issued > settings_.command_lifetime * max_age_in_lifetimes;
+    const auto now = clock_.now();
+    const auto* const start = std::get_if<fleet::start_command>(&open.relayed.content);
+    const bool may_arrive_late = start != nullptr && start->not_after &&
+                                 now + settings_.command_lifetime > *start->not_after;
+    return may_arrive_late || open.issued < issued_before_pause_ ||
+           now - open.issued > settings_.command_lifetime * max_age_in_lifetimes;
 }
 
 std::vector<relayed_vm_control::open_command> relayed_vm_control::take_outdated(channel& queue,
--- a/test/failure/relay_failure_does_not_change_command_outcomes.cpp
+++ b/test/failure/relay_failure_does_not_change_command_outcomes.cpp
@@ -128,6 +128,31 @@
     EXPECT_EQ(fleet.failure_count(fleet::command_failure::not_delivered), vm_count);
 }
 
+// Guards against tasks of a cancelled job that start too late (UNASKED): the relay may take as long
+// as a command's lifetime to pass a start on.
+TEST(relay, start_that_may_arrive_too_late_is_not_sent) {
+    relayed_fleet fleet(vm_count);
+    const base::suspend_aware_clock clock;
+    const base::milliseconds time_in_queue{400};
+    constexpr int late = 0;
+    constexpr int in_time = 1;
+    for (const int it : {late, in_time}) {
+        fleet::start_command order;
+        order.task = {fleet::job_id("job"), 0, 0, it};
+        order.run = fleet::run_number(1);
+        order.not_after = clock.now() + fleet.settings.command_lifetime +
+                          (it == late ? time_in_queue / 2 : time_in_queue * 5);
+        fleet.owner.start(fleet.vm(0), fleet::fencing_token(7), order,
+                          [&fleet](const auto& answer) { fleet.answers.push_back(answer); });
+    }
+    fleet.permission.allowed = false;
+    fleet.run_for(time_in_queue);
+    fleet.permission.allowed = true;
+    fleet.run_for(delivery_time);
+    EXPECT_EQ(start_counts(fleet), (std::map<int, int>{{in_time, 1}}));
+    EXPECT_EQ(fleet.failure_count(fleet::command_failure::not_delivered), 1U);
+}
+
 // A daemon that no longer owns the fleet issues no commands.
 TEST(relay, previous_owner_sends_no_commands) {
     relayed_fleet fleet(vm_count);
