fleet_daemon: a new owner keeps the record of VMs until it lists any

A new owner's first renewals, every 0.4 s, took the digest and the checksum of the previous owner's VMs out of the owner's row before it had read the member list. If it ended then, its successor knew of a number of VMs only. No task could start twice for that: without the record the successor waits for every lease. But it waits that long (4.9 s, and the validity of earlier owners before that) although all VMs may report.

As long as an owner has a session with no VM, it has started nothing, and the record of its predecessor still shows every VM with runs. It is kept in the row until then.

The new case failed before: digest and checksum were empty.

--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -333,6 +333,11 @@
     state_->encode_vm_record();
     record.vm_set = state_->vm_set;
     record.vm_record_checksum = state_->vm_record_checksum;
+    if (state_->sessions.empty() && !record.vm_set) {
+        // This owner has started nothing, so the previous record still shows every VM with runs.
+        record.vm_set = state_->settings.expected_vm_set;
+        record.vm_record_checksum = state_->settings.expected_vm_record;
+    }
 }
 
 void owner_task::state::encode_vm_record() const {
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -200,4 +200,19 @@
     }
 }
 
+// Guards against a long wait of the next owner, if this one ends before it has listed the VMs.
+TEST_F(owner_figures, previous_record_of_vms_is_kept_until_vms_are_listed) {
+    constexpr std::uint64_t checksum = 12;
+    fleet::vm_set_digest previous;
+    previous.add(fleet::vm_id("vm"));
+    settings.expected_vms = 1;
+    settings.expected_vm_set = previous;
+    settings.expected_vm_record = checksum;
+    start_owner();
+    owner->describe(record, 1);
+    EXPECT_EQ(record.vm_set, previous);
+    EXPECT_EQ(record.vm_record_checksum, checksum);
+    EXPECT_TRUE(owner->vm_record_parts().empty());
+}
+
 }  // namespace
