fleet_daemon: a repeat after a write without an answer is not refused

A submission whose write is not answered in time is answered with an unknown outcome, and the store may still apply the write. A repeat of it to the same daemon was refused as never to run if the queue was overloaded by then, if the job no longer fitted any VM, or if too little time was left for another write: no row was found yet. Then the first write was applied and the job ran (REFUSED).

The writer remembers for 10 s which jobs it has answered so. A repeat within that time is written again instead of refused, and if it can't be, its outcome is unknown as well. A repeat to another daemon is still refused: that one can't know of the write.

Both new cases failed before (the refusal said that the job never runs, and its row appeared later).

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -25,6 +25,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cranberrydock::fleet_daemon {
@@ -80,6 +81,8 @@
                write_callback done);
     // Whether a write of the job is in progress for a caller.
     bool is_writing(const fleet::job_id& job) const { return open_.count(job) > 0; }
+    // Whether a write of the job may still be applied although its callers have been answered.
+    bool may_write_later(const fleet::job_id& job) const;
     // Does the same for a peer that has delegated the job to this daemon. Always writes directly.
     void write_for_peer(const delegated_job& delegated, base::time_point until,
                         write_callback done);
@@ -143,6 +146,8 @@
     void on_rejected(const fleet::partition_name& partition, const transaction& batch);
     static bool may_be_applied(const submission& pending);
     static write_result failure_of(const submission& pending);
+    // Remembers the job if the result says that it may still be written.
+    void remember(const fleet::job_id& job, const write_result& result);
 
     net::event_loop& loop_;
     fleet::row_store& store_;
@@ -156,6 +161,9 @@
     base::duration typical_write_time_{base::milliseconds{50}};  // smoothed
     base::time_point slow_until_{};
     base::time_point refused_until_{};
+    // When callers were last answered that the outcome is unknown, and the same in this order.
+    std::unordered_map<fleet::job_id, base::time_point> undetermined_;
+    std::deque<std::pair<base::time_point, fleet::job_id>> undetermined_in_order_;
     struct delegated_submission {
         base::time_point delegated_at;
         submission_ptr job;
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -141,11 +141,12 @@
         return;
     }
     if (const auto rejection = check_feasibility(*admitted, *draft)) {
-        if (!writer_.is_writing(admitted->job)) {
+        if (!writer_.is_writing(admitted->job) && !writer_.may_write_later(admitted->job)) {
             refuse_new_job(*admitted, *rejection, done);
             return;
         }
-        // A repeat of a submission that is being written gets the outcome of that write.
+        // A repeat of a submission that is being written gets the outcome of that write. If it may
+        // still be written, it is written once more, since it can't be said to run never.
     }
     fleet::job_spec job;
     job.id = admitted->job;
--- a/packages/fleet_daemon/src/submission_writer.cpp
+++ b/packages/fleet_daemon/src/submission_writer.cpp
@@ -37,6 +37,8 @@
 constexpr base::milliseconds slow_period{2'500};
 // After the store has refused a write of this daemon, jobs are delegated for this long.
 constexpr base::milliseconds delegate_after_refusal{1'500};
+// The store may apply a write whose answer was lost for this long.
+constexpr base::milliseconds longest_late_write{10'000};
 constexpr int smoothing = 4;  // number of writes over which the typical time is smoothed
 constexpr base::milliseconds retry_pause{80};
 constexpr base::milliseconds owner_check_period{100};
@@ -85,15 +87,16 @@
         join(known->second, until, std::move(done));
         return;
     }
+    const bool may_be_written = delegated.may_be_written || may_write_later(delegated.job);
     if (until - clock_.now() < required_time()) {
-        done({delegated.may_be_written ? write_outcome::undetermined : write_outcome::refused, {}});
+        done({may_be_written ? write_outcome::undetermined : write_outcome::refused, {}});
         return;
     }
     const auto pending = std::make_shared<submission>();
     pending->job = delegated.job;
     pending->row = delegated.row;
     pending->may_delegate = may_delegate;
-    pending->may_be_written = delegated.may_be_written;
+    pending->may_be_written = may_be_written;
     open_[delegated.job] = pending;
     join(pending, until, std::move(done));
     if (should_delegate() && delegate_to_owner(pending)) {
@@ -122,6 +125,28 @@
     return {may_be_applied(pending) ? write_outcome::undetermined : write_outcome::refused, {}};
 }
 
+void submission_writer::remember(const fleet::job_id& job, const write_result& result) {
+    const auto now = clock_.now();
+    while (!undetermined_in_order_.empty() &&
+           now - undetermined_in_order_.front().first > longest_late_write) {
+        const auto& [at, oldest] = undetermined_in_order_.front();
+        const auto it = undetermined_.find(oldest);
+        if (it != undetermined_.end() && it->second == at) {
+            undetermined_.erase(it);
+        }
+        undetermined_in_order_.pop_front();
+    }
+    if (result.outcome == write_outcome::undetermined) {
+        undetermined_[job] = now;
+        undetermined_in_order_.emplace_back(now, job);
+    }
+}
+
+bool submission_writer::may_write_later(const fleet::job_id& job) const {
+    const auto it = undetermined_.find(job);
+    return it != undetermined_.end() && clock_.now() - it->second <= longest_late_write;
+}
+
 // Reports the failure to one waiter whose deadline has passed.
 void submission_writer::on_deadline(submission& pending, std::size_t waiter_index) {
     const auto done = std::move(pending.waiters[waiter_index].done);
@@ -129,6 +154,7 @@
     pending.open = std::any_of(pending.waiters.begin(), pending.waiters.end(),
                                [](const auto& it) { return it.done != nullptr; });
     const auto result = failure_of(pending);
+    remember(pending.job, result);
     if (!pending.open) {
         open_.erase(pending.job);  // may destroy `pending`
     }
@@ -142,6 +168,7 @@
         return;
     }
     pending.open = false;
+    remember(pending.job, result);
     const auto waiters = std::move(pending.waiters);
     pending.waiters.clear();
     open_.erase(pending.job);
--- a/test/correctness/repeated_submission_is_not_refused_after_acceptance.cpp
+++ b/test/correctness/repeated_submission_is_not_refused_after_acceptance.cpp
@@ -124,6 +124,7 @@
         requester.host = "h";
         requester.path = "/urgent/00000000000000a1";
         requester.key = "k";
+        requester.timeout = caller_timeout;
         api.submit(requester, job.steps.empty() ? draft() : job,
                    [this](const auto& answer) { answers.push_back(answer); });
     }
@@ -143,6 +144,7 @@
 
     static constexpr base::milliseconds retry_after{3'000};
     const fleet::job_id job{"00000000000000a1"};
+    base::milliseconds caller_timeout{0};  // 0: not stated
     net::event_loop loop;
     memory_store store{loop};
     const fleet_daemon::job_layout layout{1};
@@ -180,6 +182,36 @@
     EXPECT_TRUE(answers[1]);
 }
 
+TEST_F(repeated_submission, after_write_without_answer_is_not_refused) {
+    store.write_time = base::milliseconds(600);
+    caller_timeout = base::milliseconds(500);
+    send();
+    run_for(caller_timeout);
+    ASSERT_EQ(answers.size(), 1U);
+    ASSERT_FALSE(answers[0]);
+    EXPECT_FALSE(answers[0].error().not_run);
+    ASSERT_TRUE(store.rows.empty());
+    overload();
+    send();
+    run_for(store.write_time * 2);
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_FALSE(store.rows.empty());
+    EXPECT_TRUE(answers[1] || !answers[1].error().not_run);
+}
+
+TEST_F(repeated_submission, after_write_without_answer_is_not_refused_for_lack_of_time) {
+    store.write_time = base::milliseconds(600);
+    caller_timeout = base::milliseconds(500);
+    send();
+    run_for(caller_timeout);
+    caller_timeout = base::milliseconds(1);
+    send();
+    run_for(store.write_time);
+    ASSERT_EQ(answers.size(), 2U);
+    ASSERT_FALSE(answers[1]);
+    EXPECT_FALSE(answers[1].error().not_run);
+}
+
 TEST_F(repeated_submission, of_job_that_can_no_longer_fit_is_accepted) {
     ASSERT_TRUE(submit());
     view.record.largest_vm.cores = base::millicores(100);
