test: a VM in quarantine has no room for a task that waits

property/task_with_room_is_started_beside_backlog counted a VM in its quarantine as room. The model takes the quarantines to have ended 7.3 s after the faults, but a run that is to fail may fail 5 s later than that (its time is drawn when it starts; a gang may take 2.5 s more to form, and a VM without connection reports its failures late).

All bounds and the time that is checked are unchanged; a VM that is avoided for another reason or longer still fails the check.

--- a/test/standins/faulty_fleet.cpp
+++ b/test/standins/faulty_fleet.cpp
@@ -14,6 +14,7 @@
 constexpr base::milliseconds watch_retry{250};
 constexpr base::milliseconds command_timeout{600};
 constexpr base::milliseconds gang_wait_limit{2'500};
+constexpr std::size_t failed_jobs_before_quarantine = 2;
 constexpr int max_open_queries = 12;
 constexpr int max_open_long_queries = 10;
 constexpr std::int64_t first_unix_ms = 1'700'000'000'000;
@@ -167,6 +168,7 @@
         if (it->present) {
             it->boot = {};
             it->lost = false;
+            it->forget_failures();
             it->lease_until = time_ + lease;
             ++it->session;
             scheduler_->vm_listed(it->vm->facts());
@@ -412,6 +414,7 @@
     scheduler_->vm_reachable(vm, false);
     if (time_ > watched->lease_until + base::milliseconds(100) && !watched->lost) {
         watched->lost = true;
+        watched->forget_failures();
         scheduler_->vm_lost(vm, "lease_expired", {}, now());
         scheduler_->vm_listed(watched->vm->facts());
     }
@@ -435,11 +438,13 @@
         return;
     }
     if (watched->boot.value() > 0 && report.boot != watched->boot) {
+        watched->last_completion = {};
         scheduler_->vm_listed(watched->vm->facts());
         scheduler_->vm_restarted(vm);
     }
     watched->boot = report.boot;
     watched->lost = false;
+    count_failures(*watched, report);
     scheduler_->vm_reported(vm, report, requested_at, now());
     after_for_owner(watch_interval, [this, vm] {
         if (node* const it = find(vm)) {
@@ -450,6 +455,30 @@
     });
 }
 
+// Runs that were to fail while there were faults fail up to some seconds later, so a quarantine may
+// begin after the faults have ended.
+void faulty_fleet::count_failures(node& reporting, const fleet::vm_report& report) const {
+    for (const auto& it : report.completions) {
+        if (it.number <= reporting.last_completion) {
+            continue;
+        }
+        reporting.last_completion = it.number;
+        const auto saved = saved_.find(it.task.job);
+        if (saved != saved_.end() && is_final(saved->second.state)) {
+            continue;  // shows nothing: the job has ended meanwhile
+        }
+        if (it.kind == fleet::completion_kind::done) {
+            reporting.failed_jobs.clear();
+        } else if (it.kind == fleet::completion_kind::failed) {
+            reporting.failed_jobs.insert(it.task.job);
+            if (reporting.failed_jobs.size() >= failed_jobs_before_quarantine) {
+                reporting.failed_jobs.clear();
+                reporting.quarantined_until = time_ + fleet::scheduler_settings{}.quarantine;
+            }
+        }
+    }
+}
+
 // The members of a gang progress while all of them run, and end together. A gang that stays
 // incomplete ends.
 void faulty_fleet::advance_gangs() {
@@ -536,7 +565,8 @@
     std::int64_t places = 0;
     int granted_vms = 0;
     for (const auto& vm : nodes_) {
-        if (!reaches(*vm) || (needs_ticket(job.spec.id) && !grants(ref, *vm))) {
+        if (!reaches(*vm) || time_ < vm->quarantined_until ||
+            (needs_ticket(job.spec.id) && !grants(ref, *vm))) {
             continue;
         }
         ++granted_vms;
--- a/test/standins/faulty_fleet.hpp
+++ b/test/standins/faulty_fleet.hpp
@@ -67,6 +67,16 @@
         fleet::boot_time boot;           // of the last report; 0: none
         bool lost = false;
         std::uint64_t session = 0;
+        // The owner's quarantine of VMs on which tasks of several jobs failed in succession.
+        fleet::completion_number last_completion;
+        std::set<fleet::job_id> failed_jobs;
+        base::time_point quarantined_until{};
+
+        void forget_failures() {
+            last_completion = {};
+            failed_jobs.clear();
+            quarantined_until = {};
+        }
     };
     struct job_entry {
         fleet::job_spec spec;
@@ -93,6 +103,7 @@
     void on_watch_failed(const fleet::vm_id& vm, std::uint64_t session);
     void on_report(const fleet::vm_id& vm, std::uint64_t session, const fleet::vm_report& report,
                    base::time_point requested_at);
+    void count_failures(node& reporting, const fleet::vm_report& report) const;
     void check_inherited_runs();
     bool grants(const fleet::step_ref& step, const node& vm) const;
     std::string ticket_for(const fleet::step_ref& step, const node& vm) const;
