fleet: unknown runs on one VM hold back no more than that VM

What callers would see: after a change of owner, a customer with a limit starts nothing while a VM runs several tasks of jobs that the new owner does not know, though most of the limit is unused.

Cause: each run of an unknown job was counted against every customer's limit with the whole capacity of its VM, so three runs on a VM of 4,000 millicores held back 12,000.

Change: the runs of unknown jobs on one VM count for what the VM's other listed runs leave of its capacity, once for each VM, determined at each decision. A single unknown run still counts with up to one VM, since its need is not known and it may belong to any customer; it ends with the stop that the owner requests when it finds the run.

--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -110,7 +110,7 @@
     }
     const auto used = in_use.find(customer);
     const resources taken =
-        unknown_use + unreported_use + (used == in_use.end() ? resources{} : used->second);
+        max_unknown_use + unreported_use + (used == in_use.end() ? resources{} : used->second);
     const resources& limit = limits->second.upper_limit;
     if (limit.cores.value() > 0) {
         out.cores = limit.cores - taken.cores;
@@ -124,6 +124,23 @@
     return out;
 }
 
+resources scheduler::state::find_max_unknown_use() const {
+    std::set<vm_id> counted;
+    resources out;
+    for (const auto& it : unknown_runs) {
+        if (!counted.insert(it.second).second) {
+            continue;
+        }
+        const vm_record& vm = *vms.at(it.second);
+        resources known;
+        for (const auto& run : vm.runs) {
+            known += run.second.listed && !run.second.unknown ? run.second.need : resources{};
+        }
+        out += fits(known, vm.facts.capacity) ? vm.facts.capacity - known : vm.facts.capacity;
+    }
+    return out;
+}
+
 // The usable VMs on which the step may start now, without the VMs that are reserved for gangs.
 std::vector<vm_record*> scheduler::state::allowed_vms(const open_step& work,
                                                       const placement_round& round,
@@ -490,6 +507,7 @@
     placement_round round;
     round.budget = budget;
     resources total;
+    max_unknown_use = find_max_unknown_use();
     unreported_use = inherited_known ? resources{} : unlisted_use;
     for (vm_record* const vm : vms_by_number) {
         if (vm != nullptr && !inherited_known && !vm->reported && !vm->ended) {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -274,8 +274,11 @@
     std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
-    // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
+    // The sum of the recorded needs of runs of unknown jobs: the whole VM for each of them.
     resources unknown_use;
+    // Upper bound of the use by these runs, which may belong to any customer: all of them on one VM
+    // take at most what its other runs leave. Determined at each decision.
+    resources max_unknown_use;
     // Upper bound of the use by a previous owner's runs on VMs that have not reported yet, listed
     // or not, and the part of it for VMs that are not listed.
     resources unreported_use;
@@ -380,6 +383,7 @@
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
     resources customer_headroom(const customer_name& customer) const;
+    resources find_max_unknown_use() const;
     void place_open_steps(const clock_reading& now, const query_budget& budget, decisions& out);
     bool place_tasks(detail::open_step& work, const detail::placement_round& round,
                      const clock_reading& now, decisions& out);
