test: the stand-in measures how close a restart is to the earlier run's end

The stand-in now records when each run ended by its VM's own clock (the end of the lease and the stop time, not when its thread got to it) and gives the shortest time from there to the task's next start: over all restarts, after lapsed leases, and after lapsed leases whose end the VM had not reported to the owner that started the task, which only time can have proved. VMs may have stop times of their own, and a VM can be held up: it ends no run and carries out no command for a while, within the site's bound on the time to end runs. A breach is judged as before.

--- a/test/standins/fleet_vm.cpp
+++ b/test/standins/fleet_vm.cpp
@@ -76,6 +76,11 @@
 }
 
 void fleet_vm::end_run(const fleet::task_ref& task, fleet::completion_kind kind) {
+    end_run(task, kind, now_);
+}
+
+void fleet_vm::end_run(const fleet::task_ref& task, fleet::completion_kind kind,
+                       fleet::vm_time at) {
     const auto it = running_.find(task);
     if (it == running_.end()) {
         return;
@@ -85,11 +90,26 @@
     auto& highest_ended = highest_ended_[task];
     highest_ended = std::max(highest_ended, it->second.number);
     running_.erase(it);
+    if (on_run_end_) {
+        on_run_end_({task, kind, at});
+    }
+}
+
+void fleet_vm::pause(base::milliseconds time) {
+    if (!paused()) {
+        paused_from_ = now_;
+        paused_until_ = fleet::vm_time(now_.value() + time.count());
+    }
 }
 
 void fleet_vm::advance(base::milliseconds by) {
     now_ = fleet::vm_time(now_.value() + by.count());
-    std::vector<std::pair<fleet::task_ref, fleet::completion_kind>> ended_runs;
+    std::vector<run_end> ended_runs;
+    const auto add_end = [&](const fleet::task_ref& task, fleet::completion_kind kind,
+                             fleet::vm_time due) {
+        const bool held_up = due >= paused_from_ && due < paused_until_;
+        ended_runs.push_back({task, kind, held_up ? paused_until_ : due});
+    };
     for (auto& it : running_) {
         // The simulation, which sees all members of a gang, ends the runs of gangs.
         it.second.remaining -= it.second.behavior.gang_size > 0 ? base::milliseconds{0} : by;
@@ -98,27 +118,35 @@
             it.second.ends_at = fleet::vm_time(lease_until_.value() + stop_time_.count());
         }
         if (it.second.ends_at) {
-            if (now_ > *it.second.ends_at) {
-                ended_runs.emplace_back(it.first, it.second.end_kind);
+            if (now_ > *it.second.ends_at && !paused()) {
+                add_end(it.first, it.second.end_kind, *it.second.ends_at);
             }
-        } else if (it.second.remaining.count() <= 0) {
-            ended_runs.emplace_back(it.first, it.second.behavior.fails
-                                                  ? fleet::completion_kind::failed
-                                                  : fleet::completion_kind::done);
+        } else if (it.second.remaining.count() <= 0 && !paused()) {
+            add_end(it.first,
+                    it.second.behavior.fails ? fleet::completion_kind::failed
+                                             : fleet::completion_kind::done,
+                    fleet::vm_time(now_.value() + it.second.remaining.count()));
         }
     }
     for (const auto& it : ended_runs) {
-        end_run(it.first, it.second);
+        end_run(it.task, it.kind, it.at);
     }
 }
 
 void fleet_vm::crash() {
+    if (on_run_end_) {
+        for (const auto& it : running_) {
+            on_run_end_({it.first, fleet::completion_kind::stopped, now_});
+        }
+    }
     running_.clear();
     highest_ended_.clear();
     completions_.clear();
     last_completion_ = {};
     fencing_token_ = {};
     lease_until_ = {};
+    paused_from_ = {};
+    paused_until_ = {};
     now_ = fleet::vm_time(0);
     facts_.boot = facts_.boot.next();
 }
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -30,11 +30,22 @@
     using task_behavior_function =
         std::function<task_behavior(const fleet::task_ref&, fleet::run_number)>;
 
+    // The end of a run, which may be earlier than the VM's clock by as much as it was moved on.
+    struct run_end {
+        fleet::task_ref task;
+        fleet::completion_kind kind = fleet::completion_kind::done;
+        fleet::vm_time at;
+    };
+    using run_end_function = std::function<void(const run_end&)>;
+
     // Runs that are stopped or whose lease has expired end after `stop_time`. Until then they are
-    // listed as running and hold their capacity.
+    // listed as running and hold their capacity. Each end of a run is passed to `on_run_end`.
     fleet_vm(fleet::vm_info facts, task_behavior_function work,
-             base::milliseconds stop_time = base::milliseconds{0})
-        : facts_(std::move(facts)), behavior_(std::move(work)), stop_time_(stop_time) {}
+             base::milliseconds stop_time = base::milliseconds{0}, run_end_function on_run_end = {})
+        : facts_(std::move(facts)),
+          behavior_(std::move(work)),
+          stop_time_(stop_time),
+          on_run_end_(std::move(on_run_end)) {}
 
     const fleet::vm_info& facts() const { return facts_; }
 
@@ -51,6 +62,12 @@
     fleet::fencing_token fencing_token() const { return fencing_token_; }
     // True if the VM's lease has expired.
     bool leases_expired() const { return now_ > lease_until_; }
+    fleet::vm_time now() const { return now_; }
+    base::milliseconds stop_time() const { return stop_time_; }
+
+    // Ends no run for this time on the VM's clock; the leases go on. No effect while it is paused.
+    void pause(base::milliseconds time);
+    bool paused() const { return now_ < paused_until_; }
 
     // Moves the VM's clock on. Ends runs whose time is over or whose lease has expired.
     void advance(base::milliseconds by);
@@ -75,9 +92,14 @@
     void end_run(const fleet::task_ref& task, fleet::completion_kind kind);
 
 private:
+    void end_run(const fleet::task_ref& task, fleet::completion_kind kind, fleet::vm_time at);
+
     fleet::vm_info facts_;
     task_behavior_function behavior_;
     base::milliseconds stop_time_;
+    run_end_function on_run_end_;
+    fleet::vm_time paused_from_;
+    fleet::vm_time paused_until_;
     fleet::vm_time now_{1'000};
     fleet::fencing_token fencing_token_;
     fleet::vm_time lease_until_;
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <deque>
 #include <future>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -179,7 +180,13 @@
                 out.need.cores = base::millicores(1'000);
                 return out;
             };
-            vm = std::make_unique<fleet_vm>(facts, behavior, site.plan.stop_time);
+            const auto& stop_times = site.plan.stop_times;
+            vm = std::make_unique<fleet_vm>(
+                facts, behavior,
+                stop_times.empty()
+                    ? site.plan.stop_time
+                    : stop_times[static_cast<std::size_t>(index) % stop_times.size()],
+                [this](const auto& end) { site.record_end(*this, end); });
         }
         net::event_loop& loop() const { return site.loop; }
 
@@ -221,7 +228,35 @@
                 unanswered.push_back(std::move(respond));
                 return;
             }
-            carry_out(request, respond);
+            receive(std::move(request), std::move(respond));
+        }
+
+        void receive(net::http_request request, net::http_responder respond) {
+            site.advance_clock(*this);
+            if (vm->paused() || !late.empty()) {
+                late.push_back({std::move(request), std::move(respond)});
+            } else {
+                carry_out(request, respond);
+            }
+        }
+
+        void carry_out_late_commands() {
+            while (!vm->paused() && !late.empty()) {
+                const auto command = std::move(late.front());
+                late.pop_front();
+                carry_out(command.request, command.respond);
+            }
+        }
+
+        // The VM's process ends with the state of its runs and the commands that it has not read.
+        void crash() {
+            site.advance_clock(*this);
+            site.discard_unacknowledged(*this);
+            site.lapsed_runs.erase(index);
+            vm->crash();
+            for (auto& it : std::exchange(late, {})) {
+                unanswered.push_back(std::move(it.respond));
+            }
         }
 
         void carry_out(const net::http_request& request, const net::http_responder& respond) {
@@ -286,6 +321,9 @@
         // Answers the watches whose wait is over, or all of them if there is a completion to
         // report.
         void answer_watches() {
+            if (vm->paused()) {
+                return;
+            }
             for (auto it = waiting.begin(); it != waiting.end();) {
                 const bool superseded = it->owner < vm->fencing_token();
                 if (!superseded && vm->unacknowledged().empty() && clock.now() < it->deadline) {
@@ -297,6 +335,7 @@
                     refuse(it->respond, report.error());
                 } else {
                     it->respond(net::json_response(status_ok, report_json(*report).dump()));
+                    site.record_report(*this, it->owner);
                 }
                 it = waiting.erase(it);
             }
@@ -318,6 +357,11 @@
                     {"finished", finished}};
         }
 
+        struct late_command {
+            net::http_request request;
+            net::http_responder respond;
+        };
+
         struct pending_watch {
             fleet::fencing_token owner;
             net::http_responder respond;
@@ -332,6 +376,7 @@
         net::endpoint address;  // while the server is closed
         std::unique_ptr<fleet_vm> vm;
         std::deque<pending_watch> waiting;
+        std::deque<late_command> late;  // received while the VM was held up
         const int index;
         std::string entry_address;  // as last written to the member list
         bool silent = false;
@@ -534,6 +579,64 @@
                 breaches.push_back("runs in two places: " + task_name(task) + " on " +
                                    describe_run(*it, task) + " and on " +
                                    describe_run(started_on, task));
+                return;
+            }
+        }
+        measure_restart(started_on, task);
+    }
+
+    struct ended_run {
+        int vm = 0;
+        base::time_point at{};
+        bool lapsed = false;
+    };
+
+    static base::time_point time_of(const vm_request_handler& handler, double rate,
+                                    fleet::vm_time at) {
+        const double vm_ms = static_cast<double>(handler.vm->now().value() - at.value());
+        const std::chrono::duration<double, std::milli> ago((vm_ms + handler.fractional_ms) / rate);
+        return handler.advanced_at - std::chrono::duration_cast<base::time_point::duration>(ago);
+    }
+
+    void record_end(const vm_request_handler& handler, const fleet_vm::run_end& end) {
+        const auto at = time_of(handler, rate_of(handler), end.at);
+        const auto known = ended_runs.find(end.task);
+        if (known == ended_runs.end() || known->second.at <= at) {
+            const bool lapsed = end.kind == fleet::completion_kind::lease_expired;
+            ended_runs[end.task] = {handler.index, at, lapsed};
+            if (lapsed) {
+                lapsed_runs[handler.index][end.task] = {};
+            }
+        }
+    }
+
+    void record_report(const vm_request_handler& handler, fleet::fencing_token owner) {
+        for (auto& it : lapsed_runs[handler.index]) {
+            it.second = owner;
+        }
+    }
+
+    void measure_restart(const vm_request_handler& started_on, const fleet::task_ref& task) {
+        const auto earlier = ended_runs.find(task);
+        if (earlier == ended_runs.end()) {
+            return;
+        }
+        const auto& run = earlier->second;
+        const auto passed = std::chrono::duration_cast<base::milliseconds>(clock.now() - run.at);
+        const auto add = [&](restart_distance& out) {
+            if (out.restarts++ == 0 || passed < out.closest) {
+                out.closest = passed;
+                out.closest_vms = "i-" + std::to_string(run.vm) + ", " +
+                                  started_on.vm->facts().id.str() + ": " + task_name(task);
+            }
+        };
+        add(distances.all);
+        if (run.lapsed) {
+            add(distances.lapsed);
+            const auto& lapsed = lapsed_runs[run.vm];
+            const auto it = lapsed.find(task);
+            if (it != lapsed.end() && it->second != started_on.vm->fencing_token()) {
+                add(distances.lapsed_unreported);
             }
         }
     }
@@ -626,13 +729,16 @@
         }
     }
 
+    double rate_of(const vm_request_handler& handler) const {
+        return plan.clock_rates.empty() ? 1.0
+                                        : plan.clock_rates[static_cast<std::size_t>(handler.index) %
+                                                           plan.clock_rates.size()];
+    }
+
     // Moves the VM's clock on by the time that has passed, also when the platform's thread is late.
     void advance_clock(vm_request_handler& handler) {
         const auto now = clock.now();
-        const double rate = plan.clock_rates.empty()
-                                ? 1.0
-                                : plan.clock_rates[static_cast<std::size_t>(handler.index) %
-                                                   plan.clock_rates.size()];
+        const double rate = rate_of(handler);
         const std::chrono::duration<double, std::milli> passed = now - handler.advanced_at;
         handler.advanced_at = now;
         handler.fractional_ms += passed.count() * rate;
@@ -649,6 +755,7 @@
     void advance() {
         for (const auto& it : vms) {
             advance_clock(*it);
+            it->carry_out_late_commands();
         }
         advance_gangs();
         for (const auto& it : vms) {
@@ -679,6 +786,11 @@
     std::set<fleet::task_ref> done;             // tasks that must not start again
     std::set<fleet::task_ref> ever_done_tasks;  // also tasks whose completion was lost
     std::vector<std::string> breaches;
+    std::map<fleet::task_ref, ended_run> ended_runs;  // the latest of each task
+    // By VM, the tasks whose runs lapsed there since its start, and the last owner to which the VM
+    // has reported that.
+    std::map<int, std::map<fleet::task_ref, fleet::fencing_token>> lapsed_runs;
+    restart_distances distances;
     std::map<gang_key, gang> gangs;
     base::time_point gangs_advanced_at = clock.now();
     std::map<fleet::job_id, int> starts_per_job;
@@ -732,8 +844,7 @@
 void platform_site::stop_vm_process(int index) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
-        state_->discard_unacknowledged(handler);
-        handler.vm->crash();
+        handler.crash();
         handler.waiting.clear();
         handler.server.reset();
     });
@@ -771,11 +882,28 @@
     return out;
 }
 
+std::vector<int> platform_site::vms_by_remaining_time() {
+    std::vector<std::pair<base::milliseconds, int>> found;
+    on_loop([&] {
+        for (const auto& it : state_->vms) {
+            base::milliseconds longest{0};
+            for (const auto& run : it->vm->running()) {
+                longest = std::max(longest, run.second.remaining);
+            }
+            found.emplace_back(-longest, it->index);
+        }
+    });
+    std::sort(found.begin(), found.end());
+    std::vector<int> out;
+    std::transform(found.begin(), found.end(), std::back_inserter(out),
+                   [](const auto& it) { return it.second; });
+    return out;
+}
+
 void platform_site::crash_vm(int index) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
-        state_->discard_unacknowledged(handler);
-        handler.vm->crash();
+        handler.crash();
         handler.write_entry();
     });
 }
@@ -783,8 +911,8 @@
 void platform_site::replace_vm(int index) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
-        state_->discard_unacknowledged(handler);
         state_->set_listed(handler, false);
+        handler.crash();
         handler.vm->restart_as(fleet::vm_id(handler.vm->facts().id.str() + "-next"));
         handler.write_entry();
     });
@@ -795,21 +923,26 @@
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
         handler.delay = delay;
         if (delay == command_delay::none) {
-            for (const auto& it : std::exchange(handler.held_up, {})) {
-                handler.carry_out(it, [](const net::http_response&) {});
+            for (auto& it : std::exchange(handler.held_up, {})) {
+                handler.receive(std::move(it), [](const net::http_response&) {});
             }
         }
     });
 }
 
-void platform_site::restart_vm_unlisted(int index) {
+void platform_site::hold_up_vm(int index, base::milliseconds time) {
     on_loop([&] {
         auto& handler = *state_->vms[static_cast<std::size_t>(index)];
-        state_->discard_unacknowledged(handler);
-        handler.vm->crash();
+        state_->advance_clock(handler);
+        const auto spare = state_->plan.max_stop_time - handler.vm->stop_time();
+        handler.vm->pause(std::clamp(time, base::milliseconds{0}, spare));
     });
 }
 
+void platform_site::restart_vm_unlisted(int index) {
+    on_loop([&] { state_->vms[static_cast<std::size_t>(index)]->crash(); });
+}
+
 void platform_site::set_vms_listed(bool listed) {
     on_loop([&] {
         for (std::size_t i = 1; i < state_->vms.size(); ++i) {
@@ -876,6 +1009,12 @@
     return out;
 }
 
+restart_distances platform_site::closest_restarts() {
+    restart_distances out;
+    on_loop([&] { out = state_->distances; });
+    return out;
+}
+
 platform_site::job_counts platform_site::counts_of(const fleet::job_id& job) {
     job_counts out;
     on_loop([&] {
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -34,6 +34,8 @@
     // it in the daemons' settings.
     base::milliseconds stop_time{0};
     base::milliseconds max_stop_time{400};
+    // The stop times of the VMs, assigned to the VMs in turn. Empty: stop_time for all VMs.
+    std::vector<base::milliseconds> stop_times;
     // Returns the address through which the daemons reach a listener of the platform; empty: the
     // listener's own address.
     std::function<net::endpoint(const net::endpoint&)> route;
@@ -61,6 +63,23 @@
     unresponsive,  // accepts calls and never answers
 };
 
+// The time from the end of a task's latest run to its next start, over all such starts.
+struct restart_distance {
+    int restarts = 0;
+    base::milliseconds closest{0};  // if there are any
+    std::string closest_vms;        // of the earlier run and of the next one
+};
+
+// All times are exact to 2 ms, by the VMs' clocks, except that gangs complete and break up in steps
+// of 10 ms.
+struct restart_distances {
+    restart_distance all;
+    restart_distance lapsed;  // the earlier run's lease had expired
+    // The same, if its VM had sent the starting owner no report since the end of the run and had
+    // not restarted: only time could prove the end.
+    restart_distance lapsed_unreported;
+};
+
 // The member functions block until the platform's thread has carried them out.
 class platform_site {
 public:
@@ -94,8 +113,13 @@
     void set_vm_command_delay(int index, command_delay delay);
     // The VM loses its state and restarts, and its entry in the member list stays as it was.
     void restart_vm_unlisted(int index);
+    // The VM's process is late for this time: it carries out no command and ends no run, and then
+    // catches up. Shortened, so that runs end within max_stop_time.
+    void hold_up_vm(int index, base::milliseconds time);
     // Whether the VM runs any task.
     bool vm_is_busy(int index);
+    // All VMs, those first whose runs still take longest.
+    std::vector<int> vms_by_remaining_time();
     // The feeds lose all changes so far: followers of older versions get 410.
     void truncate_feed_history();
     // Removes the entries of all VMs but the first from the member list, or adds them again.
@@ -112,6 +136,7 @@
     void rewrite_row(const std::string& table, const std::string& key, const std::string& value);
     // One description for each broken promise.
     std::vector<std::string> violations();
+    restart_distances closest_restarts();
     // Counts of one job: tasks that ended as done, tasks that run now, and all starts.
     struct job_counts {
         int done = 0;
