--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -52,6 +52,10 @@
     // True if the VM's lease has expired.
     bool leases_expired() const { return now_ > lease_until_; }
 
+    // The end of the lease on the VM's clock.
+    fleet::vm_time lease_until() const { return lease_until_; }
+    fleet::vm_time now() const { return now_; }
+
     // Moves the VM's clock on. Ends runs whose time is over or whose lease has expired.
     void advance(base::milliseconds by);
     // Loses all state and restarts as another incarnation.
