soak: VMs that end runs late, and owners killed while VMs are cut off

VMs now have stop times up to their site's bound, half of them the whole bound, and are held up within it. A phase after the drawn faults starts tasks that outlast a lease, cuts off the VMs with the longest runs, kills the owner within 60 ms (starts it again at once, or kills several daemons within 30 ms) and has no other faults.

--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -49,7 +49,7 @@
 };
 
 std::string job_text(char kind, int caller_number, int n, const task_traits& traits) {
-    char out[17];
+    char out[40];
     std::snprintf(out, sizeof out, "%c%03x%02x%02x%08x", kind, caller_number, traits.time_100ms,
                   traits.gang_size, n);
     return out;
@@ -323,7 +323,7 @@
         return std::nullopt;
     }
     --overload_.jobs;
-    return overload{1, overload_.cores};
+    return overload{1, overload_.cores, overload_.time_100ms};
 }
 
 void clients::submit(job_client& client, const fleet::job_id& job, const std::string& body,
@@ -366,7 +366,8 @@
     for (int n = 0; !stopping_; ++n) {
         while (const auto extra = stopping_ ? std::nullopt : take_overload_job()) {
             constexpr int site_overload_100ms = 20;
-            const task_traits traits{mix_ == job_mix::site ? site_overload_100ms : 0, 0};
+            const int usual_100ms = mix_ == job_mix::site ? site_overload_100ms : 0;
+            const task_traits traits{extra->time_100ms > 0 ? extra->time_100ms : usual_100ms, 0};
             const fleet::job_id job(job_text('b', number, ++overload_count, traits));
             checker_.record_job(job, 1);
             submit(client, job, job_body(1, false, extra->cores, traits), home);
--- a/test/soak/clients.hpp
+++ b/test/soak/clients.hpp
@@ -95,10 +95,11 @@
     std::unique_ptr<state> state_;
 };
 
-// Jobs of one task that together exceed the VMs' capacity. Each task needs `cores` cores.
+// Jobs of one task, which together may exceed the VMs' capacity. Each task needs `cores` cores.
 struct overload {
     int jobs = 0;
     int cores = 1;
+    int time_100ms = 0;  // of each task; 0: as the mix has it
 };
 
 enum class job_mix {
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -43,6 +43,13 @@
     {fault_kind::cut_owner, 3, "cut_owner"},
 }};
 
+constexpr std::array<weighted_kind, 4> machine_kinds{{
+    {fault_kind::vm_held_up, 0, "vm_held_up"},
+    {fault_kind::restart_owner, 0, "restart_owner"},
+    {fault_kind::kill_together, 0, "kill_together"},
+    {fault_kind::vm_cut, 0, "vm_cut"},
+}};
+
 // Faults of single links are drawn from these; `refuse` is part of site faults only.
 constexpr int drawn_link_faults = 5;
 constexpr std::array<const char*, 6> link_faults{"delay",      "reset",   "silence",
@@ -137,11 +144,88 @@
     return out;
 }
 
+std::vector<fault> draw_late_vms(const fault_plan& plan) {
+    std::seed_seq mix{plan.seed, 4U};
+    std::mt19937 random(mix);
+    const auto draw = [&random](int from, int to) {
+        return std::uniform_int_distribution<int>(from, to)(random);
+    };
+    constexpr int max_held_up_ms = 900;
+    std::vector<fault> out;
+    for (base::milliseconds start{draw(1, mean_pause_ms)}; start < plan.time;
+         start += base::milliseconds(draw(1, 2 * mean_pause_ms))) {
+        fault drawn;
+        drawn.kind = fault_kind::vm_held_up;
+        drawn.start_time = start;
+        drawn.duration = base::milliseconds(draw(1, max_held_up_ms));
+        drawn.target = draw(0, plan.vms - 1);
+        drawn.count = draw(1, std::max(plan.vms / max_vm_fraction, 1));
+        out.push_back(drawn);
+    }
+    return out;
+}
+
+std::vector<fault> draw_kills_with_cut_vms(const fault_plan& plan) {
+    std::seed_seq mix{plan.seed, 6U};
+    std::mt19937 random(mix);
+    const auto draw = [&random](int from, int to) {
+        return std::uniform_int_distribution<int>(from, to)(random);
+    };
+    std::vector<fault> out;
+    const auto add = [&](fault_kind kind, base::milliseconds start, int count) {
+        fault drawn;
+        drawn.kind = kind;
+        drawn.start_time = start;
+        drawn.duration = base::milliseconds(1);
+        drawn.count = count;
+        out.push_back(drawn);
+    };
+    base::milliseconds start{draw(1, 300)};
+    constexpr int max_earlier_restarts = 2;
+    for (int i = draw(0, max_earlier_restarts); i > 0; --i) {
+        add(fault_kind::restart_owner, start, 1);
+        start += base::milliseconds(draw(300, 800));
+    }
+    const int max_cut_vms = std::max(plan.vms / max_vm_fraction, 1);
+    add(fault_kind::vm_cut, start, draw((max_cut_vms + 1) / 2, max_cut_vms));
+    out.back().duration = plan.time - start;
+    // The leases have just been renewed.
+    start += base::milliseconds(draw(0, 60));
+    if (draw(0, 2) == 0) {
+        add(fault_kind::kill_together, start, draw(1, std::max(plan.daemons / 2, 1)));
+        out.back().duration = base::milliseconds(draw(1, 2'000));
+        constexpr int max_kill_time_ms = 30;
+        out.back().delay = base::milliseconds(draw(0, max_kill_time_ms) / out.back().count);
+    } else {
+        add(fault_kind::restart_owner, start, 1);
+    }
+    if (draw(0, 2) == 0) {
+        add(fault_kind::restart_owner, start + base::milliseconds(draw(1, 2'000)), 1);
+    }
+    return out;
+}
+
+std::vector<base::milliseconds> draw_stop_times(std::uint32_t seed, int vms,
+                                                base::milliseconds max_stop_time) {
+    std::seed_seq mix{seed, 5U};
+    std::mt19937 random(mix);
+    std::uniform_int_distribution<int> draw(0, static_cast<int>(max_stop_time.count()));
+    std::vector<base::milliseconds> out;
+    for (int i = 0; i < vms; ++i) {
+        const base::milliseconds drawn(draw(random));
+        out.push_back(random() % 2U == 0 ? max_stop_time : drawn);
+    }
+    return out;
+}
+
 std::string to_string(const fault& injected) {
     const auto has_kind = [&](const auto& it) { return it.kind == injected.kind; };
     const auto* entry = std::find_if(kinds.begin(), kinds.end(), has_kind);
     if (entry == kinds.end()) {
         entry = std::find_if(site_kinds.begin(), site_kinds.end(), has_kind);
+        if (entry == site_kinds.end()) {
+            entry = std::find_if(machine_kinds.begin(), machine_kinds.end(), has_kind);
+        }
     }
     std::string out = std::to_string(injected.start_time.count()) + " ms: " + entry->name + " " +
                       std::to_string(injected.target);
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -39,6 +39,11 @@
     stop_owner,
     pause_owner,
     cut_owner,  // the owner's link to the store
+    // Faults of machines.
+    vm_held_up,  // VMs end no run and carry out nothing, within the bound on the time to end runs
+    restart_owner,  // SIGKILL, and started again at once
+    kill_together,  // SIGKILL within 30 ms, of the owner too; started again when the fault ends
+    vm_cut,         // the links of VMs with long runs drop all bytes, until the fault ends
 };
 
 struct fault {
@@ -48,7 +53,7 @@
     int target = 0;  // index of a daemon, VM or link, or a number of answers
     int count = 1;
     link_fault link_effect = link_fault::delay;
-    base::milliseconds delay{0};
+    base::milliseconds delay{0};  // of a link, or from one kill to the next
 };
 
 struct fault_plan {
@@ -65,6 +70,19 @@
 // Faults that sites of many VMs show, from a generator of their own. Ordered by start time.
 std::vector<fault> draw_site_faults(const fault_plan& plan);
 
+// VMs that are held up, from a generator of their own. Ordered by start time.
+std::vector<fault> draw_late_vms(const fault_plan& plan);
+
+// One cut of VMs until the end of the plan's time, the owner killed just after it and at times
+// before and after, and no other faults, so that an owner waits for the VMs' leases to expire. From
+// a generator of their own.
+std::vector<fault> draw_kills_with_cut_vms(const fault_plan& plan);
+
+// By VM, the time that it takes to end runs: up to the bound, and the whole of it for half of the
+// VMs.
+std::vector<base::milliseconds> draw_stop_times(std::uint32_t seed, int vms,
+                                                base::milliseconds max_stop_time);
+
 std::string to_string(const fault& injected);
 
 // Records what is disturbed now, and when each earlier disturbance ended. Thread-safe.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,8 +1,8 @@
 // A randomised soak of the fleet: real daemons as separate processes, the stand-in of the platform,
 // and faults that are injected from outside. During and after the faults, the promises are checked
 // against the answers that callers received and the runs that VMs saw. The drawn faults are
-// followed by a calm phase with more work than the VMs have capacity for and a single fault, of the
-// owner.
+// followed by a phase in which owners are killed while VMs are cut off, and by a calm phase with
+// more work than the VMs have capacity for and a single fault, of the owner.
 //
 //     soak --seed=7 --seconds=15       one run; the faults and breaches are printed
 //     soak --seed=7 --site=chbench-grid   the size, the work and the faults of a users' site
@@ -35,6 +35,7 @@
 DEFINE_int32(daemons, 0, "processes; 0: as the site has");
 DEFINE_int32(vms, 0, "worker VMs; 0: as the site has. From 400 on the daemons use relays");
 DEFINE_int32(clients, 0, "number of callers, each with its own connections; 0: as the site has");
+DEFINE_int32(stop_ms, 0, "bound on the time that VMs take to end runs, in ms; 0: as the site has");
 DEFINE_string(logs, "", "folder for the daemons' logs of runs with a breach");
 
 namespace {
@@ -50,6 +51,8 @@
 // backlog.
 constexpr base::milliseconds settle_time{5'000};
 constexpr base::milliseconds owner_fault_phase_time{4'000};
+// Longer than two owners wait for the leases of VMs in turn.
+constexpr base::milliseconds cut_phase_time{10'000};
 constexpr int vms_per_overload = 48;
 constexpr int status_ok = 200;
 
@@ -62,11 +65,12 @@
     int vms_per_rack = 0;
     std::int64_t vm_millicores = 0;
     job_mix mix = job_mix::small;
+    base::milliseconds max_stop_time{0};  // that VMs take to end runs
 };
 
 // The users' sites by their sheets; the first is the project's own.
 const std::vector<site_shape> sites{
-    {"small", 3, 6, 8, {{"z", "r"}}, 0, 8'000, job_mix::small},
+    {"small", 3, 6, 8, {{"z", "r"}}, 0, 8'000, job_mix::small, base::milliseconds{900}},
     {"chbench-grid",
      7,
      48,
@@ -74,7 +78,8 @@
      {{"a-1", "a"}, {"b-1", "b"}, {"a-2", "a"}},
      8,
      32'000,
-     job_mix::site},
+     job_mix::site,
+     base::milliseconds{400}},
     {"chbench-grid-grown",
      42,
      350,
@@ -82,7 +87,8 @@
      {{"a-1", "a"}, {"b-1", "b"}, {"a-2", "a"}, {"b-2", "b"}, {"a-3", "a"}, {"b-3", "b"}},
      8,
      32'000,
-     job_mix::site},
+     job_mix::site,
+     base::milliseconds{400}},
 };
 
 // The shape that the flags choose; set before the first run.
@@ -97,10 +103,41 @@
     shape = *it;
     shape.daemons = FLAGS_daemons > 0 ? FLAGS_daemons : shape.daemons;
     shape.vms = FLAGS_vms > 0 ? FLAGS_vms : shape.vms;
+    if (FLAGS_stop_ms > 0) {
+        shape.max_stop_time = base::milliseconds(FLAGS_stop_ms);
+    }
     shape.clients = FLAGS_clients > 0 ? FLAGS_clients : shape.clients;
     return true;
 }
 
+std::string describe(const standins::restart_distance& found) {
+    return std::to_string(found.closest.count()) + " ms of " + std::to_string(found.restarts) +
+           " restarts" + (found.restarts > 0 ? " (" + found.closest_vms + ")" : "");
+}
+
+void print(const standins::restart_distances& found, const std::string& prefix) {
+    std::cout << prefix << "closest restart: " << describe(found.all) << "\n"
+              << prefix << "closest restart after a lapsed lease: " << describe(found.lapsed)
+              << "\n"
+              << prefix << "closest restart after a lapsed lease, end not reported: "
+              << describe(found.lapsed_unreported) << std::endl;
+}
+
+// Adds the restarts of another seed.
+void add(standins::restart_distance& to, const standins::restart_distance& more) {
+    if (more.restarts > 0 && (to.restarts == 0 || more.closest < to.closest)) {
+        to.closest = more.closest;
+        to.closest_vms = more.closest_vms;
+    }
+    to.restarts += more.restarts;
+}
+
+void add(standins::restart_distances& to, const standins::restart_distances& more) {
+    add(to.all, more.all);
+    add(to.lapsed, more.lapsed);
+    add(to.lapsed_unreported, more.lapsed_unreported);
+}
+
 class soak_run {
 public:
     explicit soak_run(std::uint32_t seed)
@@ -123,10 +160,11 @@
         if (shape.mix == job_mix::site) {
             const auto more = draw_site_faults(plan);
             faults.insert(faults.end(), more.begin(), more.end());
-            std::stable_sort(faults.begin(), faults.end(), [](const auto& a, const auto& b) {
-                return a.start_time < b.start_time;
-            });
         }
+        const auto late_vms = draw_late_vms(plan);
+        faults.insert(faults.end(), late_vms.begin(), late_vms.end());
+        std::stable_sort(faults.begin(), faults.end(),
+                         [](const auto& a, const auto& b) { return a.start_time < b.start_time; });
         for (const auto& it : faults) {
             std::cout << "  " << to_string(it) << "\n";
         }
@@ -139,6 +177,7 @@
         if (!wait_until_all_ready()) {
             violations_.push_back("a daemon is not ready after the faults");
         }
+        kill_owners_with_cut_vms();
         disturb_owner_of_backlog(overloads);
         callers.stop();
         callers_ = nullptr;
@@ -156,6 +195,8 @@
         return violations_;
     }
 
+    standins::restart_distances closest_restarts() { return cluster_.site().closest_restarts(); }
+
     void keep_logs(const std::string& folder) const {
         std::filesystem::create_directories(folder);
         for (int i = 0; i < shape.daemons; ++i) {
@@ -187,6 +228,8 @@
         out.route = [this](const net::endpoint& to) { return network_.add(to); };
         out.behavior = [](const fleet::task_ref& task) { return behavior_of(task.job); };
         out.clock_rates = {1.0, 0.98, 1.02};
+        out.max_stop_time = shape.max_stop_time;
+        out.stop_times = draw_stop_times(seed_, shape.vms, shape.max_stop_time);
         return out;
     }
 
@@ -243,6 +286,30 @@
         return out;
     }
 
+    // During the drawn faults hardly any owner lasts until the leases of VMs have expired. Here the
+    // owner has completed its record of the VMs before it is killed.
+    void kill_owners_with_cut_vms() {
+        constexpr int jobs_per_vm = 2;
+        constexpr int outlasting_100ms = 90;  // longer than a lease and the time to end runs
+        const auto faults = draw_kills_with_cut_vms(
+            {seed_, cut_phase_time, shape.daemons, shape.vms, static_cast<int>(network_.size())});
+        for (const auto& it : faults) {
+            std::cout << "  with cut VMs: " << to_string(it) << "\n";
+        }
+        std::this_thread::sleep_for(settle_time);
+        callers_->add_overload({jobs_per_vm * shape.vms, 1, outlasting_100ms});
+        standins::wait_until([this] { return callers_->has_submitted_overload(); },
+                             completion_timeout);
+        constexpr base::milliseconds time_to_start{500};
+        std::this_thread::sleep_for(time_to_start);
+        inject(faults, {});
+        end_all_faults();
+        if (!wait_until_all_ready()) {
+            violations_.push_back("a daemon is not ready after its owners were killed");
+        }
+        print_phase("VMs are in reach again");
+    }
+
     // During the drawn faults hardly any daemon is undisturbed long enough for its counts to be
     // checked. So jobs wait here without faults until every daemon must report their count, then
     // only the owner is disturbed.
@@ -289,6 +356,9 @@
             const auto parts = std::make_shared<std::vector<fault>>();
             changes.emplace(begin + it.start_time, [this, it, parts] {
                 *parts = resolve(it);
+                if (it.kind == fault_kind::kill_together) {
+                    kill_together(*parts, it.delay);
+                }
                 std::for_each(parts->begin(), parts->end(),
                               [this](const auto& part) { begin_fault(part); });
             });
@@ -331,6 +401,16 @@
         }
     }
 
+    // Sends the signals before the end of any of the processes is waited for.
+    void kill_together(const std::vector<fault>& parts, base::milliseconds pause) {
+        for (const auto& it : parts) {
+            if (!killed_[it.target]) {
+                cluster_.signal(it.target, SIGKILL);
+                std::this_thread::sleep_for(pause);
+            }
+        }
+    }
+
     // The single faults that a fault of a site consists of, when it begins.
     std::vector<fault> resolve(const fault& drawn) {
         std::vector<fault> out;
@@ -345,19 +425,29 @@
         for (int i = 0; i < drawn.count; ++i) {
             const int daemon = (drawn.target + i) % shape.daemons;
             const int vm = (drawn.target + i) % shape.vms;
+            const auto index = static_cast<std::size_t>(i);
             switch (drawn.kind) {
                 case fault_kind::vm_refuses:
                     add(fault_kind::link, vm, link_fault::refuse);
                     break;
+                case fault_kind::vm_cut:
+                    add(fault_kind::link, cluster_.site().vms_by_remaining_time()[index],
+                        link_fault::black_hole);
+                    break;
                 case fault_kind::vm_silent:
                 case fault_kind::vm_unlisted:
                 case fault_kind::vm_late_commands:
                 case fault_kind::vm_restarts_unseen:
+                case fault_kind::vm_held_up:
                     add(drawn.kind, vm, drawn.link_effect);
                     break;
                 case fault_kind::kill_many:
                     add(fault_kind::kill_daemon, daemon, drawn.link_effect);
                     break;
+                case fault_kind::kill_together:
+                    // The first is the owner.
+                    add(fault_kind::kill_daemon, (owner() + i) % shape.daemons, drawn.link_effect);
+                    break;
                 case fault_kind::reset_many:
                     add(fault_kind::link, store_link(daemon), link_fault::reset);
                     add(fault_kind::link, caller_link(daemon), link_fault::reset);
@@ -365,6 +455,9 @@
                 case fault_kind::store_refuses_some:
                     add(fault_kind::link, store_link(daemon), link_fault::refuse);
                     break;
+                case fault_kind::restart_owner:
+                    add(fault_kind::restart_owner, owner(), drawn.link_effect);
+                    return out;
                 case fault_kind::kill_owner:
                     add(fault_kind::kill_daemon, owner(), drawn.link_effect);
                     return out;
@@ -395,6 +488,17 @@
                     record_process_state(i, false);
                 }
                 break;
+            case fault_kind::restart_owner:
+                if (!killed_[i]) {
+                    cluster_.kill(i);
+                    cluster_.start(i);
+                    stopping_[static_cast<std::size_t>(i)] = false;
+                    disturbances_.set(fault_kind::kill_daemon, i, false);
+                }
+                break;
+            case fault_kind::vm_held_up:
+                cluster_.site().hold_up_vm(i, injected.duration);
+                break;
             case fault_kind::stop_daemon:
                 if (!killed_[i]) {
                     cluster_.terminate(i);
@@ -652,6 +756,7 @@
         return 2;
     }
     int bad_seeds = 0;
+    standins::restart_distances closest;
     for (std::uint32_t i = 0; i < FLAGS_seeds; ++i) {
         const std::uint32_t seed = FLAGS_seed + i;
         std::cout << "seed " << seed << std::endl;
@@ -660,11 +765,16 @@
         for (const auto& it : seed_violations) {
             std::cout << "BREACH seed " << seed << ": " << it << std::endl;
         }
+        print(run.closest_restarts(), "  ");
+        add(closest, run.closest_restarts());
         if (!seed_violations.empty() && !FLAGS_logs.empty()) {
             run.keep_logs(FLAGS_logs);
         }
         bad_seeds += seed_violations.empty() ? 0 : 1;
     }
+    if (FLAGS_seeds > 1) {
+        print(closest, "all seeds: ");
+    }
     std::cout << "seeds run " << FLAGS_seeds << ", with breaches " << bad_seeds << std::endl;
     return bad_seeds == 0 ? 0 : 1;
 }
