--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -71,7 +71,6 @@
 
     // The end of the lease on the VM's clock.
     fleet::vm_time lease_until() const { return lease_until_; }
-    fleet::vm_time now() const { return now_; }
 
     // Moves the VM's clock on. Ends runs whose time is over or whose lease has expired.
     void advance(base::milliseconds by);
--- a/test/standins/takeover_model.cpp
+++ b/test/standins/takeover_model.cpp
@@ -1019,8 +1019,13 @@
     void tick_task(process& it, owner_task& task) {
         process_early_reports(it, task);
         const auto now = clock_of(it);
+        const auto renewal_sent = it.owner.last_renewal_sent();
+        const auto own_leases_expired = [&](const fleet::vm_id& vm) {
+            const auto found = task.sessions.find(vm);
+            return found == task.sessions.end() || found->second->leases.all_expired(renewal_sent);
+        };
         if (!task.inherited_known && task.members_known && task.jobs_known &&
-            task.vms.runs_known(now, it.owner.last_renewal_sent())) {
+            task.vms.runs_known(now, renewal_sent, own_leases_expired)) {
             task.inherited_known = true;
             task.scheduler.inherited_runs_reported(reading_of(it));
             wake(it, task);
