--- a/packages/fleet/include/cranberrydock/fleet/ownership.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/ownership.hpp
@@ -56,6 +56,9 @@
     std::string holder;  // name of the daemon's VM; empty: the fleet has no owner
     std::string
         process_run;  // names the daemon's process; a later one on that VM may take over at once
+    // Where that process listens. Only when a later process listens there has it ended for certain.
+    // Empty: not known.
+    std::string address;
     fencing_token token;
     // Read by daemons that answer requests about a queue. A new owner keeps the previous owner's
     // count in the row until it has made its own. Empty if there is no count yet.
@@ -106,7 +109,9 @@
 
 class ownership {
 public:
-    ownership(std::string holder, std::string run, const ownership_settings& settings);
+    // `address`: where this process listens.
+    ownership(std::string holder, std::string run, std::string address,
+              const ownership_settings& settings);
 
     // The row was read. `record` is empty if there is no row.
     void row_read(const std::optional<owner_record>& record, store_version version,
@@ -119,12 +124,15 @@
     void holder_ended(const std::string& run) { ended_run_ = run; }
     // The holder's VM refused a connection. A broken network can have the same effect.
     void holder_refused(const std::string& run) { refusing_run_ = run; }
-    // The holder has become unresponsive, or responsive again.
+    // The holder has become unresponsive, or has answered.
     void holder_unresponsive(const std::string& run) { unresponsive_run_ = run; }
     void holder_responsive(const std::string& run) {
         if (unresponsive_run_ == run) {
             unresponsive_run_.clear();
         }
+        if (refusing_run_ == run) {
+            refusing_run_.clear();
+        }
     }
     // Whether the process of the previous owner is known to have ended.
     bool previous_owner_ended() const { return previous_owner_ended_; }
@@ -141,13 +149,14 @@
     void renew_soon() { next_write_ = {}; }
     // `sent`: when the write was sent.
     void written(store_version version, const owner_record& record, base::time_point sent);
-    // `outcome_unknown`: the write may have been applied, or may still be.
-    void failed(bool outcome_unknown, base::time_point now);
+    // The write may have been applied, or may still be, until the row has another version.
+    void failed(base::time_point now);
 
     // Whether commands may be issued.
     bool may_issue_commands(base::time_point now) const;
     bool owns() const { return owns_; }
-    // When the last confirmed renewal was sent.
+    // When the last confirmed renewal was sent, or earlier if it is not known which write the row
+    // holds.
     base::time_point last_renewal_sent() const { return last_renewal_sent_; }
     // Steps down as owner. The content of the row decides who owns the fleet next.
     void step_down() { owns_ = false; }
@@ -168,6 +177,7 @@
 
     std::string holder_;
     std::string run_;
+    std::string address_;
     ownership_settings settings_;
     owner_record record_;
     store_version version_;
@@ -190,7 +200,9 @@
     std::string unresponsive_run_;
     bool previous_owner_ended_ = false;
     milliseconds stagger_{0};
-    base::time_point last_write_sent_{};  // when the latest write was sent, confirmed or not
+    // When the first write that is conditional on `version_` was sent. If the next version of the
+    // row is this daemon's, any of these writes may be the one that was carried out.
+    std::optional<base::time_point> first_write_sent_;
 };
 
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/ownership.cpp
+++ b/packages/fleet/src/ownership.cpp
@@ -47,6 +47,7 @@
                 {"labels", std::move(labels)},
                 {"vms", record.vm_count},
                 {"run", record.process_run},
+                {"address", record.address},
                 {"fence", record.token.value()},
                 {"earlier_ended", record.earlier_owners_ended},
                 {"overloaded_ms", std::move(overloaded)},
@@ -73,6 +74,8 @@
         owner_record out;
         out.holder = fields.at("holder").get<std::string>();
         out.process_run = fields.at("run").get<std::string>();
+        // Earlier versions do not write the address.
+        out.address = fields.value("address", std::string());
         out.token = fencing_token(fields.at("fence").get<std::int64_t>());
         // Earlier versions do not write which count it is.
         if (fields.contains("count")) {
@@ -121,8 +124,12 @@
     return out;
 }
 
-ownership::ownership(std::string holder, std::string run, const ownership_settings& settings)
-    : holder_(std::move(holder)), run_(std::move(run)), settings_(settings) {}
+ownership::ownership(std::string holder, std::string run, std::string address,
+                     const ownership_settings& settings)
+    : holder_(std::move(holder)),
+      run_(std::move(run)),
+      address_(std::move(address)),
+      settings_(settings) {}
 
 void ownership::row_read(const std::optional<owner_record>& record, store_version version,
                          base::time_point now) {
@@ -141,10 +148,13 @@
     const bool is_own = record_.holder == holder_ && record_.process_run == run_;
     const bool is_deferred = now < takeovers_deferred_until_;
     if (owns_ != is_own && !retired_ && !(is_own && is_deferred)) {
-        // A write whose outcome was unknown may have made this daemon the owner.
         owns_ = is_own;
-        last_renewal_sent_ = last_write_sent_;
+        if (is_own && first_write_sent_) {
+            // A write whose outcome was unknown has made this daemon the owner.
+            last_renewal_sent_ = *first_write_sent_;
+        }
     }
+    first_write_sent_.reset();
 }
 
 // `count_made_after`: if the record has a new count, the count was made after this point in time.
@@ -178,7 +188,7 @@
     }
     if (owns_) {
         writing_ = true;
-        last_write_sent_ = now;
+        first_write_sent_ = first_write_sent_.value_or(now);
         next_write_ = now + settings_.renewal_interval;
         return step::renew;
     }
@@ -201,8 +211,10 @@
         return step::none;
     }
     writing_ = true;
-    last_write_sent_ = now;
-    previous_owner_ended_ = record_.holder.empty() || ended;
+    first_write_sent_ = first_write_sent_.value_or(now);
+    const bool is_replaced = is_own_predecessor && record_.address == address_;
+    previous_owner_ended_ =
+        record_.holder.empty() || is_replaced || record_.process_run == ended_run_;
     return step::acquire;
 }
 
@@ -213,6 +225,7 @@
         return;  // the change feed has already delivered a later write of another daemon
     }
     version_ = version;
+    first_write_sent_.reset();
     set_record(record, sent);
     version_written_after_ = sent;
     last_read_ = sent;
@@ -222,7 +235,7 @@
     unchanged_until_ = sent;
 }
 
-void ownership::failed(bool /*outcome_unknown*/, base::time_point now) {
+void ownership::failed(base::time_point now) {
     constexpr milliseconds retry_pause{100};
     writing_ = false;
     next_write_ = now + retry_pause;
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -82,6 +82,8 @@
     bool reachable = true;
     std::map<task_ref, placed_run> runs;
     resources used;  // the sum over `runs`
+    // Runs in the last report of tasks that have another run in `runs`.
+    std::map<task_ref, running_task> concealed;
     // The capacity that steps are expected to take here if their open queries are granted,
     // separately for short and for long queries.
     resources expected_by_short_queries;
@@ -131,7 +133,9 @@
     bool done = false;
     std::vector<run_number> failed_runs;  // empty for a long-running task
     run_number last_run;
-    vm_record* vm = nullptr;  // where its run is placed; null: it has no run
+    // Where its run is placed. Null exactly if no VM has a run of it on record; only then it may be
+    // started.
+    vm_record* vm = nullptr;
     checkpoint saved;
     std::unique_ptr<ended_run> previous;  // its last run that has ended under this owner
 };
@@ -146,9 +150,11 @@
     std::map<std::size_t, boot_time> not_granted;
     bool query_open = false;
     time_point last_query_at{};
-    // Answers of the advisor since a task was last started. With at least one, the step can't use
-    // the capacity that is free now: none of the VMs granted to it has room.
+    // Answers of the advisor since a task was last started. If the last one granted a VM, the step
+    // can't use the capacity that is free now: none of the VMs granted to it has room. Otherwise,
+    // VMs with room may remain that no query has named.
     int answers_without_start = 0;
+    bool last_answer_granted = false;
     // Since when a task has waited while no other one of the step started.
     time_point waits_since{};
     time_point considered_at{};  // when `waits_for` was recorded
@@ -192,6 +198,8 @@
     const queue_terms* terms = nullptr;
     const placement_query_cost* advice = nullptr;  // null: the step needs no placement grants
     int tier = 0;
+    // The gang can't run on the VMs that it may use, whatever ends there.
+    bool needs_other_vms = false;
 };
 
 // Limits the queries of one decision to the work that can be placed soon. Each waiting step takes
@@ -259,6 +267,9 @@
     std::set<job_id> timed_jobs;                    // jobs with occurrences that are not due yet
     std::set<std::pair<vm_id, task_ref>> stopping;  // runs with a requested stop
     std::set<std::pair<task_ref, vm_id>> unknown_runs;  // runs of unknown jobs
+    // Runs of known tasks that have another run on record, at `task_state::vm`. All of them are
+    // being stopped.
+    std::set<std::pair<task_ref, vm_id>> further_runs;
     // Completions of unknown jobs.
     std::map<job_id, std::vector<detail::held_completion>> held_completions;
     std::set<std::pair<vm_id, task_ref>> starts_to_retry;  // start commands without an answer
@@ -270,8 +281,11 @@
     std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
-    // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
+    // The sum of the recorded needs of runs of unknown jobs: the whole VM for each of them.
     resources unknown_use;
+    // Upper bound of the use by these runs, which may belong to any customer: all of them on one VM
+    // take at most what its other runs leave. Determined at each decision.
+    resources max_unknown_use;
     // Upper bound of the use by a previous owner's runs on VMs that have not reported yet, listed
     // or not, and the part of it for VMs that are not listed.
     resources unreported_use;
@@ -282,7 +296,7 @@
     std::map<service_name, service_load> service_counters;
     std::map<queue_name, queue_load> queue_counters;
     bool inherited_known = false;
-    std::optional<base::time_point> latest_inherited_lease_end;  // of previous owners
+    std::optional<base::time_point> latest_inherited_run_end;  // of previous owners
     bool starts_held = false;
 
     // scheduler_jobs.cpp
@@ -327,6 +341,10 @@
     void release(detail::vm_record& vm, const task_ref& task, const run_end& end);
     // Removes the run from the VM's record without a statement on its end.
     void forget_run(detail::vm_record& vm, const task_ref& task);
+    bool has_further_run(const task_ref& task) const;
+    // One of the task's runs is not on record any more.
+    void remove_further_run(const detail::vm_record& vm, const task_ref& task,
+                            detail::task_state& state);
     void drop_lost_runs(detail::vm_record& vm, const std::vector<task_ref>& tasks,
                         const std::string& reason, const run_end& end);
     // The VM lists a run that is not on record. If its end was concluded earlier, logs and measures
@@ -352,6 +370,7 @@
     // Updates the job's progress.
     void apply_completion(detail::job_record& job, detail::step_state& step,
                           const task_completion& completion, const clock_reading& now);
+    void stop_newer_members(detail::step_state& step, const task_completion& completion);
     // Applies completions that were received before the job, which has become known.
     void apply_held_completions(const job_id& job, const clock_reading& now);
     // The VM may forget the completions that it holds for the job once the job's `change` is saved.
@@ -377,6 +396,7 @@
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
     resources customer_headroom(const customer_name& customer) const;
+    resources find_max_unknown_use() const;
     void place_open_steps(const clock_reading& now, const query_budget& budget, decisions& out);
     bool place_tasks(detail::open_step& work, const detail::placement_round& round,
                      const clock_reading& now, decisions& out);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -60,6 +60,7 @@
     vm->reported = false;
     vm->last_completion = {};
     vm->unsaved.clear();
+    vm->concealed.clear();
     std::vector<task_ref> ended;
     for (auto& it : vm->runs) {
         placed_run& run = it.second;
@@ -86,7 +87,9 @@
         "event=vm_lost vm={} reason={} runs={} lease_until={} vm_clock={} "
         "reading_age_ms={} expired_for_ms={}",
         id.str(), reason, vm->runs.size(), expiry.lease_until.value(), expiry.vm_clock.value(),
-        expiry.reading_age.count(), expiry.expired_for ? expiry.expired_for->count() : 0);
+        expiry.reading_age.count(),
+        expiry.expired_for ? std::to_string(expiry.expired_for->count()) : "unknown");
+    vm->concealed.clear();
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         lost.push_back(it.first);
@@ -103,6 +106,7 @@
     }
     vm->reported = false;
     vm->ended = true;
+    vm->concealed.clear();
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         const placed_run& run = it.second;
@@ -150,7 +154,11 @@
     in_use[new_run.customer] += new_run.need;
     vm.runs.emplace(task, new_run);
     auto& state = step.tasks[static_cast<std::size_t>(task.index)];
-    state.vm = &vm;
+    if (state.vm == nullptr) {
+        state.vm = &vm;
+    } else {
+        further_runs.insert({task, vm.facts.id});
+    }
     state.last_run = std::max(state.last_run, run);
     ++job.placed_runs;
 }
@@ -162,7 +170,8 @@
     }
     job_record* job = nullptr;
     step_state* const step = find_step(task, &job);
-    if (step != nullptr && !it->second.unknown) {
+    // A refused start was no run, so it does not hide the one before it.
+    if (step != nullptr && !it->second.unknown && end.proof != end_proof::start_refused) {
         auto& previous = step->tasks[static_cast<std::size_t>(task.index)].previous;
         previous = std::make_unique<ended_run>();
         previous->vm = vm.facts.id;
@@ -173,6 +182,12 @@
         previous->expiry = end.expiry;
     }
     forget_run(vm, task);
+    const auto other = vm.concealed.find(task);
+    if (other != vm.concealed.end()) {
+        const running_task found = std::move(other->second);
+        vm.concealed.erase(other);
+        adopt_run(vm, found, {end.at, {}});
+    }
 }
 
 void scheduler::state::check_restart(const vm_record& vm, const task_ref& task, run_number run,
@@ -190,29 +205,37 @@
         earlier != nullptr && earlier->vm == vm.facts.id && earlier->run == run;
     const bool is_restarted = is_previous && earlier->restarted_at;
     // A run of a previous owner, whose leases are not on record here.
-    const bool is_inherited =
-        !is_previous && is_elsewhere && ended == completion_kind::lease_expired;
+    const bool is_inherited = !is_previous && is_elsewhere && job->inherited &&
+                              ended == completion_kind::lease_expired &&
+                              run.value() <= owner.value() * settings.runs_per_fencing_token;
+    // A run that the VM lists had not ended with its incarnation, and its start was delivered.
+    const bool is_refuted = is_restarted && earlier->proof != end_proof::lease_expired &&
+                            earlier->proof != end_proof::completion;
     if (!is_restarted && !is_inherited && !(is_elsewhere && !ended)) {
         return;
     }
     auto margin = is_restarted ? restart_margin(*earlier, vm_clock, now.steady) : std::nullopt;
-    if (is_inherited && latest_inherited_lease_end) {
+    if (is_inherited && latest_inherited_run_end) {
         const auto newer = state.vm->runs.find(task);
         if (newer != state.vm->runs.end() && !newer->second.adopted) {
-            // A lower bound: the lease may have ended earlier.
+            // A lower bound: the run may have ended earlier.
             margin = std::chrono::duration_cast<milliseconds>(newer->second.placed_at -
-                                                              *latest_inherited_lease_end);
+                                                              *latest_inherited_run_end);
         }
     }
     if (margin && ended) {
         metrics->observe("cranberrydock_restart_margin_ms", "",
                          static_cast<double>(margin->count()));
     }
-    const bool in_two_places = (is_elsewhere && !ended) || (margin && margin->count() < 0);
+    const bool in_two_places =
+        (is_elsewhere && !ended) || is_refuted || (margin && margin->count() < 0);
     if (in_two_places) {
         metrics->count("cranberrydock_tasks_in_two_places_total", "");
     }
-    spdlog::log(in_two_places ? spdlog::level::err : spdlog::level::info,
+    const bool was_done = ended == completion_kind::done;
+    spdlog::log(in_two_places ? spdlog::level::err
+                : was_done    ? spdlog::level::warn
+                              : spdlog::level::info,
                 "event={} task={} vm={} run={} kind={} vm_clock={} last_run={} last_run_vm={} "
                 "proof={} margin_ms={} fence={}",
                 in_two_places ? "task_in_two_places" : "earlier_run_ended", to_string(task),
@@ -245,16 +268,41 @@
     if (!saved.empty()) {
         state.saved = saved;
     }
-    if (state.vm == &vm) {
+    if (!further_runs.empty()) {
+        remove_further_run(vm, task, state);
+    } else if (state.vm == &vm) {
         state.vm = nullptr;
     }
     if (is_final(job->state)) {
         jobs_to_forget.insert(task.job);
-    } else if (!state.done) {
+    } else if (!state.done && state.vm == nullptr) {
         mark_open({task.job, task.occurrence, task.step}, *job, *step);
     }
 }
 
+bool scheduler::state::has_further_run(const task_ref& task) const {
+    if (further_runs.empty()) {
+        return false;
+    }
+    const auto it = further_runs.lower_bound({task, {}});
+    return it != further_runs.end() && it->first == task;
+}
+
+void scheduler::state::remove_further_run(const vm_record& vm, const task_ref& task,
+                                          detail::task_state& state) {
+    if (state.vm != &vm) {
+        further_runs.erase({task, vm.facts.id});
+        return;
+    }
+    if (!has_further_run(task)) {
+        state.vm = nullptr;
+        return;
+    }
+    const auto next = further_runs.lower_bound({task, {}});
+    state.vm = find_vm(next->second);
+    further_runs.erase(next);
+}
+
 void scheduler::state::request_stop(vm_record& vm, placed_run& run, const std::string& reason) {
     if (run.phase != run_phase::stopping) {
         run.phase = run_phase::stopping;
@@ -316,6 +364,11 @@
             }
             continue;
         }
+        if (has_further_run(it.second) || vm->concealed.count(it.second) > 0) {
+            run->second.start_pending = false;
+            abandon_start(*vm, run->second, "another_run_found");
+            continue;
+        }
         out.starts.push_back(make_start_decision(*vm, *job, *step, it.second, run->second.run));
     }
     starts_to_retry.clear();
@@ -428,6 +481,7 @@
     vm->reported = true;
     vm->ended = false;
     vm->reachable = true;
+    vm->concealed.clear();
     for (const auto& it : report.completions) {
         if (it.number > vm->last_completion) {
             vm->last_completion = it.number;
@@ -478,7 +532,8 @@
     job_record* job = nullptr;
     step_state* const step = find_step(found.task, &job);
     if (vm.runs.count(found.task) > 0) {
-        // Another run of the same task is on record; the newer run was started last.
+        // Another run of the same task is on record, whose start may be unanswered.
+        vm.concealed[found.task] = found;
         return;
     }
     const bool wanted = step != nullptr && job->inherited && !is_final(job->state) &&
@@ -504,7 +559,6 @@
         request_stop(vm, placed, "job_unknown");
         return;
     }
-    vm_record* const assigned_vm = step->tasks[static_cast<std::size_t>(found.task.index)].vm;
     place_run(vm, *job, *step, found.task, found.run, now);
     auto& placed = vm.runs.at(found.task);
     placed.start_pending = false;
@@ -520,9 +574,6 @@
         }
         return;
     }
-    if (assigned_vm != nullptr) {
-        step->tasks[static_cast<std::size_t>(found.task.index)].vm = assigned_vm;
-    }
     request_stop(vm, placed, "not_wanted");
 }
 
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -13,6 +13,10 @@
     return rights.may_issue_commands();
 }
 
+base::time_point owner_task::state::last_renewal_sent() {
+    return rights.last_renewal_sent();
+}
+
 void owner_task::state::on_report(const fleet::vm_id& vm, const fleet::vm_report& report,
                                   base::time_point watch_sent_at) {
     if (!jobs_known || !is_on_record(vm)) {
@@ -115,6 +119,10 @@
     command.resume_from = decision.resume_from;
     command.ticket = decision.ticket;
     command.lease_until = session->second->lease_from_now();
+    if (rights.store_answers()) {
+        // The job may have been cancelled since it was last read.
+        command.not_after = jobs.as_of() + settings.cancel_deadline;
+    }
     metrics.count("cranberrydock_starts_total", "");
     const auto sent = clock.now();
     if (start_log_limiter.allows(sent)) {
@@ -215,7 +223,12 @@
             proofs.all_reported, proofs.others_have_ended, proofs.commands_ended,
             owner_age().count());
     }
-    if (inherited_vms.runs_known(clock.now())) {
+    const auto renewal_sent = rights.last_renewal_sent();
+    const auto own_leases_expired = [&](const fleet::vm_id& vm) {
+        const auto it = sessions.find(vm);
+        return it == sessions.end() || it->second->leases_expired(renewal_sent);
+    };
+    if (inherited_vms.runs_known(clock.now(), renewal_sent, own_leases_expired)) {
         on_inherited_runs_known();
     }
 }
@@ -231,7 +244,7 @@
                         static_cast<double>(owner_age().count()));
     }
     const auto expired_for =
-        std::chrono::duration_cast<base::milliseconds>(clock.now() - inherited.latest_lease_end());
+        std::chrono::duration_cast<base::milliseconds>(clock.now() - inherited.latest_run_end());
     spdlog::info(
         "event=inherited_runs_known all_judged={} vms={} all_listed={} took_ms={} "
         "expired_for_ms={} fence={}",
@@ -240,7 +253,7 @@
     inherited_jobs.clear();
     const bool by_expiry = inherited_vms.ended_by() == fleet::wait_ended_by::expiry;
     scheduler.inherited_runs_reported(
-        now(), by_expiry ? std::optional(inherited.latest_lease_end()) : std::nullopt);
+        now(), by_expiry ? std::optional(inherited.latest_run_end()) : std::nullopt);
 }
 
 void owner_task::state::check_unknown_vms() {
--- a/test/correctness/fleet_ownership_changes_safely.cpp
+++ b/test/correctness/fleet_ownership_changes_safely.cpp
@@ -30,7 +30,7 @@
 
     fleet::ownership_settings settings;
     base::time_point now{std::chrono::seconds(50)};
-    ownership daemon{"vm-1", "100", settings};
+    ownership daemon{"vm-1", "100", "10.0.0.1:1", settings};
 };
 
 TEST_F(fleet_ownership, is_not_taken_before_first_read) {
@@ -94,7 +94,7 @@
     pass(settings.takeover_after_unresponsive - settings.max_read_gap);
     EXPECT_EQ(daemon.next(now), ownership::step::acquire);
 
-    ownership disconnected("vm-1", "100", settings);
+    ownership disconnected("vm-1", "100", "10.0.0.1:1", settings);
     disconnected.row_read(held_by("vm-2", "7"), fleet::store_version(1), now);
     disconnected.holder_unresponsive("7");
     pass(std::chrono::seconds(60));
@@ -106,12 +106,27 @@
     EXPECT_EQ(daemon.next(now), ownership::step::acquire);
     EXPECT_TRUE(daemon.previous_owner_ended());
 
-    ownership restarted("vm-1", "101", settings);
-    restarted.row_read(held_by("vm-1", "100"), fleet::store_version(1), now);
+    ownership restarted("vm-1", "101", "10.0.0.1:1", settings);
+    auto predecessor = held_by("vm-1", "100");
+    predecessor.address = "10.0.0.1:1";
+    restarted.row_read(fleet::decode_owner(fleet::encode_owner(predecessor)),
+                       fleet::store_version(1), now);
     EXPECT_EQ(restarted.next(now), ownership::step::acquire);
     EXPECT_TRUE(restarted.previous_owner_ended());
 }
 
+// Its process may go on beside this one unless this one listens in its place.
+TEST_F(fleet_ownership, own_predecessor_at_another_address_may_not_have_ended) {
+    for (const char* const address : {"10.0.0.1:2", ""}) {
+        ownership restarted("vm-1", "101", "10.0.0.1:1", settings);
+        auto predecessor = held_by("vm-1", "100");
+        predecessor.address = address;
+        restarted.row_read(predecessor, fleet::store_version(1), now);
+        EXPECT_EQ(restarted.next(now), ownership::step::acquire);
+        EXPECT_FALSE(restarted.previous_owner_ended());
+    }
+}
+
 TEST_F(fleet_ownership, refused_connections_do_not_prove_owner_ended) {
     read(held_by("vm-2", "7"), 1);
     daemon.holder_refused("7");
@@ -123,6 +138,17 @@
     EXPECT_FALSE(daemon.previous_owner_ended());
 }
 
+TEST_F(fleet_ownership, answer_after_refused_connection_clears_the_refusal) {
+    read(held_by("vm-2", "7"), 1);
+    daemon.holder_refused("7");
+    daemon.holder_responsive("7");
+    pass(settings.takeover_after_refusal);
+    daemon.row_unchanged(now);
+    EXPECT_EQ(daemon.next(now), ownership::step::none);
+    daemon.holder_refused("7");
+    EXPECT_EQ(daemon.next(now), ownership::step::acquire);
+}
+
 TEST_F(fleet_ownership, unreachable_owner_is_replaced_sooner) {
     read(held_by("vm-2", "7"), 1);
     daemon.holder_unresponsive("6");  // an earlier run
@@ -151,13 +177,47 @@
 TEST_F(fleet_ownership, is_gained_despite_lost_answer) {
     read(held_by("", ""), 1);
     ASSERT_EQ(daemon.next(now), ownership::step::acquire);
-    daemon.failed(true, now);
+    daemon.failed(now);
     pass(base::milliseconds(50));
     read(held_by("vm-1", "100"), 2);
     EXPECT_TRUE(daemon.owns());
     EXPECT_TRUE(daemon.may_issue_commands(now));
 }
 
+// The row holds the first write; the second one, sent much later, was not applied.
+TEST_F(fleet_ownership, gained_by_unanswered_write_is_valid_from_when_that_was_sent) {
+    read(held_by("", ""), 1);
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    const auto first_sent = now;
+    pass(std::chrono::seconds(2));
+    daemon.failed(now);
+    daemon.row_unchanged(now);
+    pass(base::milliseconds(200));
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    pass(base::milliseconds(50));
+    daemon.failed(now);
+    read(held_by("vm-1", "100"), 2);
+    EXPECT_TRUE(daemon.owns());
+    EXPECT_EQ(daemon.last_renewal_sent(), first_sent);
+    EXPECT_FALSE(daemon.may_issue_commands(first_sent + settings.validity));
+}
+
+// The answer to the first renewal is lost, and so is the row's version that it made.
+TEST_F(fleet_ownership, lost_renewals_do_not_extend_validity) {
+    read(held_by("", ""), 1);
+    ASSERT_EQ(daemon.next(now), ownership::step::acquire);
+    daemon.written(fleet::store_version(2), held_by("vm-1", "100"), now);
+    const auto confirmed = now;
+    for (int i = 0; i < 3; ++i) {
+        pass(settings.renewal_interval);
+        ASSERT_EQ(daemon.next(now), ownership::step::renew);
+        daemon.failed(now);
+    }
+    read(held_by("vm-2", "7"), 3);
+    EXPECT_FALSE(daemon.owns());
+    EXPECT_EQ(daemon.last_renewal_sent(), confirmed);
+}
+
 TEST_F(fleet_ownership, ends_when_another_owner_is_read) {
     read(held_by("", ""), 1);
     ASSERT_EQ(daemon.next(now), ownership::step::acquire);
--- a/test/failure/lapsed_run_ends_before_its_task_is_started_again.cpp
+++ b/test/failure/lapsed_run_ends_before_its_task_is_started_again.cpp
@@ -31,9 +31,7 @@
 
     vm_with_slow_stops() : daemons(daemon_count, site_options()) {
         EXPECT_TRUE(wait_until([&] { return daemons.owner_index() >= 0; }, wait_timeout));
-        for (int i = 0; i < daemon_count; ++i) {
-            EXPECT_TRUE(wait_until([&, i] { return daemons.ready(i); }, wait_timeout));
-        }
+        EXPECT_TRUE(daemons.wait_until_ready(wait_timeout));
     }
 
     void start_job() {
@@ -54,6 +52,13 @@
     fleet_cluster daemons;
 };
 
+// Refused connections are retried soon, so that the expiry is found at once.
+TEST_P(vm_with_slow_stops, ends_runs_while_it_refuses_connections) {
+    start_job();
+    daemons.site().set_vm_refuses_connections(cut_vm, true);
+    expect_started_again_in_one_place();
+}
+
 TEST_P(vm_with_slow_stops, ends_runs_before_owner_starts_their_tasks_again) {
     start_job();
     daemons.site().make_vm_unresponsive(cut_vm);
