--- a/packages/fleet/src/load_estimate.cpp
+++ b/packages/fleet/src/load_estimate.cpp
@@ -187,15 +187,15 @@
                  has_room ? 0.0 : 2.0 * static_cast<double>(work.mean_age.count()));
     const bool is_proven = evidence_ms >= std::min(static_cast<double>(max_evidence_wait.count()),
                                                    in_time_wait_ms * evidence_share);
-    // Late work is served after all work that is in time, however little it is. A queue that
-    // accepted jobs again before would leave it without its value.
-    const double last_late_start_ms = work.late.tasks > 0 ? wait_for(work.all, 1.0) : 0;
+    // Late work is served after all work that is in time. A queue that accepted jobs again before
+    // would leave it without its value.
+    const double late_wait_ms = wait_for(work.late, 1.0);
     const double reopening_ms = in_time_wait_ms * reopening_share;
     // The wait includes work that arrives at the present rate: callers that all came back as soon
     // as the present backlog has gone would bring about the next overload.
-    const double retry_ms = wait_for(work.late, 1.0) > max_late_wait_ms ? wait_for(work.all, 1.0)
-                                                                        : wait_ms - reopening_ms;
-    const bool stays_refused = wait_ms > reopening_ms || last_late_start_ms > max_late_wait_ms;
+    const double retry_ms =
+        late_wait_ms > max_late_wait_ms ? wait_for(work.all, 1.0) : wait_ms - reopening_ms;
+    const bool stays_refused = wait_ms > reopening_ms || late_wait_ms > max_late_wait_ms;
     if (refused ? stays_refused : wait_ms > allowed_ms && is_proven) {
         out.retry_after = std::clamp(to_ms(std::max(0.0, retry_ms)) + publication_delay / 2,
                                      settings_.min_retry_after, settings_.max_retry_after);
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -42,21 +42,12 @@
     return times(work.step->spec->need, static_cast<std::int64_t>(work.step->tasks.size()));
 }
 
-// How many times `need` fits into `room`. `max` if it needs nothing.
-std::int64_t times_fitting(std::int64_t need, std::int64_t room, std::int64_t max) {
-    return need <= 0 ? max : std::max<std::int64_t>(room, 0) / need;
-}
-
-// The need of the tasks that wait to be placed and fit into `room`, but of at least one.
-resources waiting_need(const open_step& work, const resources& room) {
+// The need of the tasks that wait to be placed.
+resources waiting_need(const open_step& work) {
     const auto& tasks = work.step->tasks;
-    const resources& need = work.step->spec->need;
-    const std::int64_t waiting = std::count_if(
-        tasks.begin(), tasks.end(), [](const auto& it) { return !it.done && it.vm == nullptr; });
-    const std::int64_t fitting =
-        std::min({times_fitting(need.cores.value(), room.cores.value(), waiting),
-                  times_fitting(need.memory.value(), room.memory.value(), waiting)});
-    return times(need, std::clamp<std::int64_t>(fitting, 1, std::max<std::int64_t>(waiting, 1)));
+    return times(work.step->spec->need,
+                 std::count_if(tasks.begin(), tasks.end(),
+                               [](const auto& it) { return !it.done && it.vm == nullptr; }));
 }
 
 bool is_positive(const resources& amount) {
@@ -73,15 +64,13 @@
     constexpr milliseconds first_pause{2'500};
     constexpr int max_doublings = 2;
     const int answers = work.step->answers_without_start;
-    return answers > 0 && work.step->last_answer_granted &&
-           now.steady - work.step->last_query_at <
-               first_pause * (1 << std::min(answers - 1, max_doublings));
+    return answers > 0 && now.steady - work.step->last_query_at <
+                              first_pause * (1 << std::min(answers - 1, max_doublings));
 }
 
-// What the step takes its need from.
-resources& claimed_part(query_lookahead& lookahead, bool claims_free_now) {
-    return claims_free_now && is_positive(lookahead.free_now) ? lookahead.free_now
-                                                              : lookahead.free_soon;
+void take(query_lookahead& lookahead, const resources& need, bool claims_free_now) {
+    (claims_free_now && is_positive(lookahead.free_now) ? lookahead.free_now
+                                                        : lookahead.free_soon) -= need;
 }
 
 }  // namespace
@@ -110,7 +99,7 @@
     }
     const auto used = in_use.find(customer);
     const resources taken =
-        max_unknown_use + unreported_use + (used == in_use.end() ? resources{} : used->second);
+        unknown_use + unreported_use + (used == in_use.end() ? resources{} : used->second);
     const resources& limit = limits->second.upper_limit;
     if (limit.cores.value() > 0) {
         out.cores = limit.cores - taken.cores;
@@ -124,23 +113,6 @@
     return out;
 }
 
-resources scheduler::state::find_max_unknown_use() const {
-    std::set<vm_id> counted;
-    resources out;
-    for (const auto& it : unknown_runs) {
-        if (!counted.insert(it.second).second) {
-            continue;
-        }
-        const vm_record& vm = *vms.at(it.second);
-        resources known;
-        for (const auto& run : vm.runs) {
-            known += run.second.listed && !run.second.unknown ? run.second.need : resources{};
-        }
-        out += fits(known, vm.facts.capacity) ? vm.facts.capacity - known : vm.facts.capacity;
-    }
-    return out;
-}
-
 // The usable VMs on which the step may start now, without the VMs that are reserved for gangs.
 std::vector<vm_record*> scheduler::state::allowed_vms(const open_step& work,
                                                       const placement_round& round,
@@ -254,15 +226,6 @@
     return out;
 }
 
-// Whether the VMs could hold the gang if they had no other work.
-bool can_hold(const step_spec& gang, const std::vector<vm_record*>& vms) {
-    std::int64_t members = 0;
-    for (auto it = vms.begin(); it != vms.end() && members < gang.task_count; ++it) {
-        members += members_fitting(gang, (*it)->facts.capacity);
-    }
-    return members >= gang.task_count;
-}
-
 }  // namespace
 
 // Starts the tasks that fit, for a step with independent tasks. Returns false if some have to wait.
@@ -343,8 +306,7 @@
     };
     std::map<rack_name, std::int64_t> rack_room;
     std::vector<share> shares;
-    const auto allowed = allowed_vms(work, round, now);
-    for (vm_record* const vm : allowed) {
+    for (vm_record* const vm : allowed_vms(work, round, now)) {
         const std::int64_t n = members_fitting(spec, vm->free());
         if (n > 0) {
             shares.push_back({vm, n});
@@ -368,7 +330,6 @@
         total += it.tasks;
     }
     if (total < count) {
-        work.needs_other_vms = !can_hold(spec, allowed);
         return false;
     }
     std::size_t index = 0;
@@ -387,8 +348,13 @@
 // could not hold the gang even without other work.
 bool scheduler::state::reserve_for_gang(const open_step& work, placement_round& round,
                                         const clock_reading& now) const {
+    const step_spec& spec = *work.step->spec;
     const auto allowed = allowed_vms(work, round, now);
-    if (!can_hold(*work.step->spec, allowed)) {
+    std::int64_t members = 0;
+    for (const vm_record* const vm : allowed) {
+        members += members_fitting(spec, vm->facts.capacity);
+    }
+    if (members < spec.task_count) {
         return false;
     }
     round.reserved.resize(vms_by_number.size(), false);
@@ -474,6 +440,7 @@
     const bool is_claiming_gang = work.step->spec->gang && work.tier == 0 &&
                                   work.step->answers_without_start <= max_answers_of_claiming_gang;
     const bool claims_free_now = is_claiming_gang || !found_no_room_lately(work, now);
+    const resources need = waiting_need(work);
     query_lookahead& customer = customer_lookahead(work.job->spec.customer, round);
     if (is_used_up(customer, claims_free_now)) {
         work.step->waits_for = wait_reason::customer_limit;
@@ -487,17 +454,10 @@
     } else {
         reason = query_advisor(work, round, now, out);
     }
-    // A step that has no ticket and can't get one now leaves the capacity to others, and so does a
-    // gang that its VMs can't hold.
-    const bool can_use_ticket = has_ticket && (!work.needs_other_vms || is_claiming_gang);
-    if (can_use_ticket || reason == wait_reason::query_open || reason == wait_reason::query_sent) {
-        // A step that needs no query found no room on any VM.
-        const bool takes_free_now = claims_free_now && work.advice != nullptr;
-        // The customer's other tasks can't start, whatever the fleet has free.
-        resources& customer_part = claimed_part(customer, takes_free_now);
-        const resources need = waiting_need(work, customer_part);
-        customer_part -= need;
-        claimed_part(round.lookahead, takes_free_now) -= need;
+    // A step that has no ticket and can't get one now leaves the capacity to others.
+    if (has_ticket || reason == wait_reason::query_open || reason == wait_reason::query_sent) {
+        take(customer, need, claims_free_now);
+        take(round.lookahead, need, claims_free_now);
     }
     return true;
 }
@@ -507,7 +467,6 @@
     placement_round round;
     round.budget = budget;
     resources total;
-    max_unknown_use = find_max_unknown_use();
     unreported_use = inherited_known ? resources{} : unlisted_use;
     for (vm_record* const vm : vms_by_number) {
         if (vm != nullptr && !inherited_known && !vm->reported && !vm->ended) {
--- a/packages/fleet/src/placement_queries.cpp
+++ b/packages/fleet/src/placement_queries.cpp
@@ -199,7 +199,6 @@
     state_->open.set_due(*step);
     if (answer) {
         ++step->answers_without_start;
-        step->last_answer_granted = !answer->grants.empty();
     }
     if (!answer) {
         state_->metrics->count("cranberrydock_advice_failures_total",
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -150,11 +150,9 @@
     std::map<std::size_t, boot_time> not_granted;
     bool query_open = false;
     time_point last_query_at{};
-    // Answers of the advisor since a task was last started. If the last one granted a VM, the step
-    // can't use the capacity that is free now: none of the VMs granted to it has room. Otherwise,
-    // VMs with room may remain that no query has named.
+    // Answers of the advisor since a task was last started. With at least one, the step can't use
+    // the capacity that is free now: none of the VMs granted to it has room.
     int answers_without_start = 0;
-    bool last_answer_granted = false;
     // Since when a task has waited while no other one of the step started.
     time_point waits_since{};
     time_point considered_at{};  // when `waits_for` was recorded
@@ -198,8 +196,6 @@
     const queue_terms* terms = nullptr;
     const placement_query_cost* advice = nullptr;  // null: the step needs no placement grants
     int tier = 0;
-    // The gang can't run on the VMs that it may use, whatever ends there.
-    bool needs_other_vms = false;
 };
 
 // Limits the queries of one decision to the work that can be placed soon. Each waiting step takes
@@ -281,11 +277,8 @@
     std::map<queue_name, std::int64_t> jobs_not_started;
     std::set<job_id> jobs_to_forget;  // in a final state and saved, but may still have runs on VMs
     std::unordered_map<customer_name, resources> in_use;
-    // The sum of the recorded needs of runs of unknown jobs: the whole VM for each of them.
+    // Upper bound of the use by runs of unknown jobs, which may belong to any customer.
     resources unknown_use;
-    // Upper bound of the use by these runs, which may belong to any customer: all of them on one VM
-    // take at most what its other runs leave. Determined at each decision.
-    resources max_unknown_use;
     // Upper bound of the use by a previous owner's runs on VMs that have not reported yet, listed
     // or not, and the part of it for VMs that are not listed.
     resources unreported_use;
@@ -396,7 +389,6 @@
     bool usable(const detail::vm_record& vm, const clock_reading& now) const;
     static bool may_run(const detail::vm_record& vm, const detail::open_step& work);
     resources customer_headroom(const customer_name& customer) const;
-    resources find_max_unknown_use() const;
     void place_open_steps(const clock_reading& now, const query_budget& budget, decisions& out);
     bool place_tasks(detail::open_step& work, const detail::placement_round& round,
                      const clock_reading& now, decisions& out);
