--- a/review/standins-2/site_play.py
+++ b/review/standins-2/site_play.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import os
+import resource
 import secrets
 import shutil
 import signal
@@ -22,6 +23,10 @@
 HOST_NAME = "queues.example"
 KEY = "key-of-tenant-1"
 
+MEMORY_MB = 260  # of a process
+MAX_FDS = 4100
+RESTART_S = 0.5  # from the end of a process to its next start
+
 BOUNDS = {
     "contactMs": 4000, "ackMs": 5000, "drainMs": 3000, "graceS": 6, "lossSlackMs": 200,
     "configApplyMs": 3000, "rollbackSlackMs": 250, "maxStretchMs": 6000, "quotaOverage": 0.1,
@@ -92,6 +97,13 @@
         return it.getsockname()[1]
 
 
+def limit_descriptors():
+    """In the child: the number of descriptors that the platform grants a process (DEPLOY.md)."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard == resource.RLIM_INFINITY or hard >= MAX_FDS:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, hard))
+
+
 class Daemon:
     def __init__(self, site, index, zone):
         self.site = site
@@ -108,7 +120,7 @@
             "zones": {it: "region-1" for it in site.zones},
             "listenAddrs": {"frontend": self.caller, "readiness": self.ready_address},
             "portRange": [ports[2], ports[2] + 3], "seeds": [], "bootstrap": True,
-            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100},
+            "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": MAX_FDS},
             "dataDir": None, "heartbeatMs": 1500, "controlMode": "call", "bounds": BOUNDS,
             "platform": {"address": site.store_address, "form": "table", "writesPerS": 600,
                          "readsPerS": 2000, "txMs": 6.0, "partWritesPerS": 200, "rowBytes": 65536,
@@ -128,7 +140,7 @@
         environment = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
         environment["CRANBERRYDOCK_CONFIG"] = path
         self.process = subprocess.Popen(PROGRAM, cwd=ROOT, env=environment, stdout=log,
-                                        stderr=subprocess.STDOUT)
+                                        stderr=subprocess.STDOUT, preexec_fn=limit_descriptors)
         log.close()
         self.site.record.write("daemon_started", daemon=self.name)
 
@@ -140,6 +152,17 @@
         self.send_signal(signal.SIGKILL)
         self.process.wait()
 
+    def resident_mb(self):
+        """Memory in use, in MB; 0 if the process has ended."""
+        try:
+            with open("/proc/%d/status" % self.process.pid) as status:
+                for line in status:
+                    if line.startswith("VmRSS:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0
+
     def running(self):
         return self.process is not None and self.process.poll() is None
 
@@ -218,6 +241,20 @@
                 raise CannotRun("%s is not ready" % daemon.name)
             await asyncio.sleep(0.1)
 
+    async def enforce_memory_limit(self, ended):
+        """Kills a process that exceeds its memory and starts it again, as the platform does. Appends
+        to `ended`."""
+        while True:
+            for it in self.daemons:
+                used = it.resident_mb() if it.running() else 0
+                if used > MEMORY_MB:
+                    it.process.kill()
+                    it.process.wait()
+                    ended.append((self.record.now(), it.name, used))
+                    self.record.write("memory_limit", daemon=it.name, used_mb="%.0f" % used)
+                    asyncio.get_running_loop().call_later(RESTART_S, it.start)
+            await asyncio.sleep(0.02)
+
     def owner(self):
         """The daemon that holds the fleet, by the name in its row; None if there is none."""
         value, _ = self.store.rows.get(("fleet", "", "owner"), ("", 0))
@@ -270,6 +307,8 @@
     """Runs `play(site)`, which returns a list of breaches of the rule."""
 
     async def run():
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that the daemons are ended too
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         async with Site(os.path.dirname(os.path.abspath(case_file)), daemons) as site:
             breaches = await asyncio.wait_for(play(site), 115)
             for it in breaches[:50]:
@@ -282,8 +321,8 @@
     except CannotRun as error:
         print("cannot run: %s" % error)
         sys.exit(2)
-    except asyncio.TimeoutError:
-        print("cannot run: took too long")
+    except (asyncio.TimeoutError, asyncio.CancelledError):
+        print("cannot run: took too long or was interrupted")
         sys.exit(2)
     for it in breaches[:10]:
         print("broken: %s" % it)
