fleet: inherited work waits until VMs have listed all of their completions

Cause: a VM lists 500 completions at a time. A new owner counted a VM as accounted for after its first report and started inherited tasks whose completions stood further down. Held already: missing runs are not dropped for such a report, and the fencing token is known to a VM that has sent any report.

Change: inherited work waits for a report with fewer than 500 completions, or for the expiry if the VM goes silent. New jobs don't wait.

The stand-in VM lists 500 at a time now, and takes a task's need from the test. New arguments in two tests; no check is changed.

--- a/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
@@ -62,8 +62,9 @@
     void listed(const vm_info& vm, base::time_point now);
     // All entries of a read or of a change have been passed to listed().
     void members_read();
-    // `requested_at`: when the command that the report answers was sent.
-    void reported(const vm_id& vm, base::time_point requested_at);
+    // `requested_at`: when the command that the report answers was sent. `lists_all_completions`:
+    // otherwise further completions of inherited runs may follow.
+    void reported(const vm_id& vm, base::time_point requested_at, bool lists_all_completions);
     void unresponsive(const vm_id& vm);
     // The incarnation that held the VM's runs has ended, and the VM has not reported since.
     void ended(const vm_id& vm);
@@ -83,6 +84,8 @@
     std::size_t replaced_count() const { return replaced_count_; }
     // The listed VMs that have neither reported nor ended.
     std::size_t silent_count() const;
+    // The VMs that have reported and may list further completions of inherited runs.
+    std::size_t partly_listed_count() const;
     resources silent_capacity() const;
     // Upper bound of what inherited runs take on VMs that are not listed. `largest_vm` bounds the
     // capacity of VMs that are not on record.
@@ -92,9 +95,9 @@
     // fencing token, or the commands of previous owners have ended. Once true, it stays true.
     bool starts_ended(base::time_point now);
     const starts_ended_proofs& proofs() const { return proofs_; }
-    // Whether inherited tasks may be started: every VM that can hold one of them has reported or
-    // ended, or every lease has expired. Once true, it stays true. Requires that the jobs are
-    // known. `renewal_sent`: of this owner's row as it stands; no later owner had extended a lease
+    // Whether inherited tasks may be started: every VM that can hold one of them has listed its runs
+    // and all of its completions, or has ended, or every lease has expired. Once true, it stays
+    // true. Requires that the jobs are known. `renewal_sent`: of this owner's row as it stands; no later owner had extended a lease
     // by then. `own_leases_expired`: whether the leases that this owner has granted on a VM had
     // expired by then. It extends those of inherited runs before it knows of the runs.
     bool runs_known(base::time_point now, base::time_point renewal_sent,
@@ -113,7 +116,8 @@
     struct vm_state {
         recorded_vm facts;
         base::time_point facts_since;
-        bool reported = false;
+        bool reported = false;           // so its running runs are known
+        bool completions_known = false;  // so its inherited runs are known; implies `reported`
         bool answers_at_address = false;  // a report was requested since `facts_since`
         bool unresponsive = false;
         bool ended = false;
--- a/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/vm_control.hpp
@@ -6,6 +6,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -53,11 +54,18 @@
     checkpoint last_checkpoint;
 };
 
+// A VM lists at most this many completions at a time, those with the lowest numbers. It lists the
+// next ones once these are acknowledged.
+constexpr std::size_t max_listed_completions = 500;
+
 struct vm_report {
     vm_time now;
     boot_time boot;
-    std::vector<running_task> running;
+    std::vector<running_task> running;  // always all of them
     std::vector<task_completion> completions;
+
+    // Whether a run that the report does not show is neither running nor completed.
+    bool lists_all_completions() const { return completions.size() < max_listed_completions; }
 };
 
 enum class command_failure {
--- a/packages/fleet/src/inherited_vms.cpp
+++ b/packages/fleet/src/inherited_vms.cpp
@@ -87,12 +87,14 @@
     set_was_listed_ = set == previous_.set;
 }
 
-void inherited_vms::reported(const vm_id& vm, base::time_point requested_at) {
+void inherited_vms::reported(const vm_id& vm, base::time_point requested_at,
+                             bool lists_all_completions) {
     const auto it = vms_.find(vm);
     if (it == vms_.end()) {
         return;
     }
     it->second.reported = true;
+    it->second.completions_known |= lists_all_completions;
     it->second.unresponsive = false;
     it->second.ended = false;
     it->second.answers_at_address = requested_at >= it->second.facts_since;
@@ -126,6 +128,7 @@
     if (it != vms_.end()) {
         it->second.ended = true;
         it->second.reported = false;
+        it->second.completions_known = false;
     }
 }
 
@@ -133,6 +136,7 @@
     const auto it = vms_.find(vm);
     if (it != vms_.end()) {
         it->second.reported = false;
+        it->second.completions_known = false;
     }
 }
 
@@ -189,6 +193,12 @@
     }));
 }
 
+std::size_t inherited_vms::partly_listed_count() const {
+    return static_cast<std::size_t>(std::count_if(vms_.begin(), vms_.end(), [](const auto& it) {
+        return it.second.reported && !it.second.completions_known;
+    }));
+}
+
 resources inherited_vms::silent_capacity() const {
     resources out;
     for (const auto& it : vms_) {
@@ -251,13 +261,14 @@
         return ended_by_.has_value();
     }
     if (all_accounted(now) &&
-        all_holders([](const vm_state& it) { return it.reported || it.ended; })) {
+        all_holders([](const vm_state& it) { return it.completions_known || it.ended; })) {
         ended_by_ = wait_ended_by::reports;
     } else if (leases_.all_expired(renewal_sent) &&
                std::all_of(vms_.begin(), vms_.end(), [&](const auto& it) {
-                   // A VM that answers may hold runs whose leases this owner has extended.
+                   // A VM that answers may hold runs whose leases this owner has extended, and
+                   // completions that it has not listed yet.
                    const vm_state& vm = it.second;
-                   return vm.reported || !can_hold_runs(it.first) ||
+                   return vm.completions_known || !can_hold_runs(it.first) ||
                           (vm.unresponsive && own_leases_expired(it.first));
                })) {
         ended_by_ = wait_ended_by::expiry;
--- a/packages/fleet/src/scheduler_crashes.cpp
+++ b/packages/fleet/src/scheduler_crashes.cpp
@@ -88,7 +88,8 @@
     for (auto& it : vm.runs) {
         placed_run& run = it.second;
         const auto age = age_at_last_answer(vm, run);
-        if (run.unknown || run.crash_counted || age > settings.crashes.blameless) {
+        if (run.unknown || run.crash_counted || run.completion_unlisted ||
+            age > settings.crashes.blameless) {
             continue;
         }
         const auto explanation = explanation_of(age, settings.crashes);
@@ -235,7 +236,7 @@
         job_record* job = nullptr;
         task_state* const task = run.unknown ? nullptr : find_task(run.task, &job);
         if (best != crash_explanation::just_started || task == nullptr || task->done ||
-            !run.confirmed_at || run.crash_counted ||
+            !run.confirmed_at || run.crash_counted || run.completion_unlisted ||
             explanation_of(age_at_last_answer(vm, run), settings.crashes) !=
                 crash_explanation::young) {
             continue;
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -54,6 +54,8 @@
     int percent = 0;
     time_point progressed_at{};  // when `percent` or the checkpoint last changed
     checkpoint saved;
+    // Has ended, and how is among the completions that the VM has not listed yet.
+    bool completion_unlisted = false;
     bool unresolved = false;     // is in its task's `crash_evidence::unresolved`
     bool crash_counted = false;  // the crash that ended it is counted
 
@@ -96,6 +98,7 @@
     resources expected_by_short_queries;
     resources expected_by_long_queries;
     completion_number last_completion;
+    bool lists_all_completions = true;  // in the last report
     std::deque<unsaved_completion> unsaved;
     time_point avoid_until{};  // end of a quarantine, or of the pause after a refused start
     // Jobs whose tasks have failed here since the last success.
@@ -410,6 +413,8 @@
                         const clock_reading& now);
     void drop_missing_runs(detail::vm_record& vm, const vm_report& report,
                            base::time_point requested_at, const clock_reading& now);
+    static void find_ended_runs(detail::vm_record& vm, const vm_report& report,
+                                base::time_point requested_at);
     void adopt_run(detail::vm_record& vm, const running_task& found, const clock_reading& now);
     // Assigns runs that were found earlier to the job, which has become known.
     void assign_unknown_runs(const job_id& job);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -21,7 +21,6 @@
 constexpr milliseconds unhealthy_pause{1'000};
 // The assumed cost of queries for a queue that is not in the configuration.
 constexpr placement_query_cost default_query_cost{milliseconds{50}, base::microseconds{1'000}, {}};
-constexpr std::size_t max_completions_in_report = 500;  // a report with this many may be incomplete
 
 }  // namespace
 
@@ -68,7 +67,7 @@
 bool scheduler::is_drained(const vm_id& id) const {
     const vm_record* const vm = state_->find_vm(id);
     return vm != nullptr && vm->facts.leaving && vm->reported && vm->runs.empty() &&
-           vm->concealed.empty();
+           vm->concealed.empty() && vm->lists_all_completions && vm->unsaved.empty();
 }
 
 void scheduler::vm_restarted(const vm_id& id) {
@@ -534,8 +533,11 @@
         }
         state_->handle_running(*vm, it, now);
     }
-    if (report.completions.size() < max_completions_in_report) {
+    vm->lists_all_completions = report.lists_all_completions();
+    if (vm->lists_all_completions) {
         state_->drop_missing_runs(*vm, report, requested_at, now);
+    } else {
+        state_->find_ended_runs(*vm, report, requested_at);
     }
 }
 
@@ -648,14 +650,35 @@
     }
 }
 
+namespace {
+
+std::set<std::pair<task_ref, std::int32_t>> runs_listed_in(const vm_report& report) {
+    std::set<std::pair<task_ref, std::int32_t>> out;
+    for (const auto& it : report.running) {
+        out.insert({it.task, it.run.value()});
+    }
+    return out;
+}
+
+}  // namespace
+
+// Finds the runs whose completions the VM has not listed yet: it does not run them any more.
+void scheduler::state::find_ended_runs(vm_record& vm, const vm_report& report,
+                                       base::time_point requested_at) {
+    const auto listed = runs_listed_in(report);
+    for (auto& it : vm.runs) {
+        placed_run& run = it.second;
+        run.completion_unlisted = run.confirmed_at && *run.confirmed_at < requested_at &&
+                                  !run.start_pending && !run.may_start_late &&
+                                  listed.count({it.first, run.run.value()}) == 0;
+    }
+}
+
 // Removes the runs that the report shows neither as running nor as completed, if the report was
 // requested late enough to prove that they are gone.
 void scheduler::state::drop_missing_runs(vm_record& vm, const vm_report& report,
                                          base::time_point requested_at, const clock_reading& now) {
-    std::set<std::pair<task_ref, std::int32_t>> listed;
-    for (const auto& it : report.running) {
-        listed.insert({it.task, it.run.value()});
-    }
+    const auto listed = runs_listed_in(report);
     std::vector<task_ref> gone;
     for (auto& it : vm.runs) {
         placed_run& run = it.second;
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -28,7 +28,7 @@
     }
     early_reports.erase(vm);
     ++report_count;
-    inherited_vms.reported(vm, watch_sent_at);
+    inherited_vms.reported(vm, watch_sent_at, report.lists_all_completions());
     const fleet::completion_number last_listed = scheduler.last_completion(vm);
     scheduler.vm_reported(vm, report, watch_sent_at, now());
     for (const auto& it : report.completions) {
@@ -301,11 +301,11 @@
     const auto ended_by = inherited_vms.ended_by();
     spdlog::info(
         "event={} fence={} unknown={} ended_by={} missing_vms={} replaced_vms={} silent_vms={} "
-        "missing_cores={} missing_memory={} silent_cores={} silent_memory={} members_complete={} "
+        "partly_listed_vms={} missing_cores={} missing_memory={} silent_cores={} silent_memory={} members_complete={} "
         "inherited_waiting={} new_waiting={} waited_ms={}",
         event, owner.value(), fleet::to_string(inherited_vms.unknown(at)),
         ended_by ? fleet::to_string(*ended_by) : "nothing", inherited_vms.missing_count(at),
-        inherited_vms.replaced_count(), inherited_vms.silent_count(), missing.cores.value(),
+        inherited_vms.replaced_count(), inherited_vms.silent_count(), inherited_vms.partly_listed_count(), missing.cores.value(),
         missing.memory.value(), silent.cores.value(), silent.memory.value(),
         at >= settings.members_complete_from, inherited_waiting, waiting - inherited_waiting,
         owner_age().count());
--- a/test/correctness/new_owner_tells_which_vms_are_missing.cpp
+++ b/test/correctness/new_owner_tells_which_vms_are_missing.cpp
@@ -69,7 +69,7 @@
     EXPECT_EQ(known.record()->vms().size(), 5U);
     const auto expired = start + milliseconds(6'500 + 4'888);
     for (const auto& it : {"first", "second-next", "fourth"}) {
-        known.reported(fleet::vm_id(it), start);
+        known.reported(fleet::vm_id(it), start, true);
     }
     const auto before = expired - milliseconds(200);
     EXPECT_FALSE(known.runs_known(before, before, no_own_leases));
@@ -86,13 +86,13 @@
     auto known = owner(record);
     const auto moved_at = start + milliseconds(100);
     known.listed(vm("fourth", third.address), moved_at);
-    known.reported(fleet::vm_id("fourth"), start);
+    known.reported(fleet::vm_id("fourth"), start, true);
     EXPECT_EQ(held_back(known), 2);
-    known.reported(replacement.id, start);
+    known.reported(replacement.id, start, true);
     EXPECT_EQ(held_back(known), 1);
-    known.reported(fleet::vm_id("fourth"), moved_at);
+    known.reported(fleet::vm_id("fourth"), moved_at, true);
     EXPECT_EQ(known.unknown(start), fleet::vms_unknown::nothing);
-    known.reported(first.id, start);
+    known.reported(first.id, start, true);
     EXPECT_TRUE(known.runs_known(start, start, no_own_leases));
     EXPECT_EQ(known.ended_by(), fleet::wait_ended_by::reports);
 }
--- a/test/property/only_unseen_runs_delay_new_owner.cpp
+++ b/test/property/only_unseen_runs_delay_new_owner.cpp
@@ -185,7 +185,7 @@
                 all_processed = false;
                 continue;
             }
-            current_.vms->reported(it.facts.id, now_);
+            current_.vms->reported(it.facts.id, now_, true);
             current_.reported.insert(id);
             auto& known = current_.runs[id];
             known.clear();
--- a/test/standins/fleet_vm.cpp
+++ b/test/standins/fleet_vm.cpp
@@ -71,7 +71,9 @@
     for (const auto& it : running_) {
         out.running.push_back({it.first, it.second.number, {}, 0});
     }
-    out.completions = completions_;
+    const auto listed = std::min(completions_.size(), fleet::max_listed_completions);
+    out.completions.assign(completions_.begin(),
+                           completions_.begin() + static_cast<std::ptrdiff_t>(listed));
     return out;
 }
 
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -177,7 +177,9 @@
                     out.run_time = site.plan.task_time;
                     out.fails = site.plan.task_fails && site.plan.task_fails(task);
                 }
-                out.need.cores = base::millicores(1'000);
+                if (out.need.cores.value() == 0) {
+                    out.need.cores = base::millicores(1'000);
+                }
                 return out;
             };
             const auto& stop_times = site.plan.stop_times;
--- a/test/standins/takeover_model.cpp
+++ b/test/standins/takeover_model.cpp
@@ -967,7 +967,7 @@
             return;
         }
         task.early_reports.erase(vm);
-        task.vms.reported(vm, sent_at);
+        task.vms.reported(vm, sent_at, report.lists_all_completions());
         task.scheduler.vm_reported(vm, report, sent_at, reading_of(it));
         wake(it, task);
     }
