--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -74,6 +74,7 @@
     query_sent,
     probation,  // suspected of crashing VMs: too many VMs run such tasks, or the evidence is
                 // unsaved
+    progress_rejected,  // by the store
 };
 
 const char* to_string(wait_reason reason);
@@ -114,6 +115,8 @@
     // A job that ends later than this multiple of its objective has no more value.
     double late_factor = 3.0;
     crash_settings crashes;
+    // A job whose progress may need more is stored in blocks.
+    std::size_t max_progress_row_bytes = 32'768;
 };
 
 class scheduler {
@@ -188,9 +191,17 @@
         job_id job;
         std::uint64_t change = 0;  // argument for progress_saved()
         job_progress progress;
+
+        // Adds what was to be written of an earlier change and has not been.
+        void take_over(unsaved_job&& earlier) {
+            progress.blocks.merge(earlier.progress.blocks);
+        }
     };
     std::vector<unsaved_job> take_unsaved_jobs(const clock_reading& now);
     void progress_saved(const job_id& job, std::uint64_t change);
+    // The store does not accept the job's progress. None of its tasks is started before one of its
+    // changes is saved: completions that can't be saved hold back others in the VMs' lists.
+    void progress_rejected(const job_id& job);
 
     // Forgets an ended job: callers can no longer request its status.
     void forget(const job_id& job);
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 namespace cranberrydock::fleet {
@@ -135,7 +136,7 @@
 }
 
 // Occurrences are encoded as an array. A number in it stands for that many finished occurrences in
-// a row, an array of steps for one that is not finished.
+// a row, an array of steps for one that is not finished, which is empty if these are in blocks.
 json encode_occurrences(const job_progress& progress) {
     json out = json::array();
     int finished = progress.finished_before;
@@ -152,8 +153,10 @@
         }
         add_finished();
         json steps = json::array();
-        for (const auto& step : it) {
-            steps.push_back(encode_tasks(step));
+        if (!progress.in_blocks) {
+            for (const auto& step : it) {
+                steps.push_back(encode_tasks(step));
+            }
         }
         out.push_back(std::move(steps));
     }
@@ -169,6 +172,10 @@
             for (const auto& marks : it) {
                 steps.push_back(decode_tasks(marks));
             }
+            if (steps.empty()) {
+                out.in_blocks = true;
+                steps.emplace_back();
+            }
             out.occurrences.push_back(std::move(steps));
             continue;
         }
@@ -246,27 +253,70 @@
     return to_bytes(out);
 }
 
-std::size_t initial_progress_bytes(const job_spec& job) {
-    constexpr std::size_t fields_bytes = 100;  // names of the fields and the state
-    constexpr std::size_t step_bytes = 16;     // a map with one text, without the text itself
-    std::size_t out = fields_bytes + job.customer.str().size() + job.queue.str().size();
+std::string encode_block(const step_progress& block) {
+    return to_bytes(encode_tasks(block));
+}
+
+std::int64_t task_count_of(const job_spec& job) {
+    std::int64_t out = 0;
     for (const auto& it : job.steps) {
-        out += step_bytes + static_cast<std::size_t>(std::max(0, it.task_count));
+        out += std::max(0, it.task_count);
     }
     return out;
 }
 
-void drop_failed_runs(job_progress& progress) {
-    for (auto& occurrence : progress.occurrences) {
-        for (auto& step : occurrence) {
-            for (auto& runs : step.failed_runs) {
-                runs.clear();
-            }
-            for (auto& it : step.crashes) {
-                it.unresolved.clear();
+std::optional<std::size_t> largest_progress_bytes(const job_spec& job) {
+    constexpr std::size_t fields_bytes = 100;  // names of the fields and the state
+    constexpr std::size_t step_bytes = 50;     // names of the fields, without their contents
+    constexpr std::size_t key_bytes = 8;       // a task's index, as a text
+    constexpr std::size_t run_bytes = 5;
+    constexpr std::size_t lost_run_bytes = 30;
+    constexpr std::size_t task_bytes =
+        1 + 2 * key_bytes + crash_evidence::max_unresolved * lost_run_bytes;
+    if (job.occurrences > 0) {
+        return std::nullopt;
+    }
+    const auto failed_runs = static_cast<std::size_t>(std::max(0, job.terms.max_attempts));
+    return fields_bytes + job.customer.str().size() + job.queue.str().size() +
+           step_bytes * job.steps.size() +
+           (task_bytes + run_bytes * failed_runs) * static_cast<std::size_t>(task_count_of(job));
+}
+
+block_ref block_of(const task_ref& task) {
+    return {task.occurrence, task.step, task.index - task.index % tasks_per_block};
+}
+
+std::string to_string(const block_ref& block) {
+    return std::to_string(block.occurrence) + "." + std::to_string(block.step) + "." +
+           std::to_string(block.first_task);
+}
+
+std::optional<block_ref> parse_block_ref(const std::string& text) {
+    block_ref out;
+    const char* it = text.data();
+    const char* const end = it + text.size();
+    for (int* const number : {&out.occurrence, &out.step, &out.first_task}) {
+        const auto parsed = std::from_chars(it, end, *number);
+        if (parsed.ec != std::errc() || *number < 0) {
+            return std::nullopt;
+        }
+        it = parsed.ptr;
+        if (number != &out.first_task) {
+            if (it == end || *it != '.') {
+                return std::nullopt;
             }
+            ++it;
         }
     }
+    return it == end ? std::optional<block_ref>(out) : std::nullopt;
+}
+
+bool job_progress::is_finished(int occurrence) const {
+    if (is_final(state) || occurrence < finished_before) {
+        return true;
+    }
+    const auto n = static_cast<std::size_t>(occurrence - finished_before);
+    return n < occurrences.size() && occurrences[n].empty();
 }
 
 tl::expected<job_row, std::string> decode_job(const job_id& id, const std::string& value) {
@@ -324,4 +374,12 @@
     }
 }
 
+tl::expected<step_progress, std::string> decode_block(const std::string& value) {
+    try {
+        return decode_tasks(decode_map(value));
+    } catch (const std::exception& error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
 }  // namespace cranberrydock::fleet
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -474,6 +474,10 @@
 bool scheduler::state::consider(open_step& work, placement_round& round, const clock_reading& now,
                                 decisions& out) {
     work.step->considered_at = now.steady;
+    if (work.job->progress_rejected) {
+        work.step->waits_for = wait_reason::progress_rejected;
+        return false;
+    }
     if (waits_for_probation(work, round, now)) {
         work.step->waits_for = wait_reason::probation;
         return false;
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -143,6 +143,8 @@
             return "query_sent";
         case wait_reason::probation:
             return "probation";
+        case wait_reason::progress_rejected:
+            return "progress_rejected";
     }
     return "unknown";
 }
--- a/packages/fleet/src/scheduler_completions.cpp
+++ b/packages/fleet/src/scheduler_completions.cpp
@@ -91,7 +91,7 @@
         completion.kind == completion_kind::done || completion.kind == completion_kind::failed;
     if (ended_by_itself && task.crashes.suspected()) {
         task.crashes.clear();
-        crashes_changed(job, task);
+        crashes_changed(job, completion.task, task);
     }
     if (completion.kind == completion_kind::done && !step.spec->long_running) {
         task_done(job, completion.task, step, now);
--- a/packages/fleet/src/scheduler_crashes.cpp
+++ b/packages/fleet/src/scheduler_crashes.cpp
@@ -69,8 +69,8 @@
     return step == nullptr ? nullptr : &step->tasks[static_cast<std::size_t>(task.index)];
 }
 
-void scheduler::state::crashes_changed(job_record& job, task_state& task) {
-    mark_changed(job);
+void scheduler::state::crashes_changed(job_record& job, const task_ref& ref, task_state& task) {
+    mark_changed(job, ref);
     task.crashes_change = job.change;
 }
 
@@ -149,7 +149,7 @@
                                       is_explained_alone(vm, explaining, explanation),
                                       last_decision});
         unresolved_tasks.insert(run->task);
-        crashes_changed(*job, *task);
+        crashes_changed(*job, run->task, *task);
         spdlog::info(
             "event=crash_suspected task={} run={} vm={} age_ms={} companions={} "
             "crashes={} alone={} unresolved={}",
@@ -164,7 +164,7 @@
     task_state* const task = run.unresolved ? find_task(run.task, &job) : nullptr;
     run.unresolved = false;
     if (task != nullptr && task->crashes.remove_unresolved(key_of(vm.facts.id), vm.reported_boot)) {
-        crashes_changed(*job, *task);
+        crashes_changed(*job, run.task, *task);
     }
 }
 
@@ -211,7 +211,7 @@
             task->crashes.remove_unresolved(key_of(vm.facts.id), vm.reported_boot);
         }
         task->crashes.add_crash(explanation != crash_explanation::any, is_alone);
-        crashes_changed(*job, *task);
+        crashes_changed(*job, run->task, *task);
         crashing_tasks.insert(run->task);
         spdlog::info(
             "event=crash_counted task={} run={} vm={} explanation={} age_ms={} "
@@ -242,7 +242,7 @@
             continue;
         }
         task->crashes.add_crash(false, false);
-        crashes_changed(*job, *task);
+        crashes_changed(*job, run.task, *task);
         crashing_tasks.insert(run.task);
     }
 }
@@ -254,7 +254,7 @@
         if (task != nullptr && task->crashes.possible_crashes() > 0 &&
             age_at_last_answer(vm, it.second) > settings.crashes.blameless) {
             task->crashes = {};
-            crashes_changed(*job, *task);
+            crashes_changed(*job, it.first, *task);
         }
     }
 }
@@ -265,14 +265,18 @@
             continue;
         }
         for (auto& occurrence : job.second->occurrences) {
+            task_ref ref{job.first, occurrence.first, 0, 0};
             for (auto& step : occurrence.second) {
+                ref.index = 0;
                 for (auto& task : step.tasks) {
                     if (!task.done && task.vm == nullptr && task.crashes.marked &&
                         task.crashes.unresolved.empty()) {
                         task.crashes.add_unresolved({});
-                        crashes_changed(*job.second, task);
+                        crashes_changed(*job.second, ref, task);
                     }
+                    ++ref.index;
                 }
+                ++ref.step;
             }
         }
     }
@@ -360,7 +364,7 @@
                 task->crashes.add_crash(true, run.alone);
                 crashing_tasks.insert(*it);
             }
-            crashes_changed(*job, *task);
+            crashes_changed(*job, *it, *task);
             spdlog::info(
                 "event=lost_run_resolved task={} vm_crashed={} alone={} after_ms={} "
                 "crashes={} alone_in_all={} unresolved={}",
@@ -587,7 +591,7 @@
         if (run != nullptr && task != nullptr && task->crashes.suspected()) {
             any_outlived = true;
             task->crashes.clear();
-            crashes_changed(*job, *task);
+            crashes_changed(*job, it->task, *task);
         }
         it = current.members.erase(it);
     }
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -1,6 +1,8 @@
 // Jobs: their steps and occurrences, done and failed tasks, and the progress that has to be saved.
 #include "scheduler_state.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace cranberrydock::fleet {
@@ -11,24 +13,29 @@
 
 namespace {
 
-// Restores the progress of one step that a previous owner has saved.
-void restore(step_state& step, const step_progress& saved) {
-    const auto n = std::min(step.tasks.size(), saved.done.size());
-    for (std::size_t i = 0; i < n; ++i) {
-        step.tasks[i].done = saved.done[i];
+// The least bounds that keep an owner's memory and the row of a job small.
+constexpr std::int64_t max_open_tasks_per_job = max_tasks_per_job;
+constexpr std::size_t max_open_occurrences_per_job = 4'096;
+
+// Restores the progress of the step's tasks from `first` on that a previous owner has saved.
+void restore_tasks(step_state& step, std::size_t first, const step_progress& saved) {
+    for (std::size_t i = 0; i < saved.done.size() && first + i < step.tasks.size(); ++i) {
+        task_state& task = step.tasks[first + i];
+        step.done_count += saved.done[i] && !task.done ? 1 : 0;
+        task.done |= saved.done[i];
         if (i < saved.crashes.size()) {
-            step.tasks[i].crashes = saved.crashes[i];
+            task.crashes = saved.crashes[i];
         }
         if (!step.spec->long_running) {
-            step.tasks[i].failed_runs = saved.failed_runs[i];
+            task.failed_runs = saved.failed_runs[i];
         }
-        step.done_count += saved.done[i] ? 1 : 0;
     }
 }
 
-step_progress progress_of(const step_state& step) {
+step_progress progress_of(const step_state& step, std::size_t first, std::size_t count) {
     step_progress out;
-    for (const auto& it : step.tasks) {
+    for (std::size_t i = first; i < step.tasks.size() && i < first + count; ++i) {
+        const task_state& it = step.tasks[i];
         out.done.push_back(it.done);
         out.failed_runs.push_back(it.failed_runs);
         out.crashes.push_back(it.crashes);
@@ -58,9 +65,22 @@
         }
         auto& steps = out.occurrences[static_cast<std::size_t>(it->first - job.finished_before)];
         for (const auto& step : it->second) {
-            steps.push_back(progress_of(step));
+            steps.push_back(job.in_blocks ? step_progress{}
+                                          : progress_of(step, 0, step.tasks.size()));
+        }
+    }
+}
+
+void add_changed_blocks(job_record& job, job_progress& out) {
+    for (const auto& it : job.changed_blocks) {
+        const auto occurrence = job.occurrences.find(it.occurrence);
+        if (occurrence != job.occurrences.end() && !out.is_finished(it.occurrence)) {
+            const auto& step = occurrence->second.at(static_cast<std::size_t>(it.step));
+            out.blocks[it] =
+                progress_of(step, static_cast<std::size_t>(it.first_task), tasks_per_block);
         }
     }
+    job.changed_blocks.clear();
 }
 
 }  // namespace
@@ -70,6 +90,22 @@
     dirty_jobs.insert(job.spec.id);
 }
 
+void scheduler::state::mark_changed(job_record& job, const task_ref& task) {
+    if (job.in_blocks) {
+        job.changed_blocks.insert(block_of(task));
+    }
+    mark_changed(job);
+}
+
+void scheduler::state::mark_step_changed(job_record& job, const task_ref& task,
+                                         const step_state& step) {
+    task_ref it = task;
+    for (it.index = 0; it.index < static_cast<int>(step.tasks.size());
+         it.index += tasks_per_block) {
+        mark_changed(job, it);
+    }
+}
+
 void scheduler::state::mark_started(job_record& job) {
     remove_from_not_started(job);
     job.started = true;
@@ -159,6 +195,34 @@
     }
 }
 
+// Whether the tasks of one more occurrence have room beside those of earlier ones that are not
+// finished. Otherwise it waits for these.
+bool scheduler::state::may_open_next_occurrence(job_record& job) {
+    const std::int64_t tasks = task_count_of(job.spec);
+    std::int64_t open_tasks = 0;
+    std::size_t open_occurrences = 0;
+    for (auto it = job.occurrences.lower_bound(job.finished_before); it != job.occurrences.end();
+         ++it) {
+        if (!all_finished(it->second)) {
+            open_tasks += tasks;
+            ++open_occurrences;
+        }
+    }
+    const bool has_room =
+        open_occurrences == 0 || (open_occurrences < max_open_occurrences_per_job &&
+                                  open_tasks + tasks <= max_open_tasks_per_job);
+    if (job.occurrence_held == has_room) {
+        job.occurrence_held = !has_room;
+        metrics->count("cranberrydock_occurrences_held_total", "");
+        spdlog::warn(
+            "event=occurrence_held job={} occurrence={} held={} open_occurrences={} open_tasks={} "
+            "max_open_tasks={}",
+            job.spec.id.str(), job.next_occurrence, !has_room, open_occurrences, open_tasks,
+            max_open_tasks_per_job);
+    }
+    return has_room;
+}
+
 // Opens the occurrences whose due time has passed.
 void scheduler::state::open_due_occurrences(const clock_reading& now) {
     for (auto id = timed_jobs.begin(); id != timed_jobs.end();) {
@@ -171,7 +235,8 @@
         while (job.next_occurrence < job.spec.occurrences) {
             const auto due_ms =
                 job.spec.first_start.value() + job.next_occurrence * job.spec.period.count();
-            if (due_ms + settings.due_delay.count() > now.wall.value()) {
+            if (due_ms + settings.due_delay.count() > now.wall.value() ||
+                !may_open_next_occurrence(job)) {
                 break;
             }
             open_next_occurrence(job);
@@ -180,6 +245,47 @@
     }
 }
 
+void scheduler::state::restore(job_record& job, const job_progress& progress) {
+    int restored = 0;
+    job.started = progress.state != job_state::queued;
+    job.state = progress.state;
+    job.finished_before = progress.finished_before;
+    job.next_occurrence = std::max(job.next_occurrence, progress.finished_before);
+    for (const auto& saved : progress.occurrences) {
+        const int occurrence = job.finished_before + restored++;
+        job.next_occurrence = std::max(job.next_occurrence, occurrence + 1);
+        if (saved.empty()) {
+            continue;
+        }
+        add_occurrence(job, occurrence);
+        auto& steps = job.occurrences[occurrence];
+        const auto n = std::min(steps.size(), saved.size());
+        for (std::size_t i = 0; i < n; ++i) {
+            restore_tasks(steps[i], 0, saved[i]);
+            if (job.in_blocks && !saved[i].done.empty()) {
+                // Written before the job was stored in blocks. The next write of the row drops it.
+                mark_step_changed(job, {job.spec.id, occurrence, static_cast<int>(i), 0}, steps[i]);
+            }
+        }
+    }
+    if (!job.in_blocks && !progress.blocks.empty()) {
+        mark_changed(job);
+    }
+    for (const auto& saved : progress.blocks) {
+        const block_ref& block = saved.first;
+        if (progress.is_finished(block.occurrence) ||
+            block.step >= static_cast<int>(job.spec.steps.size())) {
+            continue;
+        }
+        // Blocks are written before the row that shows their occurrence.
+        while (job.next_occurrence <= block.occurrence) {
+            open_next_occurrence(job);
+        }
+        auto& step = job.occurrences[block.occurrence].at(static_cast<std::size_t>(block.step));
+        restore_tasks(step, static_cast<std::size_t>(block.first_task), saved.second);
+    }
+}
+
 void scheduler::add_job(const job_spec& spec, const job_progress* progress, bool inherited,
                         const clock_reading& now) {
     if (state_->jobs.count(spec.id) > 0 || state_->ended.count(spec.id) > 0) {
@@ -206,25 +312,10 @@
     } else {
         state_->timed_jobs.insert(spec.id);
     }
+    const auto largest_row = largest_progress_bytes(spec);
+    job.in_blocks = !largest_row || *largest_row > state_->settings.max_progress_row_bytes;
     if (progress != nullptr) {
-        int restored = 0;
-        job.started = progress->state != job_state::queued;
-        job.state = progress->state;
-        job.finished_before = progress->finished_before;
-        job.next_occurrence = std::max(job.next_occurrence, progress->finished_before);
-        for (const auto& saved : progress->occurrences) {
-            const int occurrence = job.finished_before + restored++;
-            job.next_occurrence = std::max(job.next_occurrence, occurrence + 1);
-            if (saved.empty()) {
-                continue;
-            }
-            state_->add_occurrence(job, occurrence);
-            auto& steps = job.occurrences[occurrence];
-            const auto n = std::min(steps.size(), saved.size());
-            for (std::size_t i = 0; i < n; ++i) {
-                restore(steps[i], saved[i]);
-            }
-        }
+        state_->restore(job, *progress);
     }
     if (!job.started && !is_final(job.state)) {
         ++state_->jobs_not_started[spec.queue];
@@ -266,7 +357,11 @@
     } else {
         finish(step.tasks[static_cast<std::size_t>(task.index)]);
     }
-    mark_changed(job);
+    if (step.spec->gang) {
+        mark_step_changed(job, task, step);
+    } else {
+        mark_changed(job, task);
+    }
     if (!step.finished()) {
         return;
     }
@@ -296,10 +391,11 @@
     if (step.spec->gang) {
         // A gang fails as a whole, however many of its members report a failure.
         std::for_each(step.tasks.begin(), step.tasks.end(), fail);
+        mark_step_changed(job, task, step);
     } else {
         fail(failed_task);
+        mark_changed(job, task);
     }
-    mark_changed(job);
     metrics->count("cranberrydock_task_failures_total", "");
     if (static_cast<int>(failed_task.failed_runs.size()) >= job.terms().max_attempts) {
         finish_job(job, job_state::failed, now);
@@ -370,7 +466,9 @@
         unsaved.progress.ended = job.ended;
         if (!is_final(job.state)) {
             unsaved.progress.state = job.started ? job_state::active : job_state::queued;
+            unsaved.progress.in_blocks = job.in_blocks;
             add_occurrences(job, unsaved.progress);
+            add_changed_blocks(job, unsaved.progress);
         }
         out.push_back(std::move(unsaved));
     }
@@ -385,11 +483,19 @@
     }
     job_record& job = *it->second;
     job.saved = std::max(job.saved, change);
+    job.progress_rejected = false;
     if (is_final(job.state)) {
         state_->jobs_to_forget.insert(id);
     }
 }
 
+void scheduler::progress_rejected(const job_id& id) {
+    const auto it = state_->jobs.find(id);
+    if (it != state_->jobs.end()) {
+        it->second->progress_rejected = true;
+    }
+}
+
 // Removes the jobs whose final state is saved and that have no runs on any VM.
 void scheduler::state::forget_ended_jobs() {
     for (auto id = jobs_to_forget.begin(); id != jobs_to_forget.end();) {
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -198,6 +198,10 @@
     std::uint64_t change = 0;             // incremented by every change that has to be saved
     std::uint64_t last_taken_change = 0;  // at the last take_unsaved_jobs()
     std::uint64_t saved = 0;              // the last saved change
+    bool in_blocks = false;               // how its progress is stored
+    std::set<block_ref> changed_blocks;   // since the last take_unsaved_jobs(); if `in_blocks`
+    bool progress_rejected = false;       // the store does not accept its progress
+    bool occurrence_held = false;         // its next one is due and has to wait for earlier ones
     int placed_runs = 0;                  // on all VMs
     int probations = 0;                   // that began with one of its tasks
     // For each step, the expected time from its start to the job's end.
@@ -356,6 +360,13 @@
 
     // scheduler_jobs.cpp
     void mark_changed(detail::job_record& job);
+    void mark_changed(detail::job_record& job, const task_ref& task);
+    // All tasks of the step.
+    void mark_step_changed(detail::job_record& job, const task_ref& task,
+                           const detail::step_state& step);
+    // Restores the progress that a previous owner has saved.
+    void restore(detail::job_record& job, const job_progress& progress);
+    bool may_open_next_occurrence(detail::job_record& job);
     // A first task of the job has started.
     void mark_started(detail::job_record& job);
     void remove_from_not_started(const detail::job_record& job);
@@ -452,7 +463,7 @@
     void withdraw_suspicion(detail::vm_record& vm);
     void withdraw_suspicion(const detail::vm_record& vm, detail::placed_run& run);
     detail::task_state* find_task(const task_ref& task, detail::job_record** job);
-    void crashes_changed(detail::job_record& job, detail::task_state& task);
+    void crashes_changed(detail::job_record& job, const task_ref& ref, detail::task_state& task);
     void give_up_crashing_tasks(const clock_reading& now);
     // A previous owner may have started a suspected task again without recording how that ended.
     void count_unseen_runs();
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
@@ -1,9 +1,11 @@
 // Defines the tables and rows of the daemons in the store.
 #pragma once
 
+#include <cranberrydock/fleet/job_rows.hpp>
 #include <cranberrydock/fleet/row_store.hpp>
 #include <cranberrydock/fleet/work.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,8 @@
     fleet::row_address job_row(const fleet::job_id& job) const;
     // The job's progress; exists from the start of its first task until its end.
     fleet::row_address progress_row(const fleet::job_id& job) const;
+    // A part of the job's progress; in the same table, directly after the job's progress row.
+    fleet::row_address block_row(const fleet::job_id& job, const fleet::block_ref& block) const;
     // The job's final state; kept while callers can query the job.
     fleet::row_address ended_row(const fleet::job_id& job) const;
 
@@ -41,6 +45,13 @@
 // this table; a new owner reads it once.
 extern const fleet::table_name vm_record_table;
 
+// What a row of the progress table belongs to.
+struct progress_row_name {
+    fleet::job_id job;
+    std::optional<fleet::block_ref> block;  // empty: the job's progress row
+};
+progress_row_name parse_progress_row(const fleet::row_name& row);
+
 fleet::row_address owner_row();
 fleet::row_address vm_record_row(std::size_t part);
 fleet::row_address fencing_token_row(const fleet::partition_name& partition);
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -163,15 +163,18 @@
     const auto caller_timeout = requester.timeout.count() > 0 ? requester.timeout : default_timeout;
     const auto received = clock_.now();
     const std::string row = encode_job(job);
-    const std::size_t largest_row = std::max(row.size(), fleet::initial_progress_bytes(job));
-    if (largest_row > limits_.row_bytes) {
-        spdlog::info("event=job_refused job={} queue={} reason={} bytes={} limit={}", job.id.str(),
-                     job.queue.str(), to_string(refusal_reason::can_never_fit), largest_row,
-                     limits_.row_bytes);
+    const std::int64_t tasks = fleet::task_count_of(job);
+    if (row.size() > limits_.row_bytes || tasks > fleet::max_tasks_per_job) {
+        spdlog::info("event=job_refused job={} queue={} reason={} bytes={} limit={} tasks={}",
+                     job.id.str(), job.queue.str(), to_string(refusal_reason::can_never_fit),
+                     row.size(), limits_.row_bytes, tasks);
         refuse(done, not_run(refusal_reason::can_never_fit,
-                             "expected a job that fits into " + std::to_string(limits_.row_bytes) +
-                                 " bytes of the store, found " + std::to_string(largest_row) +
-                                 "; submit it in smaller parts"));
+                             "expected a job of at most " +
+                                 std::to_string(fleet::max_tasks_per_job) +
+                                 " tasks that fits into " + std::to_string(limits_.row_bytes) +
+                                 " bytes of the store, found " + std::to_string(tasks) +
+                                 " tasks and " + std::to_string(row.size()) +
+                                 " bytes; submit it in smaller parts"));
         return;
     }
     const auto on_written = lifetime_.guard([this, done, row, id = job.id, queue = job.queue,
--- a/packages/fleet_daemon/src/job_layout.cpp
+++ b/packages/fleet_daemon/src/job_layout.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 const std::string daemon_prefix = "daemon-";
+constexpr char block_separator = '.';
 
 fleet::partition_name numbered_partition(std::size_t n) {
     return fleet::partition_name("p" + std::to_string(n));
@@ -42,6 +43,19 @@
     return {progress_table, partition_of(job), fleet::row_name(job.str())};
 }
 
+fleet::row_address job_layout::block_row(const fleet::job_id& job,
+                                         const fleet::block_ref& block) const {
+    return {progress_table, partition_of(job),
+            fleet::row_name(job.str() + block_separator + fleet::to_string(block))};
+}
+
+progress_row_name parse_progress_row(const fleet::row_name& row) {
+    const auto at = row.str().find(block_separator);
+    const auto block = at == std::string::npos ? std::nullopt
+                                               : fleet::parse_block_ref(row.str().substr(at + 1));
+    return {fleet::job_id(block ? row.str().substr(0, at) : row.str()), block};
+}
+
 fleet::row_address job_layout::ended_row(const fleet::job_id& job) const {
     return {ended_table, partition_of(job), fleet::row_name(job.str())};
 }
--- a/packages/fleet_daemon/src/owner_persistence.cpp
+++ b/packages/fleet_daemon/src/owner_persistence.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cranberrydock::fleet_daemon {
 namespace {
@@ -32,6 +33,22 @@
 
 }  // namespace
 
+// Newer progress comes later. Keeps the parts of earlier progress that it does not contain.
+void owner_task::state::add_waiting(partition_state& partition,
+                                    fleet::scheduler::unsaved_job&& unsaved) {
+    const auto found = partition.waiting.find(unsaved.job);
+    if (found == partition.waiting.end()) {
+        partition.waiting.emplace(unsaved.job, std::move(unsaved));
+        return;
+    }
+    auto& newer = found->second.change > unsaved.change ? found->second : unsaved;
+    auto& older = found->second.change > unsaved.change ? unsaved : found->second;
+    newer.take_over(std::move(older));
+    if (&newer == &unsaved) {
+        found->second = std::move(unsaved);
+    }
+}
+
 void owner_task::state::save() {
     if (!jobs_known) {
         return;
@@ -40,13 +57,14 @@
         auto& partition = partitions[layout.partition_of(it.job)];
         const auto rejected = partition.rejected.find(it.job);
         if (rejected == partition.rejected.end()) {
-            partition.waiting[it.job] = std::move(it);
+            add_waiting(partition, std::move(it));
             continue;
         }
         if (rejected->second.rejections >= max_rejections) {
             rejected->second.retry_at = clock.now() + rejected->second.pause;
         }
         rejected->second.rejections = 0;
+        it.take_over(std::move(rejected->second.progress));
         rejected->second.progress = std::move(it);
     }
     for (const auto& it : layout.partitions()) {
@@ -54,32 +72,62 @@
     }
 }
 
-void owner_task::state::log_large_row(const fleet::job_id& job, std::size_t bytes,
-                                      const char* action) {
+// The row is sent all the same, since only the store knows its limit. Completions are acknowledged
+// once they are saved, and not before.
+void owner_task::state::log_large_row(const fleet::job_id& job, std::size_t bytes) {
     metrics.count("cranberrydock_rows_too_large_total", "table=\"progress\"");
     if (jobs_with_large_row.insert(job).second) {
-        spdlog::error("event=row_too_large table=progress row={} bytes={} limit={} action={}",
-                      job.str(), bytes, settings.limits.row_bytes, action);
+        spdlog::error("event=row_too_large table=progress row={} bytes={} limit={}", job.str(),
+                      bytes, settings.limits.row_bytes);
     }
 }
 
-bool owner_task::state::add_progress(fleet::row_transaction& transaction,
-                                     fleet::scheduler::unsaved_job& unsaved) {
-    if (!is_final(unsaved.progress.state)) {
-        std::string value = encode_progress(unsaved.progress);
-        if (value.size() > settings.limits.row_bytes) {
-            // A new owner counts these failures again only if VMs still list them.
-            log_large_row(unsaved.job, value.size(), "failed_runs_omitted");
-            drop_failed_runs(unsaved.progress);
-            value = encode_progress(unsaved.progress);
-        }
-        if (value.size() > settings.limits.row_bytes) {
-            return false;
+bool owner_task::state::has_room_for_row(const fleet::row_transaction& transaction) const {
+    const std::size_t entries =
+        transaction.conditions.size() + transaction.puts.size() + transaction.removals.size();
+    std::size_t bytes = 0;
+    for (const auto& it : transaction.puts) {
+        bytes += it.value.size();
+    }
+    return entries + max_entries_per_ended_job <= max_entries &&
+           bytes + settings.limits.row_bytes <= settings.limits.transaction_bytes;
+}
+
+std::optional<fleet::scheduler::unsaved_job> owner_task::state::add_progress(
+    fleet::row_transaction& transaction, fleet::scheduler::unsaved_job& unsaved) {
+    if (is_final(unsaved.progress.state)) {
+        add_end(transaction, unsaved);
+        return std::nullopt;
+    }
+    // The blocks come first: the job's row shows finished occurrences, whose blocks are removed, and
+    // drops what it contained before its job was stored in blocks.
+    auto& blocks = unsaved.progress.blocks;
+    auto it = blocks.begin();
+    for (; it != blocks.end() && (transaction.puts.size() <= 1 || has_room_for_row(transaction));
+         ++it) {
+        transaction.puts.push_back(
+            {layout.block_row(unsaved.job, it->first), encode_block(it->second)});
+        block_rows[unsaved.job].insert(it->first);
+    }
+    if (it != blocks.end() || (!blocks.empty() && !has_room_for_row(transaction))) {
+        auto rest = unsaved;
+        rest.progress.blocks.clear();
+        while (it != blocks.end()) {
+            rest.progress.blocks.insert(blocks.extract(it++));
         }
-        transaction.puts.push_back({layout.progress_row(unsaved.job), std::move(value)});
-        progress_rows.insert(unsaved.job);
-        return true;
+        return rest;
     }
+    std::string value = encode_progress(unsaved.progress);
+    if (value.size() > settings.limits.row_bytes) {
+        log_large_row(unsaved.job, value.size());
+    }
+    transaction.puts.push_back({layout.progress_row(unsaved.job), std::move(value)});
+    progress_rows.insert(unsaved.job);
+    return std::nullopt;
+}
+
+void owner_task::state::add_end(fleet::row_transaction& transaction,
+                                fleet::scheduler::unsaved_job& unsaved) {
     unsaved.progress.withdrawn = withdrawn_jobs.count(unsaved.job) > 0;
     transaction.puts.push_back({layout.ended_row(unsaved.job), encode_progress(unsaved.progress)});
     transaction.removals.push_back(layout.job_row(unsaved.job));
@@ -91,17 +139,56 @@
     if (progress_rows.erase(unsaved.job) > 0) {
         transaction.removals.push_back(layout.progress_row(unsaved.job));
     }
-    return true;
 }
 
-void owner_task::state::send_progress(const fleet::partition_name& name) {
-    partition_state& partition = partitions[name];
+void owner_task::state::retire_blocks(const fleet::scheduler::unsaved_job& saved) {
+    const auto found = block_rows.find(saved.job);
+    if (found == block_rows.end()) {
+        return;
+    }
+    auto& stale = partitions[layout.partition_of(saved.job)].stale_rows;
+    auto& blocks = found->second;
+    for (auto it = blocks.begin(); it != blocks.end();) {
+        if (saved.progress.in_blocks && !saved.progress.is_finished(it->occurrence)) {
+            ++it;
+            continue;
+        }
+        stale.push_back(layout.block_row(saved.job, *it));
+        it = blocks.erase(it);
+    }
+    if (blocks.empty()) {
+        block_rows.erase(found);
+    }
+}
+
+void owner_task::state::add_waiting_jobs(partition_state& partition,
+                                         fleet::row_transaction& transaction) {
+    const auto add = [&](fleet::scheduler::unsaved_job unsaved) {
+        partition.unfinished = add_progress(transaction, unsaved);
+        partition.last_sent_is_partial = partition.unfinished.has_value();
+        partition.sent.push_back(std::move(unsaved));
+    };
     const auto due = std::find_if(
         partition.rejected.begin(), partition.rejected.end(),
         [now_steady = clock.now()](const auto& it) { return it.second.retry_at <= now_steady; });
-    const bool has_due = due != partition.rejected.end();
-    if (partition.busy || partition.next_write ||
-        (partition.waiting.empty() && partition.removed.empty() && !has_due)) {
+    if (partition.unfinished) {
+        add(*std::exchange(partition.unfinished, std::nullopt));
+    } else if (due != partition.rejected.end()) {
+        add(due->second.progress);
+        return;
+    }
+    while (!partition.unfinished && !partition.waiting.empty() &&
+           partition.sent.size() < partition.max_jobs &&
+           (partition.sent.empty() || has_room_for_row(transaction))) {
+        auto next = std::move(partition.waiting.begin()->second);
+        partition.waiting.erase(partition.waiting.begin());
+        add(std::move(next));
+    }
+}
+
+void owner_task::state::send_progress(const fleet::partition_name& name) {
+    partition_state& partition = partitions[name];
+    if (partition.busy || partition.next_write) {
         return;
     }
     fleet::row_transaction transaction;
@@ -111,48 +198,20 @@
         {fencing_token_row(name), partition.fencing_token_row_version});
     transaction.puts.push_back({fencing_token_row(name), std::to_string(owner.value())});
     partition.sent.clear();
-    const auto add = [&](fleet::scheduler::unsaved_job& unsaved) {
-        if (add_progress(transaction, unsaved)) {
-            partition.sent.push_back(std::move(unsaved));
-            return;
-        }
-        // Counts as saved although a new owner repeats it: VMs return a limited number of
-        // completions, so one that is never acknowledged would hold back those of all other jobs.
-        log_large_row(unsaved.job, encode_progress(unsaved.progress).size(), "not_saved");
-        scheduler.progress_saved(unsaved.job, unsaved.change);
-    };
-    if (has_due) {
-        fleet::scheduler::unsaved_job progress = due->second.progress;
-        add(progress);
-        if (partition.sent.empty()) {
-            partition.rejected.erase(due);
-        }
-    }
-    const auto is_full = [&] {
-        const std::size_t entries =
-            transaction.conditions.size() + transaction.puts.size() + transaction.removals.size();
-        std::size_t bytes = 0;
-        for (const auto& it : transaction.puts) {
-            bytes += it.value.size();
-        }
-        return entries + max_entries_per_ended_job > max_entries ||
-               partition.sent.size() >= partition.max_jobs ||
-               (!partition.sent.empty() &&
-                bytes + settings.limits.row_bytes > settings.limits.transaction_bytes);
-    };
-    while (!has_due && !partition.waiting.empty() && !is_full()) {
-        auto unsaved = std::move(partition.waiting.begin()->second);
-        partition.waiting.erase(partition.waiting.begin());
-        add(unsaved);
-    }
+    add_waiting_jobs(partition, transaction);
     if (partition.sent.empty()) {
-        if (partition.removed.empty()) {
-            return;
-        }
         for (const auto& it : partition.removed) {
             transaction.removals.push_back(layout.ended_row(it));
         }
     }
+    while (!partition.stale_rows.empty() && has_room_for_row(transaction)) {
+        transaction.removals.push_back(partition.stale_rows.back());
+        partition.stale_rows_sent.push_back(std::move(partition.stale_rows.back()));
+        partition.stale_rows.pop_back();
+    }
+    if (partition.sent.empty() && transaction.removals.empty()) {
+        return;
+    }
     partition.busy = true;
     partition.sent_at = clock.now();
     const auto timeout = std::clamp<base::duration>(
@@ -163,17 +222,21 @@
 }
 
 void owner_task::state::put_back_sent(partition_state& partition) {
+    if (partition.unfinished) {
+        partition.sent.push_back(std::move(*partition.unfinished));
+        partition.unfinished.reset();
+    }
     for (auto& it : partition.sent) {
         if (is_final(it.progress.state)) {
             progress_rows.insert(it.job);  // the row may still exist
         }
         const auto rejected = partition.rejected.find(it.job);
         if (rejected != partition.rejected.end()) {
-            partition.waiting.emplace(it.job, std::move(rejected->second.progress));
+            rejected->second.progress.take_over(std::move(it));
+            add_waiting(partition, std::move(rejected->second.progress));
             partition.rejected.erase(rejected);
         } else {
-            // Keeps newer progress of the same job that is waiting already.
-            partition.waiting.emplace(it.job, std::move(it));
+            add_waiting(partition, std::move(it));
         }
     }
     partition.sent.clear();
@@ -196,23 +259,34 @@
     if (is_final(only.progress.state)) {
         progress_rows.insert(only.job);
     }
-    auto& found = partition.rejected[only.job];
-    const bool is_new = found.rejections == 0 && found.pause.count() == 0;
-    if (is_new) {
-        found.progress = only;
+    if (partition.unfinished) {
+        only.take_over(std::move(*partition.unfinished));
+        partition.unfinished.reset();
+    }
+    scheduler.progress_rejected(only.job);
+    const auto change = only.change;
+    const std::size_t bytes = encode_progress(only.progress).size();
+    const fleet::job_id job = only.job;
+    auto& found = partition.rejected[job];
+    // Those of earlier attempts are among what was sent.
+    if (found.progress.change <= change) {
+        found.progress = std::move(only);
+    } else {
+        found.progress.take_over(std::move(only));
     }
-    const auto newer = partition.waiting.find(only.job);
+    const auto newer = partition.waiting.find(job);
     if (newer != partition.waiting.end()) {
+        newer->second.take_over(std::move(found.progress));
         found.progress = std::move(newer->second);
         partition.waiting.erase(newer);
     }
-    const bool changed = found.progress.change != only.change;
+    const bool changed = found.progress.change != change;
     found.rejections = changed ? 0 : found.rejections + 1;
     found.pause = std::clamp(found.pause * 2, min_rejection_pause, max_rejection_pause);
     found.retry_at =
         found.rejections < max_rejections ? clock.now() + found.pause : base::time_point::max();
     spdlog::error("event=row_rejected table=progress row={} bytes={} rejections={} retry_ms={}",
-                  only.job.str(), encode_progress(only.progress).size(), found.rejections,
+                  job.str(), bytes, found.rejections,
                   found.rejections < max_rejections ? found.pause.count() : -1);
     partition.sent.clear();
 }
@@ -234,18 +308,23 @@
     };
     if (answer) {
         partition.fencing_token_row_version = *answer;
+        partition.stale_rows_sent.clear();
         if (partition.sent.empty()) {
             partition.removed.clear();
         }
         for (const auto& it : partition.sent) {
-            scheduler.progress_saved(it.job, it.change);
             const auto rejected = partition.rejected.find(it.job);
             if (rejected != partition.rejected.end()) {
                 if (rejected->second.progress.change != it.change) {
-                    partition.waiting.emplace(it.job, std::move(rejected->second.progress));
+                    add_waiting(partition, std::move(rejected->second.progress));
                 }
                 partition.rejected.erase(rejected);
             }
+            if (partition.last_sent_is_partial && &it == &partition.sent.back()) {
+                continue;
+            }
+            scheduler.progress_saved(it.job, it.change);
+            retire_blocks(it);
             if (is_final(it.progress.state)) {
                 ended.emplace_back(it.progress.ended, it.job);
                 submitted_versions.erase(it.job);
@@ -264,9 +343,12 @@
             partition.max_jobs = std::min(max_jobs_per_write, partition.max_jobs * 2);
         }
         partition.sent.clear();
-        send_after(save_pause);
+        send_after(partition.unfinished ? base::milliseconds{0} : save_pause);
         return;
     }
+    partition.stale_rows.insert(partition.stale_rows.end(), partition.stale_rows_sent.begin(),
+                                partition.stale_rows_sent.end());
+    partition.stale_rows_sent.clear();
     if (answer.error().failure == fleet::store_failure::rejected) {
         on_write_rejected(name);
         send_progress(name);
--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -85,16 +85,7 @@
                            return;
                        }
                        for (const auto& it : read->rows) {
-                           const fleet::job_id id(it.address.name.str());
-                           progress_rows.insert(id);
-                           const auto decoded = fleet::decode_progress(it.value);
-                           if (!decoded) {
-                               spdlog::error(
-                                   "event=row_unreadable table=progress row={} error=\"{}\"",
-                                   id.str(), decoded.error());
-                           } else {
-                               progress.emplace(id, *decoded);
-                           }
+                           load_progress_row(it);
                        }
                        if (read->more && !read->rows.empty()) {
                            (*self)({position.partition,
@@ -109,6 +100,56 @@
     }
 }
 
+void owner_task::state::load_progress_row(const fleet::stored_row& row) {
+    const auto name = parse_progress_row(row.address.name);
+    const auto log_unreadable = [&row](const std::string& error) {
+        spdlog::error("event=row_unreadable table=progress row={} error=\"{}\"",
+                      row.address.name.str(), error);
+    };
+    if (name.block) {
+        block_rows[name.job].insert(*name.block);
+        auto block = fleet::decode_block(row.value);
+        if (!block) {
+            log_unreadable(block.error());
+            return;
+        }
+        auto& entry = progress[name.job];
+        if (progress_rows.count(name.job) == 0) {
+            entry.state = fleet::job_state::active;  // its blocks are written first
+        }
+        entry.blocks.emplace(*name.block, std::move(*block));
+        return;
+    }
+    progress_rows.insert(name.job);
+    auto decoded = fleet::decode_progress(row.value);
+    if (!decoded) {
+        log_unreadable(decoded.error());
+        return;
+    }
+    auto& entry = progress[name.job];
+    decoded->blocks = std::move(entry.blocks);
+    entry = std::move(*decoded);
+}
+
+void owner_task::state::remove_blocks_of_ended_jobs(
+    const std::vector<fleet::stored_row>& open_jobs) {
+    std::unordered_set<fleet::job_id> open;
+    for (const auto& it : open_jobs) {
+        open.insert(fleet::job_id(it.address.name.str()));
+    }
+    for (auto it = block_rows.begin(); it != block_rows.end();) {
+        if (open.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        for (const auto& block : it->second) {
+            partitions[layout.partition_of(it->first)].stale_rows.push_back(
+                layout.block_row(it->first, block));
+        }
+        it = block_rows.erase(it);
+    }
+}
+
 void owner_task::state::read_vm_record() {
     if (!settings.expected_vm_record) {
         inherited_vms.record_read(std::nullopt);
@@ -211,6 +252,7 @@
     }
     jobs_known = true;
     if (first) {
+        remove_blocks_of_ended_jobs(rows_found);
         spdlog::info(
             "event=owner_loaded fence={} jobs={} took_ms={}", owner.value(), rows_found.size(),
             std::chrono::duration_cast<base::milliseconds>(clock.now() - started_at).count());
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -32,6 +32,9 @@
     void load();
     void fencing_token_partition(const fleet::partition_name& partition);
     void read_progress();
+    void load_progress_row(const fleet::stored_row& row);
+    // Blocks that a previous owner had not removed when their job ended.
+    void remove_blocks_of_ended_jobs(const std::vector<fleet::stored_row>& open_jobs);
     void on_progress_loaded();
     // Reads which VMs the previous owner had on record.
     void read_vm_record();
@@ -103,7 +106,14 @@
         // The newest unsaved progress of each job.
         std::map<fleet::job_id, fleet::scheduler::unsaved_job> waiting;
         std::vector<fleet::scheduler::unsaved_job> sent;
+        // The job whose progress is too large for one transaction: what has not been sent of it.
+        // Newer progress of the job waits meanwhile, so that its changes are saved in turn.
+        std::optional<fleet::scheduler::unsaved_job> unfinished;
+        bool last_sent_is_partial = false;   // the last one of `sent` has a rest in `unfinished`
         std::vector<fleet::job_id> removed;  // ended jobs whose rows are to be removed
+        // Rows of blocks that are not needed any more, and those that the write in flight removes.
+        std::vector<fleet::row_address> stale_rows;
+        std::vector<fleet::row_address> stale_rows_sent;
         // Most jobs of the next transaction. Halved while the store rejects transactions, until the
         // job whose row it rejects is found.
         std::size_t max_jobs = max_jobs_per_write;
@@ -120,10 +130,17 @@
     void send_progress(const fleet::partition_name& partition);
     void on_progress_written(const fleet::partition_name& partition,
                              const tl::expected<fleet::store_version, fleet::store_error>& answer);
-    // Adds the rows that save the job's progress. False if they can never be saved because a row is
-    // too large.
-    bool add_progress(fleet::row_transaction& transaction, fleet::scheduler::unsaved_job& unsaved);
-    void log_large_row(const fleet::job_id& job, std::size_t bytes, const char* action);
+    // Adds the rows that save the job's progress as far as the transaction has room. Returns the
+    // rest, if there is one.
+    std::optional<fleet::scheduler::unsaved_job> add_progress(
+        fleet::row_transaction& transaction, fleet::scheduler::unsaved_job& unsaved);
+    void add_end(fleet::row_transaction& transaction, fleet::scheduler::unsaved_job& unsaved);
+    bool has_room_for_row(const fleet::row_transaction& transaction) const;
+    void add_waiting_jobs(partition_state& partition, fleet::row_transaction& transaction);
+    // Makes the blocks of finished occurrences stale.
+    void retire_blocks(const fleet::scheduler::unsaved_job& saved);
+    void log_large_row(const fleet::job_id& job, std::size_t bytes);
+    static void add_waiting(partition_state& partition, fleet::scheduler::unsaved_job&& unsaved);
     // Queues the jobs of a transaction that was not applied once more.
     void put_back_sent(partition_state& partition);
     // Separates the job whose row the store rejects from the others.
@@ -204,6 +221,8 @@
     std::unordered_set<fleet::job_id> jobs_with_large_row;
     // Jobs that may have a progress row in the store.
     std::unordered_set<fleet::job_id> progress_rows;
+    // The blocks of each job that may have a row in the store.
+    std::unordered_map<fleet::job_id, std::set<fleet::block_ref>> block_rows;
     // Final states of the jobs that have ended under this owner and whose end is durable.
     std::unordered_map<fleet::job_id, owner_job_status> ended_statuses;
     // Jobs that were cancelled before they were accepted. Callers learn of them from the store
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -35,6 +35,13 @@
     return out;
 }
 
+// The owner's row limit leaves half of a row for estimates that turn out too low.
+fleet::scheduler_settings scheduler_settings_of(const owner_settings& settings) {
+    fleet::scheduler_settings out = settings.scheduler;
+    out.max_progress_row_bytes = settings.limits.row_bytes / 2;
+    return out;
+}
+
 }  // namespace
 
 owner_task::state::state(net::event_loop& event_loop, fleet::row_store& rows_store,
@@ -57,7 +64,7 @@
       inherited_vms({initial_settings.expected_vms, initial_settings.expected_vm_set,
                      initial_settings.members_complete_from},
                     inherited, clock.now()),
-      scheduler(token, initial_settings.scheduler, metrics_registry),
+      scheduler(token, scheduler_settings_of(initial_settings), metrics_registry),
       expected_waits(load_settings(initial_settings.scheduler)),
       job_rows([this](const auto& all) { on_job_table(all); },
                [this](const auto& changed) { on_job_changes(changed); }),
--- a/test/correctness/inherited_work_waits_for_all_completions.cpp
+++ b/test/correctness/inherited_work_waits_for_all_completions.cpp
@@ -164,4 +164,50 @@
     EXPECT_TRUE(owner.is_drained(vm.facts().id));
 }
 
+// Runs that had ended when their VM crashed do not explain the crash.
+TEST_F(partly_listed_vm, is_not_crashed_by_runs_that_had_ended) {
+    owner.inherited_runs_reported(now);
+    pass(fleet::unexplained_crashes::window);
+    watch();
+    constexpr int ended = 600;
+    owner.add_job(make_job("job", "urgent", {make_step(ended + 1, 10)}), nullptr, false, now);
+    int started = 0;
+    while (started <= ended) {
+        const auto starts = owner.decide(now, {}).starts;
+        ASSERT_FALSE(starts.empty());
+        for (const auto& it : starts) {
+            owner.start_answered(it.vm, it.task, it.run, fleet::vm_time(1), now);
+            ++started;
+        }
+    }
+    fleet::vm_report report;
+    report.boot = fleet::boot_time(1);
+    for (int i = 0; i <= ended; ++i) {
+        if (i < static_cast<int>(fleet::max_listed_completions)) {
+            report.completions.push_back({fleet::completion_number(i + 1),
+                                          task(i),
+                                          fleet::run_number(1),
+                                          fleet::completion_kind::done,
+                                          {}});
+        }
+    }
+    report.running.push_back({task(ended), fleet::run_number(1), {}, 0});
+    pass(milliseconds(20));
+    owner.vm_reported(vm.facts().id, report, now.steady, now);
+    owner.vm_reachable(vm.facts().id, false);
+    owner.vm_process_ended(vm.facts().id);
+    const auto saved = owner.take_unsaved_jobs(now);
+    ASSERT_EQ(saved.size(), 1U);
+    const auto crashes_of = [&](int index) {
+        const auto block = saved[0].progress.blocks.find(fleet::block_of(task(index)));
+        return block == saved[0].progress.blocks.end()
+                   ? fleet::crash_evidence{}
+                   : block->second.crashes.at(
+                         static_cast<std::size_t>(index % fleet::tasks_per_block));
+    };
+    EXPECT_EQ(crashes_of(ended).crashes, 1);
+    EXPECT_EQ(crashes_of(ended).alone, 1);
+    EXPECT_EQ(crashes_of(ended - 1).crashes, 0);
+}
+
 }  // namespace
--- a/test/correctness/rejected_row_does_not_hold_back_others.cpp
+++ b/test/correctness/rejected_row_does_not_hold_back_others.cpp
@@ -1,5 +1,6 @@
-// A row that the store rejects, or that is larger than the store accepts, concerns its own job
-// only: the progress of all other jobs is saved, and the row is not repeated for ever.
+// A row that the store rejects concerns its own job only: the progress of all other jobs is saved,
+// and the row is not repeated for ever. No row is larger than the store accepts, and no completion
+// is acknowledged before it is saved.
 #include <cranberrydock/fleet_daemon/owner_task.hpp>
 #include <cranberrydock/shared_platform/json_platform_rows.hpp>
 
@@ -7,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 namespace {
@@ -15,6 +17,7 @@
 
 const fleet::store_version submitted{1};
 constexpr int job_count = 20;
+constexpr std::size_t max_entries = 100;  // of a transaction
 const fleet::job_id rejected_job("job-07");
 
 fleet::job_id job_of(int number) {
@@ -46,7 +49,11 @@
         }
         for (const auto& it : transaction.puts) {
             saved.insert(fleet::job_id(it.address.name.str()));
+            stored[it.address.name] = it.value;
         }
+        most_entries =
+            std::max(most_entries, transaction.conditions.size() + transaction.puts.size() +
+                                       transaction.removals.size());
         later([done] { done(submitted); });
     }
 
@@ -84,7 +91,9 @@
 
     std::set<fleet::job_id> rejected;
     std::set<fleet::job_id> saved;
-    int attempts = 0;  // transactions with a rejected row
+    std::map<fleet::row_name, std::string> stored;
+    std::size_t most_entries = 0;  // of a transaction
+    int attempts = 0;              // transactions with a rejected row
     int tasks_per_job = 1;
     std::size_t largest_row = 0;
     std::size_t largest_transaction = 0;
@@ -167,6 +176,29 @@
         loop.run();
     }
 
+    // The tasks of the job for which a stored row of progress meets the condition.
+    template <typename Condition>
+    int count_saved(const fleet::job_id& job, const Condition& condition) const {
+        int out = 0;
+        const auto count = [&](const fleet::step_progress& step) {
+            for (std::size_t i = 0; i < step.done.size(); ++i) {
+                out += condition(step, i) ? 1 : 0;
+            }
+        };
+        for (const auto& it : store.stored) {
+            const auto name = fleet_daemon::parse_progress_row(it.first);
+            if (name.job == job && name.block) {
+                count(*fleet::decode_block(it.second));
+            } else if (name.job == job) {
+                const auto progress = fleet::decode_progress(it.second);
+                for (const auto& occurrence : progress->occurrences) {
+                    std::for_each(occurrence.begin(), occurrence.end(), count);
+                }
+            }
+        }
+        return out;
+    }
+
     std::size_t saved_jobs() const {
         std::size_t out = 0;
         for (int i = 0; i < job_count; ++i) {
@@ -213,8 +245,8 @@
     EXPECT_TRUE(run_until([&] { return store.saved.count(rejected_job) == 1; }));
 }
 
-// The failed runs of a wide step take more than the row.
-TEST_F(row_limits, failed_runs_that_do_not_fit_are_omitted) {
+// The failed runs of a wide step take more than a row. They are counted when they are acknowledged.
+TEST_F(row_limits, failed_runs_of_wide_step_are_saved) {
     constexpr int tasks = 400;
     settings.limits.row_bytes = 2'000;
     start(tasks);
@@ -227,18 +259,47 @@
     EXPECT_LE(store.largest_row, settings.limits.row_bytes);
     EXPECT_TRUE(
         run_until([&] { return vm.acknowledged == fleet::completion_number(vm.last_number); }));
+    EXPECT_EQ(
+        count_saved(rejected_job, [](const auto& step,
+                                     std::size_t i) { return step.failed_runs[i].size() == 1; }),
+        tasks);
 }
 
-TEST_F(row_limits, row_that_can_never_fit_does_not_hold_back_completions) {
+// A progress that takes several transactions is acknowledged after the last of them.
+TEST_F(row_limits, completions_are_acknowledged_once_all_of_them_are_saved) {
     constexpr int tasks = 3'000;
     settings.limits.row_bytes = 2'000;
+    settings.limits.transaction_bytes = 5'000;
     start(tasks);
-    vm.add(rejected_job, 0, fleet::completion_kind::done);
+    for (int i = 0; i < tasks; i += 7) {
+        vm.add(rejected_job, i, fleet::completion_kind::done);
+    }
+    const int ends = static_cast<int>(vm.last_number);
     vm.send_report();
-    EXPECT_TRUE(
-        run_until([&] { return vm.acknowledged == fleet::completion_number(vm.last_number); }));
-    EXPECT_EQ(store.saved.count(rejected_job), 0U);
+    const auto saved_tasks = [&] {
+        return count_saved(rejected_job,
+                           [](const auto& step, std::size_t i) { return step.done[i]; });
+    };
+    ASSERT_TRUE(run_until([&] {
+        if (vm.acknowledged >= fleet::completion_number(1)) {
+            EXPECT_EQ(saved_tasks(), ends);
+        }
+        return vm.acknowledged == fleet::completion_number(vm.last_number);
+    }));
+    EXPECT_EQ(saved_tasks(), ends);
     EXPECT_LE(store.largest_row, settings.limits.row_bytes);
+    EXPECT_LE(store.largest_transaction, settings.limits.transaction_bytes);
+    EXPECT_LE(store.most_entries, max_entries);
+}
+
+// A completion that can't be saved stays unacknowledged, and no further task of its job is started.
+TEST_F(row_limits, rejected_completion_is_not_acknowledged) {
+    store.rejected = {rejected_job};
+    start(1);
+    vm.add(rejected_job, 0, fleet::completion_kind::done);
+    vm.send_report();
+    run_for(2'000);
+    EXPECT_EQ(vm.acknowledged, fleet::completion_number(0));
 }
 
 TEST_F(row_limits, transaction_stays_below_limit_of_store) {
--- a/test/standins/faulty_fleet.cpp
+++ b/test/standins/faulty_fleet.cpp
@@ -1,6 +1,8 @@
 // Steps the simulation and records the tasks that wait beside room.
 #include "faulty_fleet.hpp"
 
+#include "fleet_test_data.hpp"
+
 #include <algorithm>
 
 namespace cranberrydock::standins {
@@ -527,18 +529,24 @@
 
 void faulty_fleet::save() {
     for (const auto& it : scheduler_->take_unsaved_jobs(now())) {
-        saved_[it.job] = *fleet::decode_progress(fleet::encode_progress(it.progress));
+        write_progress(saved_[it.job], it.progress);
         scheduler_->progress_saved(it.job, it.change);
         if (it.progress.occurrences.empty()) {
             continue;  // the job has ended
         }
-        const auto& steps = it.progress.occurrences.front();
-        for (std::size_t step = 0; step < steps.size(); ++step) {
-            for (std::size_t i = 0; i < steps[step].done.size(); ++i) {
-                if (steps[step].done[i]) {
-                    done_.insert({it.job, 0, static_cast<int>(step), static_cast<int>(i)});
+        const auto add_done = [&](int step, int first_task, const fleet::step_progress& saved) {
+            for (std::size_t i = 0; i < saved.done.size(); ++i) {
+                if (saved.done[i]) {
+                    done_.insert({it.job, 0, step, first_task + static_cast<int>(i)});
                 }
             }
+        };
+        const auto& steps = it.progress.occurrences.front();
+        for (std::size_t step = 0; step < steps.size(); ++step) {
+            add_done(static_cast<int>(step), 0, steps[step]);
+        }
+        for (const auto& block : it.progress.blocks) {
+            add_done(block.first.step, block.first.first_task, block.second);
         }
     }
 }
--- a/test/standins/fleet_cluster.cpp
+++ b/test/standins/fleet_cluster.cpp
@@ -86,7 +86,8 @@
             {"platform",
              {{"address", (plan.route ? plan.route(site_->store()) : site_->store()).text()},
               {"writesPerS", 600},
-              {"partWritesPerS", 200}}}};
+              {"partWritesPerS", 200},
+              {"rowBytes", plan.max_row_bytes}}}};
         std::ofstream(entry->settings_file) << settings.dump();
         daemons_.push_back(std::move(entry));
     }
--- a/test/standins/fleet_simulation.cpp
+++ b/test/standins/fleet_simulation.cpp
@@ -1,6 +1,8 @@
 // Steps the simulation and checks it.
 #include "fleet_simulation.hpp"
 
+#include "fleet_test_data.hpp"
+
 #include <algorithm>
 
 namespace cranberrydock::standins {
@@ -355,7 +357,7 @@
             violations_.push_back("unreadable progress: " + read.error());
             continue;
         }
-        saved_[it.job] = *read;
+        write_progress(saved_[it.job], it.progress);
         scheduler_->progress_saved(it.job, it.change);
     }
     check_failed_jobs();
--- a/test/standins/fleet_test_data.hpp
+++ b/test/standins/fleet_test_data.hpp
@@ -67,6 +67,20 @@
     return out;
 }
 
+// Applies a change of a job's progress to what the store has of it.
+inline void write_progress(fleet::job_progress& stored, const fleet::job_progress& changed) {
+    auto blocks = std::move(stored.blocks);
+    for (const auto& it : changed.blocks) {
+        blocks[it.first] = *fleet::decode_block(fleet::encode_block(it.second));
+    }
+    stored = *fleet::decode_progress(fleet::encode_progress(changed));
+    for (auto it = blocks.begin(); it != blocks.end();) {
+        it = changed.in_blocks && !changed.is_finished(it->first.occurrence) ? std::next(it)
+                                                                             : blocks.erase(it);
+    }
+    stored.blocks = std::move(blocks);
+}
+
 // The store has applied all changes of the jobs' progress.
 inline void save_progress(fleet::scheduler& owner, const fleet::clock_reading& now) {
     for (const auto& it : owner.take_unsaved_jobs(now)) {
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -463,7 +463,10 @@
         const auto& puts = body.at("puts");
         if (std::any_of(puts.begin(), puts.end(), [this](const auto& it) {
                 const auto value = base::from_base64(it.at("value").template get<std::string>());
-                return !value || value->size() > plan.max_row_bytes;
+                return !value || value->size() > plan.max_row_bytes ||
+                       (plan.rejects_row &&
+                        plan.rejects_row(it.at("table").template get<std::string>(),
+                                         it.at("key").template get<std::string>()));
             })) {
             respond(net::json_response(status_invalid, R"({"error":"row too large"})"));
             return;
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -48,6 +48,8 @@
     // The rates of the VMs' clocks, assigned to the VMs in turn. Empty: 1 for all VMs.
     std::vector<double> clock_rates;
     std::size_t max_row_bytes = 65'536;  // the store rejects transactions with a larger row
+    // True for a row that the store rejects; empty: it rejects none.
+    std::function<bool(const std::string& table, const std::string& key)> rejects_row;
 };
 
 // Which of its commands a VM holds up. They are carried out later and never answered.
--- a/test/standins/takeover_model.cpp
+++ b/test/standins/takeover_model.cpp
@@ -1058,7 +1058,7 @@
             send_start(it, task, start);
         }
         for (const auto& unsaved : task.scheduler.take_unsaved_jobs(reading_of(it))) {
-            progress_[unsaved.job] = unsaved.progress;
+            write_progress(progress_[unsaved.job], unsaved.progress);
             task.scheduler.progress_saved(unsaved.job, unsaved.change);
         }
     }
