fleet: each VM that crashes under a task counts, whatever explains the crash

Cause: a crash counted against the youngest runs only, and a run that outlived a probation of 0.5 s cleared its task.

Change: losses: each VM that crashes under a run of the task, by proof. They are saved, on record from the moment at which the VM stops answering, and outlast probations. After three the task runs on probation for up to 5 s and apart from other such tasks, after five, proved or possible, it is given up. What an innocent task waits for that is bounded by 2 and 4 s. One crash alone among others is weighed less: it may be that of an older run.

--- a/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/inherited_vms.hpp
@@ -95,11 +95,12 @@
     // fencing token, or the commands of previous owners have ended. Once true, it stays true.
     bool starts_ended(base::time_point now);
     const starts_ended_proofs& proofs() const { return proofs_; }
-    // Whether inherited tasks may be started: every VM that can hold one of them has listed its runs
-    // and all of its completions, or has ended, or every lease has expired. Once true, it stays
-    // true. Requires that the jobs are known. `renewal_sent`: of this owner's row as it stands; no later owner had extended a lease
-    // by then. `own_leases_expired`: whether the leases that this owner has granted on a VM had
-    // expired by then. It extends those of inherited runs before it knows of the runs.
+    // Whether inherited tasks may be started: every VM that can hold one of them has listed its
+    // runs and all of its completions, or has ended, or every lease has expired. Once true, it
+    // stays true. Requires that the jobs are known. `renewal_sent`: of this owner's row as it
+    // stands; no later owner had extended a lease by then. `own_leases_expired`: whether the leases
+    // that this owner has granted on a VM had expired by then. It extends those of inherited runs
+    // before it knows of the runs.
     bool runs_known(base::time_point now, base::time_point renewal_sent,
                     const std::function<bool(const vm_id&)>& own_leases_expired);
     std::optional<wait_ended_by> ended_by() const { return ended_by_; }
@@ -116,8 +117,8 @@
     struct vm_state {
         recorded_vm facts;
         base::time_point facts_since;
-        bool reported = false;           // so its running runs are known
-        bool completions_known = false;  // so its inherited runs are known; implies `reported`
+        bool reported = false;            // so its running runs are known
+        bool completions_known = false;   // so its inherited runs are known; implies `reported`
         bool answers_at_address = false;  // a report was requested since `facts_since`
         bool unresponsive = false;
         bool ended = false;
--- a/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/job_rows.hpp
@@ -26,8 +26,8 @@
     std::vector<crash_evidence> crashes{};
 };
 
-// A block of consecutive tasks of one step of one occurrence. The progress of a job that may outgrow
-// a row is stored in blocks, each in a row of its own beside the job's progress row.
+// A block of consecutive tasks of one step of one occurrence. The progress of a job that may
+// outgrow a row is stored in blocks, each in a row of its own beside the job's progress row.
 struct block_ref {
     int occurrence = 0;
     int step = 0;
--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -9,7 +9,7 @@
 // - A step starts only when all tasks of the steps that it depends on are done.
 // - A customer's runs stay within the customer's upper limit.
 // - A task that has failed `max_attempts` times is not started again.
-// - A task that crashes the VMs that run it is not started again after four crashes on record.
+// - A task that crashes the VMs that run it is not started again after five of them have crashed.
 #pragma once
 
 #include <cranberrydock/base/clock.hpp>
@@ -193,9 +193,7 @@
         job_progress progress;
 
         // Adds what was to be written of an earlier change and has not been.
-        void take_over(unsaved_job&& earlier) {
-            progress.blocks.merge(earlier.progress.blocks);
-        }
+        void take_over(unsaved_job&& earlier) { progress.blocks.merge(earlier.progress.blocks); }
     };
     std::vector<unsaved_job> take_unsaved_jobs(const clock_reading& now);
     void progress_saved(const job_id& job, std::uint64_t change);
--- a/packages/fleet/src/crash_evidence.cpp
+++ b/packages/fleet/src/crash_evidence.cpp
@@ -14,7 +14,21 @@
 
 }  // namespace
 
+bool crash_evidence::has_young_runs() const {
+    return marked || possible_crashes() > crashes;
+}
+
+int crash_evidence::possible_crashes() const {
+    return crashes + static_cast<int>(std::count_if(unresolved.begin(), unresolved.end(),
+                                                    [](const lost_run& it) { return it.young; }));
+}
+
+void crash_evidence::add_loss() {
+    losses = std::min(losses + 1, max_crashes);
+}
+
 void crash_evidence::add_crash(bool youngest, bool is_alone) {
+    add_loss();
     crashes = std::min(crashes + 1, max_crashes);
     alone = std::min(alone + (is_alone ? 1 : 0), max_alone);
     marked |= youngest;
@@ -40,22 +54,30 @@
 void crash_evidence::clear() {
     crashes = std::min(crashes, 1);
     alone = 0;
-    unresolved.clear();
     marked = false;
+    for (auto& it : unresolved) {
+        it.young = false;
+        it.alone = false;
+    }
 }
 
 bool is_given_up(const crash_evidence& evidence, background_crashes background) {
     const int possible = evidence.possible_crashes();
-    if (evidence.crashes < min_proved_crashes) {
+    if (evidence.losses < min_proved_crashes) {
         return false;
     }
-    if (possible >= max_crashing_starts) {
+    if (evidence.possible_losses() >= max_crashing_starts) {
         return true;
     }
-    const bool others_explain = evidence.alone < evidence.crashes;
+    if (evidence.crashes < min_proved_crashes) {
+        return false;
+    }
+    // One crash alone among others may be that of an older run beside it.
+    const bool is_sure = evidence.alone >= crash_evidence::max_alone ||
+                         (evidence.alone > 0 && evidence.alone == evidence.crashes);
     switch (background) {
         case background_crashes::none:
-            return evidence.alone > 0 && (!others_explain || possible > min_proved_crashes);
+            return is_sure || (evidence.alone > 0 && possible >= max_crashing_starts - 1);
         case background_crashes::some:
             return evidence.alone > 0 && possible >= max_crashing_starts - 1;
         case background_crashes::prevailing:
@@ -94,6 +116,7 @@
     code /= 2;
     out.alone = code % (crash_evidence::max_alone + 1);
     out.crashes = code / (crash_evidence::max_alone + 1);
+    out.losses = out.crashes;
     return out;
 }
 
--- a/packages/fleet/src/job_rows.cpp
+++ b/packages/fleet/src/job_rows.cpp
@@ -71,12 +71,14 @@
 
 // Tasks are encoded as a string with one character per task, which stands for a done task or for
 // the evidence that the task crashes VMs, plus the failed runs of the tasks that are not done and
-// the runs that were lost with a VM that may have crashed.
+// the runs that were lost with a VM that may have crashed, and the losses that the evidence does
+// not contain.
 
 json encode_tasks(const step_progress& step) {
     std::string marks;
     json failed = json::object();
     json lost = json::object();
+    json losses = json::object();
     for (std::size_t i = 0; i < step.done.size(); ++i) {
         const crash_evidence crashes = i < step.crashes.size() ? step.crashes[i] : crash_evidence{};
         marks.push_back(step.done[i] ? done_mark : encode(crashes));
@@ -90,10 +92,14 @@
         if (!step.done[i] && !crashes.unresolved.empty()) {
             json runs = json::array();
             for (const auto& it : crashes.unresolved) {
-                runs.push_back({it.vm.value(), it.address.value(), it.boot.value(), it.alone});
+                runs.push_back(
+                    {it.vm.value(), it.address.value(), it.boot.value(), it.alone, it.young});
             }
             lost[std::to_string(i)] = std::move(runs);
         }
+        if (!step.done[i] && crashes.losses > crashes.crashes) {
+            losses[std::to_string(i)] = crashes.losses;
+        }
     }
     json out = {{"tasks", std::move(marks)}};
     if (!failed.empty()) {
@@ -102,6 +108,9 @@
     if (!lost.empty()) {
         out["lost_runs"] = std::move(lost);
     }
+    if (!losses.empty()) {
+        out["losses"] = std::move(losses);
+    }
     return out;
 }
 
@@ -128,10 +137,18 @@
                                         address_key(run.at(1).get<std::int64_t>()),
                                         boot_time(run.at(2).get<std::int64_t>()),
                                         run.at(3).get<bool>(),
+                                        run.size() <= 4 || run.at(4).get<bool>(),
                                         {}});
             }
         }
     }
+    if (fields.contains("losses")) {
+        for (const auto& it : fields.at("losses").items()) {
+            auto& crashes = out.crashes.at(std::stoul(it.key()));
+            crashes.losses =
+                std::clamp(it.value().get<int>(), crashes.crashes, crash_evidence::max_crashes);
+        }
+    }
     return out;
 }
 
@@ -272,7 +289,7 @@
     constexpr std::size_t run_bytes = 5;
     constexpr std::size_t lost_run_bytes = 30;
     constexpr std::size_t task_bytes =
-        1 + 2 * key_bytes + crash_evidence::max_unresolved * lost_run_bytes;
+        2 + 3 * key_bytes + crash_evidence::max_unresolved * lost_run_bytes;
     if (job.occurrences > 0) {
         return std::nullopt;
     }
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -69,6 +69,11 @@
         state_->open.for_each(
             [&](detail::open_step_entry& it) { it.step->waits_since = now.steady; });
     }
+    if (state_->last_decision != base::time_point{}) {
+        state_->observed_vm_time +=
+            std::chrono::duration_cast<milliseconds>(now.steady - state_->last_decision) *
+            static_cast<std::int64_t>(state_->vms.size());
+    }
     state_->last_decision = now.steady;
     state_->forget_ended_jobs();
     state_->open_due_occurrences(now);
--- a/packages/fleet/src/scheduler_completions.cpp
+++ b/packages/fleet/src/scheduler_completions.cpp
@@ -93,6 +93,15 @@
         task.crashes.clear();
         crashes_changed(job, completion.task, task);
     }
+    const bool is_broken =
+        completion.kind == completion_kind::gang_broken ||
+        (step.spec->gang && completion.kind == completion_kind::stopped && !is_final(job.state));
+    if (is_broken && task.crashes.nearly_given_up()) {
+        // It was started, and might have crashed its VM as well if its gang had gone on.
+        task.crashes.add_loss();
+        crashes_changed(job, completion.task, task);
+        crashing_tasks.insert(completion.task);
+    }
     if (completion.kind == completion_kind::done && !step.spec->long_running) {
         task_done(job, completion.task, step, now);
     } else if (completion.kind == completion_kind::failed) {
--- a/packages/fleet/src/scheduler_crashes.cpp
+++ b/packages/fleet/src/scheduler_crashes.cpp
@@ -36,6 +36,7 @@
 constexpr milliseconds prompt_refusal{700};
 constexpr milliseconds max_wait_for_quiet_vm{1'000};
 constexpr milliseconds max_wait_at_high_risk{10'000};
+constexpr milliseconds max_wait_for_separate_vm{4'000};
 constexpr int max_probations_per_job = 4;
 constexpr std::size_t max_shared_probation = 16;
 // Steps that are let through to get tickets, for each probation that can begin.
@@ -82,14 +83,26 @@
     return run.adopted ? std::max(age, settings.crashes.just_started + milliseconds{1}) : age;
 }
 
-std::vector<placed_run*> scheduler::state::explaining_runs(vm_record& vm) const {
+milliseconds scheduler::state::blameless_age(const task_ref& task) {
+    job_record* job = nullptr;
+    const step_state* const step = find_step(task, &job);
+    // Long-running tasks live long enough to see many crashes by chance.
+    if (step == nullptr || step->spec->long_running) {
+        return settings.crashes.blameless;
+    }
+    const auto time_between_crashes = observed_vm_time / (crash_count + 1);
+    return std::max(settings.crashes.blameless,
+                    time_between_crashes / settings.crashes.blameless_share);
+}
+
+std::vector<placed_run*> scheduler::state::explaining_runs(vm_record& vm) {
     std::vector<placed_run*> out;
     auto best = crash_explanation::any;
     for (auto& it : vm.runs) {
         placed_run& run = it.second;
         const auto age = age_at_last_answer(vm, run);
         if (run.unknown || run.crash_counted || run.completion_unlisted ||
-            age > settings.crashes.blameless) {
+            age > blameless_age(run.task)) {
             continue;
         }
         const auto explanation = explanation_of(age, settings.crashes);
@@ -146,7 +159,7 @@
         run->unresolved = true;
         const auto address = run->confirmed_at ? key_of_address(vm.facts.address) : address_key(0);
         task->crashes.add_unresolved({key_of(vm.facts.id), address, vm.reported_boot,
-                                      is_explained_alone(vm, explaining, explanation),
+                                      is_explained_alone(vm, explaining, explanation), true,
                                       last_decision});
         unresolved_tasks.insert(run->task);
         crashes_changed(*job, run->task, *task);
@@ -157,6 +170,8 @@
             explaining.size() - 1, task->crashes.crashes, task->crashes.alone,
             task->crashes.unresolved.size());
     }
+    // On record for a next owner, which would not know of the runs if the VM has crashed.
+    add_possible_losses(vm);
 }
 
 void scheduler::state::withdraw_suspicion(const vm_record& vm, placed_run& run) {
@@ -211,6 +226,12 @@
             task->crashes.remove_unresolved(key_of(vm.facts.id), vm.reported_boot);
         }
         task->crashes.add_crash(explanation != crash_explanation::any, is_alone);
+        if (was_on_probation && vm.runs.size() == 1 &&
+            task->crashes.possible_losses() > crash_evidence::losses_before_probation) {
+            // Counts twice, since the VM ran nothing else. That leaves a start for a loss that is
+            // not on record, as an owner that ends within milliseconds of it leaves none.
+            task->crashes.add_loss();
+        }
         crashes_changed(*job, run->task, *task);
         crashing_tasks.insert(run->task);
         spdlog::info(
@@ -220,7 +241,8 @@
             age_at_last_answer(vm, *run).count(), explaining.size() - 1, task->crashes.crashes,
             task->crashes.alone, task->crashes.unresolved.size());
     }
-    count_young_companions(vm, explanation);
+    ++crash_count;
+    count_companions(vm, explaining, explanation);
     clear_blameless_runs(vm);
     for (auto& it : vm.runs) {
         it.second.crash_counted = true;
@@ -228,31 +250,59 @@
     }
 }
 
-// Young runs beside one that had just started count without suspicion: such a run may hide one that
-// crashes its VM somewhat later.
-void scheduler::state::count_young_companions(vm_record& vm, crash_explanation best) {
+// Young runs beside one that had just started count as crashes without suspicion: such a run may
+// hide one that crashes its VM somewhat later.
+void scheduler::state::count_companions(vm_record& vm, const std::vector<placed_run*>& explaining,
+                                        crash_explanation best) {
     for (auto& it : vm.runs) {
         const placed_run& run = it.second;
         job_record* job = nullptr;
         task_state* const task = run.unknown ? nullptr : find_task(run.task, &job);
-        if (best != crash_explanation::just_started || task == nullptr || task->done ||
-            !run.confirmed_at || run.crash_counted || run.completion_unlisted ||
-            explanation_of(age_at_last_answer(vm, run), settings.crashes) !=
-                crash_explanation::young) {
+        const bool is_explaining =
+            std::find(explaining.begin(), explaining.end(), &run) != explaining.end();
+        const auto age = age_at_last_answer(vm, run);
+        if (is_explaining || task == nullptr || task->done || !run.confirmed_at ||
+            run.crash_counted || run.completion_unlisted || age > blameless_age(run.task)) {
             continue;
         }
-        task->crashes.add_crash(false, false);
+        if (best == crash_explanation::just_started &&
+            explanation_of(age, settings.crashes) == crash_explanation::young) {
+            task->crashes.add_crash(false, false);
+        } else {
+            task->crashes.add_loss();
+        }
         crashes_changed(*job, run.task, *task);
         crashing_tasks.insert(run.task);
     }
 }
 
+void scheduler::state::add_possible_losses(vm_record& vm) {
+    if (vm.facts.leaving || vm.ended) {
+        return;
+    }
+    for (auto& it : vm.runs) {
+        placed_run& run = it.second;
+        job_record* job = nullptr;
+        task_state* const task = run.unknown ? nullptr : find_task(run.task, &job);
+        if (task == nullptr || task->done || !run.confirmed_at || run.unresolved ||
+            run.crash_counted || run.completion_unlisted ||
+            age_at_last_answer(vm, run) > blameless_age(run.task)) {
+            continue;
+        }
+        run.unresolved = true;
+        task->crashes.add_unresolved({key_of(vm.facts.id), key_of_address(vm.facts.address),
+                                      vm.reported_boot, false, false, last_decision});
+        unresolved_tasks.insert(run.task);
+        crashes_changed(*job, run.task, *task);
+    }
+}
+
 void scheduler::state::clear_blameless_runs(vm_record& vm) {
     for (const auto& it : vm.runs) {
         job_record* job = nullptr;
         task_state* const task = it.second.unknown ? nullptr : find_task(it.first, &job);
-        if (task != nullptr && task->crashes.possible_crashes() > 0 &&
-            age_at_last_answer(vm, it.second) > settings.crashes.blameless) {
+        if (task != nullptr && task->crashes.possible_losses() > 0 &&
+            age_at_last_answer(vm, it.second) > blameless_age(it.first)) {
             task->crashes = {};
             crashes_changed(*job, it.first, *task);
         }
@@ -269,9 +319,11 @@
             for (auto& step : occurrence.second) {
                 ref.index = 0;
                 for (auto& task : step.tasks) {
-                    if (!task.done && task.vm == nullptr && task.crashes.marked &&
-                        task.crashes.unresolved.empty()) {
-                        task.crashes.add_unresolved({});
+                    if (!task.done && task.vm == nullptr && task.crashes.unresolved.empty() &&
+                        (task.crashes.marked || task.crashes.losses > 0)) {
+                        lost_run unseen;
+                        unseen.young = task.crashes.marked;
+                        task.crashes.add_unresolved(unseen);
                         crashes_changed(*job.second, ref, task);
                     }
                     ++ref.index;
@@ -293,10 +345,11 @@
         }
         metrics->count("cranberrydock_tasks_given_up_total", "");
         spdlog::warn(
-            "event=task_given_up task={} queue={} customer={} crashes={} alone={} "
+            "event=task_given_up task={} queue={} customer={} losses={} crashes={} alone={} "
             "unresolved={} background_crashes={}",
-            to_string(it), job->spec.queue.str(), job->spec.customer.str(), task->crashes.crashes,
-            task->crashes.alone, task->crashes.unresolved.size(), to_string(background_rate));
+            to_string(it), job->spec.queue.str(), job->spec.customer.str(), task->crashes.losses,
+            task->crashes.crashes, task->crashes.alone, task->crashes.unresolved.size(),
+            to_string(background_rate));
         finish_job(*job, job_state::failed, now);
     }
 }
@@ -360,8 +413,12 @@
                 continue;
             }
             task->crashes.remove_unresolved(run.vm, run.boot);
-            if (*crashed) {
+            if (*crashed && run.young) {
                 task->crashes.add_crash(true, run.alone);
+            } else if (*crashed) {
+                task->crashes.add_loss();
+            }
+            if (*crashed) {
                 crashing_tasks.insert(*it);
             }
             crashes_changed(*job, *it, *task);
@@ -439,7 +496,18 @@
 
 bool scheduler::state::needs_probation(const open_step& work, const task_state& task,
                                        const clock_reading& now) const {
-    return task.crashes.needs_probation() || is_isolated(work.job->spec.queue, now);
+    if (task.crashes.has_young_runs() || is_isolated(work.job->spec.queue, now)) {
+        return true;
+    }
+    // With losses alone the task is more likely innocent than not, so that it waits no longer.
+    return task.crashes.needs_probation() &&
+           waited(work, task, now) <= settings.crashes.max_wait_after_losses;
+}
+
+milliseconds scheduler::state::waited(const open_step& work, const task_state& task,
+                                      const clock_reading& now) {
+    const auto since = task.previous ? task.previous->proved_at : base::time_point{};
+    return between(std::max(since, work.step->opened_at), now.steady);
 }
 
 // The next owner is to know of the evidence if the task's next start crashes a VM too.
@@ -532,10 +600,28 @@
     const bool is_high = risk_of(task) == probation_risk::high;
     const auto quiet = is_high ? settings.crashes.young : settings.crashes.just_started;
     const auto max_wait = is_high ? max_wait_at_high_risk : max_wait_for_quiet_vm;
+    if (task.crashes.nearly_given_up() && waited(work, task, now) <= max_wait_for_separate_vm &&
+        runs_task_nearly_given_up(vm)) {
+        return false;
+    }
     return !on_probation || now.steady - vm.last_placed_at > quiet ||
            now.steady - work.step->waits_since > max_wait;
 }
 
+bool scheduler::state::runs_task_nearly_given_up(const vm_record& vm) const {
+    return std::any_of(vm.runs.begin(), vm.runs.end(), [&](const auto& it) {
+        const auto job = jobs.find(it.first.job);
+        if (it.second.unknown || job == jobs.end()) {
+            return false;
+        }
+        const auto occurrence = job->second->occurrences.find(it.first.occurrence);
+        return occurrence != job->second->occurrences.end() &&
+               occurrence->second.at(static_cast<std::size_t>(it.first.step))
+                   .tasks.at(static_cast<std::size_t>(it.first.index))
+                   .crashes.nearly_given_up();
+    });
+}
+
 void scheduler::state::begin_probation(vm_record& vm, const task_ref& task, run_number run,
                                        const clock_reading& now) {
     job_record* job = nullptr;
@@ -559,10 +645,10 @@
     metrics->count("cranberrydock_probations_total", "");
     spdlog::info(
         "event=probation_started task={} run={} vm={} runs_beside={} shared_by={} "
-        "crashes={} alone={} unresolved={} vms_on_probation={}",
+        "losses={} crashes={} alone={} unresolved={} vms_on_probation={}",
         to_string(task), run.value(), vm.facts.id.str(), vm.runs.size() - 1, current.members.size(),
-        started->crashes.crashes, started->crashes.alone, started->crashes.unresolved.size(),
-        probations.size());
+        started->crashes.losses, started->crashes.crashes, started->crashes.alone,
+        started->crashes.unresolved.size(), probations.size());
 }
 
 const char* scheduler::state::outcome_of(std::size_t vm_number, detail::probation& current,
@@ -580,9 +666,11 @@
         task_state* const task = find_task(it->task, &job);
         const placed_run* const run = find_run(*vm, it->task, it->run);
         const bool has_evidence = task != nullptr && task->crashes.suspected();
+        const bool has_losses = has_evidence && task->crashes.nearly_given_up();
         const auto time = current.risk == probation_risk::medium && !has_evidence
                               ? settings.crashes.just_started
-                              : settings.crashes.probation;
+                          : has_losses ? settings.crashes.probation_after_losses
+                                       : settings.crashes.probation;
         if (run != nullptr && task != nullptr &&
             (!run->confirmed_at || now.steady - *run->confirmed_at < time)) {
             ++it;
--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -136,6 +136,7 @@
 
 void scheduler::state::mark_open(const step_ref& ref, job_record& job, step_state& step) {
     if (open.open(ref, job, step)) {
+        step.opened_at = last_decision;
         step.waits_since = last_decision;
         step.waits_for = wait_reason::not_considered;
     }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -171,6 +171,7 @@
     // Answers of the advisor since a task was last started. With at least one, the step can't use
     // the capacity that is free now: none of the VMs granted to it has room.
     int answers_without_start = 0;
+    time_point opened_at{};
     // Since when a task has waited while no other one of the step started.
     time_point waits_since{};
     time_point considered_at{};  // when `waits_for` was recorded
@@ -355,8 +356,10 @@
     std::map<queue_name, detail::queue_crashes> queue_crashes;
     std::size_t max_probations = 0;  // of the last decision
     unexplained_crashes unexplained;
-    std::set<task_ref> crashing_tasks;    // with new evidence that is to be weighed
-    std::set<task_ref> unresolved_tasks;  // with lost runs whose VMs may have crashed
+    base::milliseconds observed_vm_time{0};  // under this owner, summed over the VMs
+    std::int64_t crash_count = 0;            // likewise
+    std::set<task_ref> crashing_tasks;       // with new evidence that is to be weighed
+    std::set<task_ref> unresolved_tasks;     // with lost runs whose VMs may have crashed
 
     // scheduler_jobs.cpp
     void mark_changed(detail::job_record& job);
@@ -446,7 +449,7 @@
 
     // scheduler_crashes.cpp
     // The runs that explain best why the VM has crashed, if it has.
-    std::vector<detail::placed_run*> explaining_runs(detail::vm_record& vm) const;
+    std::vector<detail::placed_run*> explaining_runs(detail::vm_record& vm);
     base::milliseconds age_at_last_answer(const detail::vm_record& vm,
                                           const detail::placed_run& run) const;
     // Whether one run alone explains the crash.
@@ -457,8 +460,14 @@
     void suspect_crash(detail::vm_record& vm);
     // The VM's incarnation has ended.
     void count_crash(detail::vm_record& vm);
-    void count_young_companions(detail::vm_record& vm, crash_explanation best);
+    // Counts the VM as a loss of the runs beside those that explain its crash best.
+    void count_companions(detail::vm_record& vm, const std::vector<detail::placed_run*>& explaining,
+                          crash_explanation best);
     void clear_blameless_runs(detail::vm_record& vm);
+    // The VM does not answer, and whether it has crashed is not known.
+    void add_possible_losses(detail::vm_record& vm);
+    // The age from which on a run explains no crash.
+    base::milliseconds blameless_age(const task_ref& task);
     // The VM has not crashed, or was to leave.
     void withdraw_suspicion(detail::vm_record& vm);
     void withdraw_suspicion(const detail::vm_record& vm, detail::placed_run& run);
@@ -478,6 +487,9 @@
     void count_queue_losses(const detail::vm_record& vm,
                             const std::vector<detail::placed_run*>& explaining);
     bool is_isolated(const queue_name& queue, const clock_reading& now) const;
+    // How long the task itself has been waiting, whichever others of its step have started.
+    static base::milliseconds waited(const detail::open_step& work, const detail::task_state& task,
+                                     const clock_reading& now);
     bool needs_probation(const detail::open_step& work, const detail::task_state& task,
                          const clock_reading& now) const;
     static bool is_saved(const detail::open_step& work, const detail::task_state& task);
@@ -493,6 +505,7 @@
     bool accepts_start(const detail::vm_record& vm, const detail::open_step& work,
                        const detail::task_state& task, bool on_probation,
                        const clock_reading& now) const;
+    bool runs_task_nearly_given_up(const detail::vm_record& vm) const;
     void begin_probation(detail::vm_record& vm, const task_ref& task, run_number run,
                          const clock_reading& now);
     void update_probations(const clock_reading& now);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -115,6 +115,7 @@
     if (vm->facts.leaving) {
         state_->withdraw_suspicion(*vm);
     }
+    state_->add_possible_losses(*vm);
     std::vector<task_ref> lost;
     for (const auto& it : vm->runs) {
         lost.push_back(it.first);
@@ -410,6 +411,7 @@
 }
 
 void scheduler::state::issue_stops(const clock_reading& now, decisions& out) {
+    std::size_t pending = 0;
     for (const auto& it : stopping) {
         vm_record* const vm = find_vm(it.first);
         const auto run = vm == nullptr ? decltype(vm->runs.begin()){} : vm->runs.find(it.second);
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
@@ -30,7 +30,7 @@
     fleet::row_address ended_row(const fleet::job_id& job) const;
 
 private:
-    std::size_t partition_count_;
+    std::size_t partition_count_ = 0;  // 0: not known yet
 };
 
 extern const fleet::table_name job_table;
--- a/packages/fleet_daemon/src/job_api.cpp
+++ b/packages/fleet_daemon/src/job_api.cpp
@@ -168,13 +168,12 @@
         spdlog::info("event=job_refused job={} queue={} reason={} bytes={} limit={} tasks={}",
                      job.id.str(), job.queue.str(), to_string(refusal_reason::can_never_fit),
                      row.size(), limits_.row_bytes, tasks);
-        refuse(done, not_run(refusal_reason::can_never_fit,
-                             "expected a job of at most " +
-                                 std::to_string(fleet::max_tasks_per_job) +
-                                 " tasks that fits into " + std::to_string(limits_.row_bytes) +
-                                 " bytes of the store, found " + std::to_string(tasks) +
-                                 " tasks and " + std::to_string(row.size()) +
-                                 " bytes; submit it in smaller parts"));
+        refuse(done,
+               not_run(refusal_reason::can_never_fit,
+                       "expected a job of at most " + std::to_string(fleet::max_tasks_per_job) +
+                           " tasks that fits into " + std::to_string(limits_.row_bytes) +
+                           " bytes of the store, found " + std::to_string(tasks) + " tasks and " +
+                           std::to_string(row.size()) + " bytes; submit it in smaller parts"));
         return;
     }
     const auto on_written = lifetime_.guard([this, done, row, id = job.id, queue = job.queue,
--- a/packages/fleet_daemon/src/job_layout.cpp
+++ b/packages/fleet_daemon/src/job_layout.cpp
@@ -51,8 +51,8 @@
 
 progress_row_name parse_progress_row(const fleet::row_name& row) {
     const auto at = row.str().find(block_separator);
-    const auto block = at == std::string::npos ? std::nullopt
-                                               : fleet::parse_block_ref(row.str().substr(at + 1));
+    const auto block =
+        at == std::string::npos ? std::nullopt : fleet::parse_block_ref(row.str().substr(at + 1));
     return {fleet::job_id(block ? row.str().substr(0, at) : row.str()), block};
 }
 
--- a/packages/fleet_daemon/src/owner_persistence.cpp
+++ b/packages/fleet_daemon/src/owner_persistence.cpp
@@ -99,8 +99,8 @@
         add_end(transaction, unsaved);
         return std::nullopt;
     }
-    // The blocks come first: the job's row shows finished occurrences, whose blocks are removed, and
-    // drops what it contained before its job was stored in blocks.
+    // The blocks come first: the job's row shows finished occurrences, whose blocks are removed,
+    // and drops what it contained before its job was stored in blocks.
     auto& blocks = unsaved.progress.blocks;
     auto it = blocks.begin();
     for (; it != blocks.end() && (transaction.puts.size() <= 1 || has_room_for_row(transaction));
--- a/packages/fleet_daemon/src/owner_vms.cpp
+++ b/packages/fleet_daemon/src/owner_vms.cpp
@@ -301,14 +301,15 @@
     const auto ended_by = inherited_vms.ended_by();
     spdlog::info(
         "event={} fence={} unknown={} ended_by={} missing_vms={} replaced_vms={} silent_vms={} "
-        "partly_listed_vms={} missing_cores={} missing_memory={} silent_cores={} silent_memory={} members_complete={} "
+        "partly_listed_vms={} missing_cores={} missing_memory={} silent_cores={} silent_memory={} "
+        "members_complete={} "
         "inherited_waiting={} new_waiting={} waited_ms={}",
         event, owner.value(), fleet::to_string(inherited_vms.unknown(at)),
         ended_by ? fleet::to_string(*ended_by) : "nothing", inherited_vms.missing_count(at),
-        inherited_vms.replaced_count(), inherited_vms.silent_count(), inherited_vms.partly_listed_count(), missing.cores.value(),
-        missing.memory.value(), silent.cores.value(), silent.memory.value(),
-        at >= settings.members_complete_from, inherited_waiting, waiting - inherited_waiting,
-        owner_age().count());
+        inherited_vms.replaced_count(), inherited_vms.silent_count(),
+        inherited_vms.partly_listed_count(), missing.cores.value(), missing.memory.value(),
+        silent.cores.value(), silent.memory.value(), at >= settings.members_complete_from,
+        inherited_waiting, waiting - inherited_waiting, owner_age().count());
 }
 
 }  // namespace cranberrydock::fleet_daemon
--- a/test/correctness/crashes_are_attributed_to_runs.cpp
+++ b/test/correctness/crashes_are_attributed_to_runs.cpp
@@ -268,6 +268,169 @@
     EXPECT_EQ(decide(), 12U);
 }
 
+// A task that crashes its VM at some age, beside younger runs that explain the crash better.
+class mid_run_crash : public crashing_vms, public testing::WithParamInterface<int> {
+public:
+    // Starts what can be started until the task runs, then lets it reach its age beside a run that
+    // has just started, and crashes its VM.
+    void run_to_crash(milliseconds age) {
+        for (int i = 0; i < 300 && runs.count(killer) == 0; ++i) {
+            decide();
+            pass(milliseconds(50));
+        }
+        ASSERT_EQ(runs.count(killer), 1U) << "waits";
+        pass(age);
+        submit("short-" + std::to_string(++short_jobs), 4 * vm_count);
+        decide();
+        const auto vm = runs.at(killer).vm;
+        for (int i = 0; i < vm_count; ++i) {
+            report(fleet::vm_id("vm-" + std::to_string(i)));
+        }
+        crash(vm);
+        save();
+        // The short runs end.
+        for (const auto& it : runs) {
+            if (it.first.job != killer.job) {
+                owner.cancel_job(it.first.job, now);
+            }
+        }
+        for (auto it = runs.begin(); it != runs.end();) {
+            it = it->first.job == killer.job ? std::next(it) : runs.erase(it);
+        }
+        pass(milliseconds(1'000));
+        decide();
+        pass(milliseconds(10));
+        for (int i = 0; i < vm_count; ++i) {
+            report(fleet::vm_id("vm-" + std::to_string(i)));
+        }
+    }
+
+    const fleet::task_ref killer{fleet::job_id("killer"), 0, 0, 0};
+    int short_jobs = 0;
+};
+
+// Guards against a task that is started for ever since each of its crashes is blamed on others.
+TEST_P(mid_run_crash, beside_younger_runs_ends_after_five_starts) {
+    submit("killer");
+    int starts = 0;
+    while (owner.status_of(fleet::job_id("killer")) &&
+           !is_final(owner.status_of(fleet::job_id("killer"))->state)) {
+        ASSERT_LE(++starts, 5);
+        ASSERT_NO_FATAL_FAILURE(run_to_crash(milliseconds(GetParam() + 37 * starts)));
+        decide();
+    }
+    EXPECT_GE(starts, 2) << "one crash is no proof";
+}
+
+INSTANTIATE_TEST_SUITE_P(ages_ms, mid_run_crash,
+                         testing::Values(10, 160, 900, 1'010, 2'500, 9'990, 29'700));
+
+TEST_F(crashing_vms, losses_alone_do_not_clear_with_probation) {
+    submit("job");
+    decide();
+    pass(milliseconds(2'000));
+    report(vm_of("job"));
+    submit("new");
+    decide();
+    ASSERT_EQ(vm_of("new"), vm_of("job"));
+    crash(vm_of("job"));
+    EXPECT_EQ(evidence_of("job").losses, 1);
+    EXPECT_EQ(evidence_of("job").crashes, 0);
+    auto evidence = evidence_of("job");
+    evidence.clear();
+    EXPECT_EQ(evidence.losses, 1);
+}
+
+// A VM whose leases have expired may have crashed. Only its next incarnation proves that it has.
+TEST_F(crashing_vms, vm_lost_in_mid_run_counts_once_it_is_back_as_another_incarnation) {
+    for (const bool crashed : {false, true}) {
+        const std::string name = crashed ? "crashed" : "cut";
+        submit(name);
+        decide();
+        const auto vm = vm_of(name);
+        pass(milliseconds(5'000));
+        report(vm);
+        lose_connection(vm);
+        owner.vm_lost(vm, "lease_lapsed", {}, now);
+        fleet::vm_info facts;
+        facts.id = vm;
+        facts.address = "10.0.0." + vm.str().substr(3) + ":1";
+        facts.service = fleet::service_name("svc");
+        facts.capacity = vm_capacity_of(4'000);
+        facts.boot = fleet::boot_time(crashed ? 2 : 1);
+        owner.vm_listed(facts);
+        EXPECT_EQ(evidence_of(name).unresolved.size(), 1U);
+        EXPECT_FALSE(evidence_of(name).suspected());
+        EXPECT_GE(decide(), 1U) << "it does not wait for that";
+        EXPECT_NE(vm_of(name), vm);
+        fleet::vm_report next;
+        next.boot = facts.boot;
+        owner.vm_reported(vm, next, now.steady, now);
+        decide();
+        EXPECT_EQ(evidence_of(name).losses, crashed ? 1 : 0);
+        EXPECT_TRUE(evidence_of(name).unresolved.empty());
+    }
+}
+
+// An innocent task with losses waits for a VM of its own only for a limited time.
+TEST_F(crashing_vms, task_with_losses_starts_beside_others_in_busy_fleet) {
+    fleet::job_progress progress;
+    progress.customer = fleet::customer_name("crew");
+    progress.queue = fleet::queue_name("urgent");
+    progress.state = fleet::job_state::active;
+    fleet::crash_evidence evidence;
+    evidence.losses = fleet::crash_evidence::losses_before_probation;
+    constexpr int suspects = 40;
+    progress.occurrences = {
+        {{std::vector<bool>(suspects, false), std::vector<std::vector<fleet::run_number>>(suspects),
+          std::vector<fleet::crash_evidence>(suspects, evidence)}}};
+    // Half of the fleet is taken.
+    submit("others", 4 * vm_count / 2);
+    decide();
+    owner.add_job(make_job("job", "urgent", {make_step(suspects, 500)}), &progress, false, now);
+    // The first ones keep their VMs to themselves for as long as a probation lasts.
+    const auto limit = fleet::crash_settings{}.max_wait_after_losses +
+                       fleet::crash_settings{}.probation_after_losses;
+    std::size_t started = 0;
+    for (milliseconds passed{0}; passed <= limit + milliseconds(100); passed += milliseconds(10)) {
+        started += decide();
+        for (int i = 0; i < vm_count; ++i) {
+            report(fleet::vm_id("vm-" + std::to_string(i)));
+        }
+    }
+    constexpr std::size_t places = 2 * 4 * vm_count / 2;
+    EXPECT_GE(started, std::min<std::size_t>(suspects, places));
+}
+
+TEST(crash_evidence, losses_are_stored) {
+    fleet::job_progress progress;
+    progress.state = fleet::job_state::active;
+    fleet::step_progress step;
+    for (int losses = 0; losses <= fleet::crash_evidence::max_crashes; ++losses) {
+        fleet::crash_evidence evidence;
+        evidence.losses = losses;
+        evidence.crashes = losses / 2;
+        evidence.unresolved.push_back({fleet::vm_key(1),
+                                       fleet::address_key(2),
+                                       fleet::boot_time(3),
+                                       false,
+                                       losses % 2 == 0,
+                                       {}});
+        step.done.push_back(false);
+        step.failed_runs.emplace_back();
+        step.crashes.push_back(evidence);
+    }
+    progress.occurrences = {{step}};
+    const auto read = fleet::decode_progress(fleet::encode_progress(progress));
+    ASSERT_TRUE(read) << read.error();
+    const auto& crashes = read->occurrences.at(0).at(0).crashes;
+    for (std::size_t i = 0; i < crashes.size(); ++i) {
+        EXPECT_EQ(crashes[i].losses, step.crashes[i].losses);
+        EXPECT_EQ(crashes[i].crashes, step.crashes[i].crashes);
+        EXPECT_EQ(crashes[i].unresolved, step.crashes[i].unresolved);
+    }
+}
+
 TEST(crash_evidence, is_encoded_in_one_character) {
     for (int crashes = 0; crashes <= fleet::crash_evidence::max_crashes; ++crashes) {
         for (int alone = 0; alone <= fleet::crash_evidence::max_alone; ++alone) {
