fleet: unanswered commands are bounded

Cause: a decision starts whatever fits, and all of its commands were sent at once, each with a connection and copies of its payload.

Change: at most 2,048 starts and 2,048 stops are unanswered, 64 starts on one VM. A gang starts whole.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -75,6 +75,7 @@
     probation,  // suspected of crashing VMs: too many VMs run such tasks, or the evidence is
                 // unsaved
     progress_rejected,  // by the store
+    pending_starts,     // too many starts are unanswered
 };
 
 const char* to_string(wait_reason reason);
@@ -115,6 +116,12 @@
     // A job that ends later than this multiple of its objective has no more value.
     double late_factor = 3.0;
     crash_settings crashes;
+    // Most unanswered commands. Each takes memory for its request and its connection, and a new
+    // owner may find room for the work of the whole fleet at once.
+    std::size_t max_pending_starts = 2'048;
+    std::size_t max_pending_stops = 2'048;
+    // Most unanswered starts on one VM, so that a few unresponsive VMs do not take up the limit.
+    std::size_t max_pending_starts_per_vm = 64;
     // A job whose progress may need more is stored in blocks.
     std::size_t max_progress_row_bytes = 32'768;
 };
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -251,6 +251,9 @@
             all_placed = false;
             continue;
         }
+        if (pending_starts >= settings.max_pending_starts) {
+            return false;
+        }
         vm_record* best = nullptr;
         const auto better = [&](const vm_record& a, const vm_record& b) {
             // A crash is to take as little other work with it as possible.
@@ -279,6 +282,7 @@
                 const bool full =
                     spec.max_per_vm > 0 && detail::running_on(*vm, *work.ref) >= spec.max_per_vm;
                 if (fits(spec.need, vm->free()) && !full &&
+                    vm->pending_starts < settings.max_pending_starts_per_vm &&
                     accepts_start(*vm, work, task, on_probation, now) &&
                     (may_begin || vm->on_probation) && (best == nullptr || better(*vm, *best))) {
                     best = vm;
@@ -478,6 +482,10 @@
         work.step->waits_for = wait_reason::progress_rejected;
         return false;
     }
+    if (pending_starts >= settings.max_pending_starts) {
+        work.step->waits_for = wait_reason::pending_starts;
+        return false;
+    }
     if (waits_for_probation(work, round, now)) {
         work.step->waits_for = wait_reason::probation;
         return false;
--- a/packages/fleet/src/scheduler.cpp
+++ b/packages/fleet/src/scheduler.cpp
@@ -150,6 +150,8 @@
             return "probation";
         case wait_reason::progress_rejected:
             return "progress_rejected";
+        case wait_reason::pending_starts:
+            return "pending_starts";
     }
     return "unknown";
 }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -90,7 +90,8 @@
     time_point unreachable_since{};
     bool loss_counted = false;  // by count_queue_losses(), since then
     std::map<task_ref, placed_run> runs;
-    resources used;  // the sum over `runs`
+    resources used;                  // the sum over `runs`
+    std::size_t pending_starts = 0;  // of `runs`
     // Runs in the last report of tasks that have another run in `runs`.
     std::map<task_ref, running_task> concealed;
     // The capacity that steps are expected to take here if their open queries are granted,
@@ -330,6 +331,7 @@
     // Completions of unknown jobs.
     std::map<job_id, std::vector<detail::held_completion>> held_completions;
     std::set<std::pair<vm_id, task_ref>> starts_to_retry;  // start commands without an answer
+    std::size_t pending_starts = 0;                        // on all VMs
     std::set<job_id> dirty_jobs;                           // jobs with unsaved changes
     // Jobs that have ended under this owner. Their rows may still arrive from a read of the store
     // that is older than their end.
@@ -421,6 +423,8 @@
     void check_restart(const detail::vm_record& vm, const task_ref& task, run_number run,
                        std::optional<completion_kind> ended, vm_time vm_clock,
                        const clock_reading& now);
+    // No start command for the run is unanswered any more.
+    void end_start(detail::vm_record& vm, detail::placed_run& run);
     void request_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void abandon_start(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
     void handle_running(detail::vm_record& vm, const running_task& reported_run,
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -181,6 +181,8 @@
     vm.used += new_run.need;
     in_use[new_run.customer] += new_run.need;
     vm.runs.emplace(task, new_run);
+    ++vm.pending_starts;
+    ++pending_starts;
     auto& state = step.tasks[static_cast<std::size_t>(task.index)];
     if (state.vm == nullptr) {
         state.vm = &vm;
@@ -191,6 +193,13 @@
     ++job.placed_runs;
 }
 
+void scheduler::state::end_start(vm_record& vm, placed_run& run) {
+    if (std::exchange(run.start_pending, false)) {
+        --vm.pending_starts;
+        --pending_starts;
+    }
+}
+
 void scheduler::state::release(vm_record& vm, const task_ref& task, const run_end& end) {
     const auto it = vm.runs.find(task);
     if (it == vm.runs.end()) {
@@ -287,6 +296,7 @@
     (unknown ? unknown_use : in_use[it->second.customer]) -= it->second.need;
     unknown_runs.erase({task, vm.facts.id});
     const checkpoint saved = it->second.saved;
+    end_start(vm, it->second);
     vm.runs.erase(it);
     stopping.erase({vm.facts.id, task});
     job_record* job = nullptr;
@@ -389,19 +399,19 @@
         step_state* const step = find_step(it.second, &job);
         if (step == nullptr || run->second.phase != run_phase::starting) {
             // A report has shown the run, or its stop is requested.
-            run->second.start_pending = false;
+            end_start(*vm, run->second);
             if (step == nullptr) {
                 request_stop(*vm, run->second, "job_unknown");
             }
             continue;
         }
         if (has_further_run(it.second) || vm->concealed.count(it.second) > 0) {
-            run->second.start_pending = false;
+            end_start(*vm, run->second);
             abandon_start(*vm, run->second, "another_run_found");
             continue;
         }
         if (!fits({}, vm->free())) {
-            run->second.start_pending = false;
+            end_start(*vm, run->second);
             abandon_start(*vm, run->second, "capacity_shrunk");
             continue;
         }
@@ -413,6 +423,14 @@
 void scheduler::state::issue_stops(const clock_reading& now, decisions& out) {
     std::size_t pending = 0;
     for (const auto& it : stopping) {
+        const vm_record* const vm = find_vm(it.first);
+        const auto run = vm == nullptr ? decltype(vm->runs.begin()){} : vm->runs.find(it.second);
+        pending += vm != nullptr && run != vm->runs.end() && run->second.stop_pending ? 1 : 0;
+    }
+    for (const auto& it : stopping) {
+        if (pending >= settings.max_pending_stops) {
+            break;
+        }
         vm_record* const vm = find_vm(it.first);
         const auto run = vm == nullptr ? decltype(vm->runs.begin()){} : vm->runs.find(it.second);
         if (vm == nullptr || run == vm->runs.end() || run->second.stop_pending ||
@@ -421,6 +439,7 @@
             continue;
         }
         run->second.stop_pending = true;
+        ++pending;
         out.stops.push_back({it.first, it.second, run->second.run, run->second.stop_reason});
     }
 }
@@ -435,7 +454,7 @@
     }
     if (answer) {
         vm->answered_at = now.steady;
-        run->start_pending = false;
+        state_->end_start(*vm, *run);
         if (run->phase == run_phase::starting) {
             run->phase = run_phase::running;
         }
@@ -455,13 +474,13 @@
             state_->starts_to_retry.insert({id, task});
             return;
         }
-        run->start_pending = false;
+        state_->end_start(*vm, *run);
         if (!run->confirmed_at) {
             state_->abandon_start(*vm, *run, "start_unanswered");
         }
         return;
     }
-    run->start_pending = false;
+    state_->end_start(*vm, *run);
     if (run->confirmed_at) {
         return;  // a repeated start was refused because the run has ended
     }
@@ -605,7 +624,7 @@
     }
     place_run(vm, *job, *step, found.task, found.run, now);
     auto& placed = vm.runs.at(found.task);
-    placed.start_pending = false;
+    end_start(vm, placed);
     placed.confirmed_at = now.steady;
     placed.listed = true;
     placed.adopted = true;
@@ -638,7 +657,7 @@
         forget_run(*vm, task);
         place_run(*vm, *job, *step, task, previous.run, original_time);
         auto& run = vm->runs.at(task);
-        run.start_pending = false;
+        end_start(*vm, run);
         run.confirmed_at = previous.confirmed_at;
         run.listed = previous.listed;
         run.adopted = previous.adopted;
