fleet_daemon: the number of partitions of the jobs is stored beside them

Cause: the number of partitions followed from the settings, and a job's partition from its id and that number.

Change: the row "layout" of the table "fleet" holds the number. The first daemon writes it, the others use it, and a daemon is ready and owns the fleet only once it knows it.

By review, open: leases of a previous owner are judged by the new owner's settings.

--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_api.hpp
@@ -140,7 +140,7 @@
     void retry_cancellation(const std::shared_ptr<lookup>& request);
 
     fleet::row_store& store_;
-    job_layout layout_;
+    const job_layout& layout_;
     fleet_view& view_;
     base::metrics& metrics_;
     base::suspend_aware_clock clock_;
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/job_layout.hpp
@@ -12,11 +12,17 @@
 namespace cranberrydock::fleet_daemon {
 
 // Maps jobs to partitions of the store, which the store writes independently of each other. All
-// rows of a job are in one partition. All daemons must use the same number of partitions.
+// rows of a job are in one partition. The number of partitions is stored beside the jobs: the first
+// daemon determines it, and all others use it, whatever their settings say.
 class job_layout {
 public:
+    job_layout() = default;
     explicit job_layout(std::size_t partition_count) : partition_count_(partition_count) {}
 
+    // The other functions require that the layout is known.
+    bool known() const { return partition_count_ > 0; }
+    std::size_t partition_count() const { return partition_count_; }
+
     std::vector<fleet::partition_name> partitions() const;
     fleet::partition_name partition_of(const fleet::job_id& job) const;
 
@@ -33,6 +39,10 @@
     std::size_t partition_count_ = 0;  // 0: not known yet
 };
 
+std::string encode_layout(const job_layout& layout);
+// Not known if the value can't be read.
+job_layout decode_layout(const std::string& value);
+
 extern const fleet::table_name job_table;
 extern const fleet::table_name progress_table;
 extern const fleet::table_name ended_table;
@@ -52,6 +62,8 @@
 };
 progress_row_name parse_progress_row(const fleet::row_name& row);
 
+// In the fleet table.
+fleet::row_address layout_row();
 fleet::row_address owner_row();
 fleet::row_address vm_record_row(std::size_t part);
 fleet::row_address fencing_token_row(const fleet::partition_name& partition);
--- a/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
+++ b/packages/fleet_daemon/include/cranberrydock/fleet_daemon/submission_writer.hpp
@@ -151,7 +151,7 @@
 
     net::event_loop& loop_;
     fleet::row_store& store_;
-    job_layout layout_;
+    const job_layout& layout_;
     owner_writer& owner_;
     base::metrics& metrics_;
     fleet::store_limits limits_;
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -84,7 +84,6 @@
           stopped(std::move(on_stopped)),
           ownership(initial_settings.vm_name, initial_settings.run, initial_settings.peers.text(),
                     initial_settings.ownership),
-          layout(initial_settings.job_parts),
           advisors(event_loop, placement, metrics),
           callers(loop, store, layout, *this, metrics, initial_settings.owner.limits),
           configuration_rows([this](const auto& all) { on_configuration(all); },
@@ -108,7 +107,7 @@
 
     // fleet_view
     std::shared_ptr<const fleet::fleet_configuration> configuration() const override {
-        return configured;
+        return layout.known() ? configured : nullptr;
     }
     const fleet::owner_record& owner() const override { return ownership.record(); }
     base::milliseconds owner_age() const override {
@@ -168,6 +167,10 @@
     // peer_services
     void write_job(const delegated_job& delegated, base::milliseconds timeout,
                    const write_callback& done) override {
+        if (!layout.known()) {
+            done({write_outcome::refused, {}});
+            return;
+        }
         callers.write(delegated, timeout, [this, delegated, done](const write_result& result) {
             if (local_owner && result.outcome == write_outcome::written) {
                 local_owner->job_written(delegated.job, delegated.row, result.version);
@@ -266,6 +269,12 @@
     void on_fleet_table(const std::vector<fleet::stored_row>& received) {
         peers.clear();
         peer_records.clear();
+        if (!layout.known()) {
+            const auto stored = std::find_if(received.begin(), received.end(), [](const auto& it) {
+                return it.address.name == layout_row().name && !it.removed;
+            });
+            stored == received.end() ? write_layout() : on_layout_row(*stored);
+        }
         const bool has_owner = std::any_of(received.begin(), received.end(), [](const auto& it) {
             return it.address.name == owner_row().name;
         });
@@ -279,6 +288,42 @@
         }
     }
 
+    // Once known, the layout does not change: jobs are stored by it.
+    void on_layout_row(const fleet::stored_row& row) {
+        if (layout.known() || row.removed) {
+            return;
+        }
+        layout = decode_layout(row.value);
+        if (!layout.known()) {
+            spdlog::error("event=row_unreadable table=fleet row=layout");
+            return;
+        }
+        spdlog::info("event=job_layout partitions={} by_settings={}", layout.partition_count(),
+                     settings.job_parts);
+    }
+
+    // Stores the layout that follows from the settings, unless another daemon has stored one.
+    void write_layout() {
+        fleet::row_transaction transaction;
+        transaction.conditions.push_back({layout_row(), fleet::store_version(0)});
+        transaction.puts.push_back({layout_row(), encode_layout(job_layout(settings.job_parts))});
+        store.commit(transaction, owner_write_timeout, alive.guard([this](const auto& answer) {
+            if (answer || layout.known()) {
+                on_layout_row({layout_row(), encode_layout(job_layout(settings.job_parts)),
+                               answer.value_or(fleet::store_version(0)), false});
+                return;
+            }
+            for (const auto& it : answer.error().rows) {
+                if (it.address.name == layout_row().name) {
+                    on_layout_row(it);
+                }
+            }
+            if (!layout.known()) {
+                layout_timer = loop.after(announce_retry_pause, [this] { write_layout(); });
+            }
+        }));
+    }
+
     void on_fleet_rows(const std::vector<fleet::stored_row>& received) {
         bool peers_changed = false;
         for (const auto& it : received) {
@@ -289,6 +334,10 @@
                 on_owner_row(it);
                 continue;
             }
+            if (it.address.name == layout_row().name) {
+                on_layout_row(it);
+                continue;
+            }
             const std::string name = vm_of_daemon_row(it.address.name);
             if (name.empty() || name == settings.vm_name) {
                 continue;
@@ -457,7 +506,7 @@
             // task with the token only.
             ownership.step_down();
         }
-        if (!local_owner && ownership.owns() && configured &&
+        if (!local_owner && ownership.owns() && configured && layout.known() &&
             ownership.may_issue_commands(clock.now())) {
             start_ownership();
         }
@@ -633,7 +682,7 @@
     }
 
     bool ready() const {
-        return configured && !stopping &&
+        return configured && layout.known() && !stopping &&
                clock.now() - store_answered_at < settings.store_response_timeout;
     }
 
@@ -664,7 +713,7 @@
     base::suspend_aware_clock clock;
 
     fleet::ownership ownership;
-    job_layout layout;
+    job_layout layout;  // by the store
     advisor_pool advisors;
     job_api callers;
     detail::rows_listener configuration_rows;
@@ -712,6 +761,7 @@
     std::unique_ptr<net::timer> probing;
     std::unique_ptr<net::timer> end_ownership_timer;
     std::unique_ptr<net::timer> announce_timer;
+    std::unique_ptr<net::timer> layout_timer;
     std::unique_ptr<net::timer> finish;
     lifetime alive;
 };
--- a/packages/fleet_daemon/src/job_layout.cpp
+++ b/packages/fleet_daemon/src/job_layout.cpp
@@ -3,6 +3,8 @@
 
 #include <xxhash.h>
 
+#include <charconv>
+
 namespace cranberrydock::fleet_daemon {
 
 const fleet::table_name job_table("jobs");
@@ -16,6 +18,7 @@
 
 const std::string daemon_prefix = "daemon-";
 constexpr char block_separator = '.';
+constexpr std::size_t max_partitions = 10'000;  // more are taken for an invalid value
 
 fleet::partition_name numbered_partition(std::size_t n) {
     return fleet::partition_name("p" + std::to_string(n));
@@ -60,6 +63,20 @@
     return {ended_table, partition_of(job), fleet::row_name(job.str())};
 }
 
+std::string encode_layout(const job_layout& layout) {
+    return std::to_string(layout.partition_count());
+}
+
+job_layout decode_layout(const std::string& value) {
+    std::size_t count = 0;
+    const auto read = std::from_chars(value.data(), value.data() + value.size(), count);
+    return read.ec == std::errc() && count <= max_partitions ? job_layout(count) : job_layout();
+}
+
+fleet::row_address layout_row() {
+    return {fleet_table, fleet::partition_name(""), fleet::row_name("layout")};
+}
+
 fleet::row_address owner_row() {
     return {fleet_table, fleet::partition_name(""), fleet::row_name("owner")};
 }
