--- a/test/standins/fleet_cluster.cpp
+++ b/test/standins/fleet_cluster.cpp
@@ -78,7 +78,7 @@
             {"portRange", {entry->peer_address.port, entry->peer_address.port}},
             {"limits", {{"cpuShare", 1.0}, {"memoryMb", 260}, {"linkMbps", 1000}}},
             {"bounds",
-             {{"holdMaxMs", 6000},
+             {{"holdMaxMs", plan.max_lease.count()},
               {"stopMs", plan.max_stop_time.count()},
               {"graceS", 6},
               {"status_s", 120}}},
--- a/test/standins/fleet_vm.cpp
+++ b/test/standins/fleet_vm.cpp
@@ -16,7 +16,7 @@
     if (order.lease_until < now_) {
         return tl::make_unexpected(command_failure::too_late);
     }
-    lease_until_ = std::max(lease_until_, order.lease_until);
+    extend_lease(order.lease_until);
     const auto current = running_.find(order.task);
     if (current != running_.end()) {
         if (current->second.number == order.run) {
@@ -60,7 +60,7 @@
         return tl::make_unexpected(command_failure::stale_fencing_token);
     }
     fencing_token_ = owner;
-    lease_until_ = std::max(lease_until_, order.lease_until);
+    extend_lease(order.lease_until);
     completions_.erase(
         std::remove_if(completions_.begin(), completions_.end(),
                        [&](const auto& it) { return it.number <= order.acknowledged; }),
@@ -77,6 +77,12 @@
     return out;
 }
 
+void fleet_vm::extend_lease(fleet::vm_time until) {
+    const auto granted =
+        max_lease_ ? std::min(until, fleet::vm_time(now_.value() + max_lease_->count())) : until;
+    lease_until_ = std::max(lease_until_, granted);
+}
+
 void fleet_vm::end_run(const fleet::task_ref& task, fleet::completion_kind kind) {
     end_run(task, kind, now_);
 }
--- a/test/standins/fleet_vm.hpp
+++ b/test/standins/fleet_vm.hpp
@@ -50,6 +50,8 @@
           on_run_end_(std::move(on_run_end)) {}
 
     const fleet::vm_info& facts() const { return facts_; }
+    // Longer leases are shortened to this.
+    void set_max_lease(base::milliseconds lease) { max_lease_ = lease; }
     // Does not affect the runs: the VM starts what it is told to.
     void set_capacity(const base::resources& capacity) { facts_.capacity = capacity; }
 
@@ -101,6 +103,7 @@
 
 private:
     void end_run(const fleet::task_ref& task, fleet::completion_kind kind, fleet::vm_time at);
+    void extend_lease(fleet::vm_time until);
 
     fleet::vm_info facts_;
     task_behavior_function behavior_;
@@ -111,6 +114,7 @@
     fleet::vm_time now_{1'000};
     fleet::fencing_token fencing_token_;
     fleet::vm_time lease_until_;
+    std::optional<base::milliseconds> max_lease_;
     std::map<fleet::task_ref, run> running_;
     // Per task, the highest run that ended or was stopped, also before its start arrived.
     std::map<fleet::task_ref, fleet::run_number> highest_ended_;
--- a/test/standins/platform_site.cpp
+++ b/test/standins/platform_site.cpp
@@ -189,6 +189,7 @@
                     ? site.plan.stop_time
                     : stop_times[static_cast<std::size_t>(index) % stop_times.size()],
                 [this](const auto& end) { site.record_end(*this, end); });
+            vm->set_max_lease(site.plan.max_lease);
         }
         net::event_loop& loop() const { return site.loop; }
 
--- a/test/standins/platform_site.hpp
+++ b/test/standins/platform_site.hpp
@@ -34,6 +34,8 @@
     // it in the daemons' settings.
     base::milliseconds stop_time{0};
     base::milliseconds max_stop_time{400};
+    // VMs shorten longer leases to this, whichever incarnation a command was meant for.
+    base::milliseconds max_lease{6'000};
     // The stop times of the VMs, assigned to the VMs in turn. Empty: stop_time for all VMs.
     std::vector<base::milliseconds> stop_times;
     // Returns the address through which the daemons reach a listener of the platform; empty: the
