fleet_daemon: a conflict keeps the conditions of jobs whose progress was sent

Cause: after a conflict the versions of the rows of all jobs in the transaction were forgotten, also of those whose progress was sent, which no condition had checked. Their ends were then saved without a condition, over a cancellation that another daemon had confirmed. It takes a lost answer of the store before.

Change: only the versions of jobs whose ends were sent are forgotten.

The other case has its checks as they were; its set-up is a fixture now.

--- a/packages/fleet_daemon/src/owner_persistence.cpp
+++ b/packages/fleet_daemon/src/owner_persistence.cpp
@@ -354,9 +354,11 @@
         send_progress(name);
         return;
     }
-    std::vector<fleet::job_id> not_saved;
+    std::vector<fleet::job_id> not_ended;
     for (const auto& it : partition.sent) {
-        not_saved.push_back(it.job);
+        if (is_final(it.progress.state)) {
+            not_ended.push_back(it.job);
+        }
     }
     put_back_sent(partition);
     if (answer.error().failure == fleet::store_failure::conflict) {
@@ -367,7 +369,7 @@
         }
         // An earlier write of this owner was applied although its answer was lost.
         partition.fencing_token_row_version = found.front().version;
-        apply_cancellations(partition, not_saved, found);
+        apply_cancellations(partition, not_ended, found);
         send_progress(name);
         return;
     }
@@ -376,13 +378,13 @@
 }
 
 void owner_task::state::apply_cancellations(partition_state& partition,
-                                            const std::vector<fleet::job_id>& sent,
+                                            const std::vector<fleet::job_id>& not_ended,
                                             const std::vector<fleet::stored_row>& found) {
-    // After the conflict, the recorded versions of the jobs that were sent are no longer valid. A
-    // job's end may have been saved although the answer was lost; its row then no longer exists and
-    // is not among those found. The recorded versions of other jobs stay valid, since the
-    // transaction did not check their rows.
-    for (const auto& it : sent) {
+    // After the conflict, the recorded versions of the jobs whose ends were sent are no longer
+    // valid. A job's end may have been saved although the answer was lost; its row then no longer
+    // exists and is not among those found. The recorded versions of other jobs stay valid, also of
+    // those whose progress was sent, since the transaction did not check their rows.
+    for (const auto& it : not_ended) {
         submitted_versions.erase(it);
     }
     for (const auto& it : found) {
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -146,7 +146,9 @@
     // Separates the job whose row the store rejects from the others.
     void on_write_rejected(const fleet::partition_name& name);
     // Handles a conflict in which a job was cancelled just before its end was to be saved.
-    void apply_cancellations(partition_state& partition, const std::vector<fleet::job_id>& sent,
+    // `not_ended`: the jobs whose ends the transaction was to save.
+    void apply_cancellations(partition_state& partition,
+                             const std::vector<fleet::job_id>& not_ended,
                              const std::vector<fleet::stored_row>& found);
     // Removes jobs that ended longer than `ended_job_retention` ago.
     void remove_expired_jobs();
--- a/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
+++ b/test/correctness/write_conflict_keeps_conditions_of_other_jobs.cpp
@@ -90,8 +90,17 @@
         watched = std::move(done);
     }
 
+    void run(const fleet::job_id& job) {
+        report.boot = fleet::boot_time(1);
+        report.running.push_back({{job, 0, 0, 0}, fleet::run_number(1), {}, 0});
+        const auto done = std::move(watched);
+        watched = {};
+        done(report);
+    }
+
     void complete(const fleet::job_id& job) {
         report.boot = fleet::boot_time(1);
+        report.running.clear();
         report.completions.push_back({fleet::completion_number(++last_number),
                                       {job, 0, 0, 0},
                                       fleet::run_number(1),
@@ -117,18 +126,14 @@
     void on_superseded(const std::string& where) override { ADD_FAILURE() << where; }
 };
 
-TEST(write_conflict, keeps_conditions_of_other_jobs) {
-    net::event_loop loop;
-    two_job_store store(loop);
-    scripted_vm vm;
-    all_rights rights;
-    base::metrics metrics;
-    fleet_daemon::advisor_pool advisors(loop, vm, metrics);
-    fleet_daemon::owner_settings settings;
-    fleet_daemon::owner_task owner(loop, store, vm, *store.rows, store.layout, advisors, rights,
-                                   fleet::fencing_token(2), settings, metrics);
-    owner.configure(std::make_shared<fleet::fleet_configuration>());
-    const auto run_until = [&](const std::function<bool()>& condition) {
+class write_conflict : public testing::Test {
+public:
+    write_conflict() {
+        owner.configure(std::make_shared<fleet::fleet_configuration>());
+        run_for(300);
+    }
+
+    bool run_until(const std::function<bool()>& condition) {
         const auto poll_timer = loop.every(base::milliseconds(5), [&] {
             if (condition()) {
                 loop.stop();
@@ -137,12 +142,44 @@
         const auto stop_timer = loop.after(base::milliseconds(3'000), [&] { loop.stop(); });
         loop.run();
         return condition();
-    };
-    const auto run_for = [&](int ms) {
+    }
+
+    void run_for(int ms) {
         const auto stop_timer = loop.after(base::milliseconds(ms), [&] { loop.stop(); });
         loop.run();
-    };
-    run_for(300);
+    }
+
+    // The version of the job's row that the write requires; -1: none.
+    std::int64_t condition_of(std::size_t write, const fleet::job_id& job) const {
+        const auto& conditions = store.writes.at(write).transaction.conditions;
+        const auto it =
+            std::find_if(conditions.begin(), conditions.end(), [&](const auto& row_condition) {
+                return row_condition.address.table == fleet_daemon::job_table &&
+                       row_condition.address.name.str() == job.str();
+            });
+        return it == conditions.end() ? std::int64_t{-1} : it->version.value();
+    }
+
+    void answer_with_conflict(std::size_t write, std::vector<fleet::stored_row> rows) {
+        store.writes.at(write).done(tl::make_unexpected(
+            fleet::store_error{fleet::store_failure::conflict, std::move(rows)}));
+    }
+
+    net::event_loop loop;
+    two_job_store store{loop};
+    scripted_vm vm;
+    all_rights rights;
+    base::metrics metrics;
+    fleet_daemon::advisor_pool advisors{loop, vm, metrics};
+    fleet_daemon::owner_settings settings;
+    fleet_daemon::owner_task owner{loop,         store,    vm,     *store.rows,
+                                   store.layout, advisors, rights, fleet::fencing_token(2),
+                                   settings,     metrics};
+    const fleet::row_address fencing_token_address =
+        fleet_daemon::fencing_token_row(store.layout.partition_of(first));
+};
+
+TEST_F(write_conflict, keeps_conditions_of_other_jobs) {
     ASSERT_TRUE(vm.watched);
     vm.complete(first);
     ASSERT_TRUE(run_until([&] { return store.writes.size() == 1; }));
@@ -152,25 +189,29 @@
     ASSERT_EQ(store.writes.size(), 1U) << "the second write must wait for the first";
 
     // The row of the first job has changed since it was submitted.
-    const auto fencing_token_address =
-        fleet_daemon::fencing_token_row(store.layout.partition_of(first));
-    store.writes[0].done(tl::make_unexpected(fleet::store_error{
-        fleet::store_failure::conflict,
-        {{fencing_token_address, "2", submitted},
-         {store.layout.job_row(first), two_job_store::row_of(first), fleet::store_version(2)}}}));
+    answer_with_conflict(
+        0, {{fencing_token_address, "2", submitted},
+            {store.layout.job_row(first), two_job_store::row_of(first), fleet::store_version(2)}});
     ASSERT_TRUE(run_until([&] { return store.writes.size() == 2; }));
-    const auto& transaction = store.writes[1].transaction;
-    const auto condition_of = [&](const fleet::job_id& job) {
-        const auto it =
-            std::find_if(transaction.conditions.begin(), transaction.conditions.end(),
-                         [&](const auto& row_condition) {
-                             return row_condition.address.table == fleet_daemon::job_table &&
-                                    row_condition.address.name.str() == job.str();
-                         });
-        return it == transaction.conditions.end() ? std::int64_t{-1} : it->version.value();
-    };
-    EXPECT_EQ(condition_of(first), 2);
-    EXPECT_EQ(condition_of(second), submitted.value());
+    EXPECT_EQ(condition_of(1, first), 2);
+    EXPECT_EQ(condition_of(1, second), submitted.value());
+}
+
+// Guards against "shown as complete after cancelled": the write of a job's progress did not check
+// the job's row, so a conflict of that write says nothing of it.
+TEST_F(write_conflict, keeps_condition_of_job_whose_progress_was_sent) {
+    ASSERT_TRUE(vm.watched);
+    vm.run(second);
+    ASSERT_TRUE(run_until([&] { return store.writes.size() == 1; }));
+    EXPECT_EQ(condition_of(0, second), -1);
+    // An earlier write of this owner was applied although its answer was lost.
+    answer_with_conflict(0, {{fencing_token_address, "2", fleet::store_version(2)}});
+    ASSERT_TRUE(run_until([&] { return store.writes.size() == 2; }));
+    store.writes[1].done(fleet::store_version(3));
+    ASSERT_TRUE(run_until([&] { return static_cast<bool>(vm.watched); }));
+    vm.complete(second);
+    ASSERT_TRUE(run_until([&] { return store.writes.size() == 3; }));
+    EXPECT_EQ(condition_of(2, second), submitted.value());
 }
 
 }  // namespace
