fleet_daemon: a new owner reports states once its feed is as recent as its load

Cause: a new owner answered status queries from its load, before it had read any change since.

Change: until then it reports nothing, and the caller's daemon reads the store.

Result: the new case of owner_publishes_only_complete_figures failed before and passes.

--- a/packages/fleet_daemon/src/owner_startup.cpp
+++ b/packages/fleet_daemon/src/owner_startup.cpp
@@ -252,6 +252,7 @@
     }
     jobs_known = true;
     if (first) {
+        loaded_at = clock.now();
         remove_blocks_of_ended_jobs(rows_found);
         spdlog::info(
             "event=owner_loaded fence={} jobs={} took_ms={}", owner.value(), rows_found.size(),
--- a/packages/fleet_daemon/src/owner_state.hpp
+++ b/packages/fleet_daemon/src/owner_state.hpp
@@ -45,6 +45,9 @@
     void add_job(const fleet::stored_row& row, bool loaded);
     // Whether all jobs that were accepted until recently have been read.
     bool jobs_are_current() const;
+    // Whether the jobs have been read once more since they were loaded. Another daemon may have
+    // confirmed a cancellation after the load had read the job.
+    bool knows_earlier_cancellations() const { return jobs_known && jobs.as_of() >= loaded_at; }
     void on_member_table(const std::vector<fleet::stored_row>& rows);
     void on_member_changes(const std::vector<fleet::stored_row>& rows);
     // False if the entry can't be read, and so names no VM.
@@ -211,6 +214,7 @@
     mutable std::uint64_t vm_record_revision = 0;
     bool starts_held = false;     // because the last read of the jobs is too old
     base::time_point started_at;  // when this daemon became the owner
+    base::time_point loaded_at;   // when the jobs became known
 
     std::unordered_map<fleet::job_id, fleet::job_progress> progress;  // only while loading
     std::size_t partitions_fenced = 0;
--- a/packages/fleet_daemon/src/owner_task.cpp
+++ b/packages/fleet_daemon/src/owner_task.cpp
@@ -309,8 +309,8 @@
         return;
     }
     const auto known = state_->scheduler.status_of(job);
-    if (!known || !state_->rights.may_issue_commands()) {
-        done(std::nullopt);
+    if (!known || !state_->rights.may_issue_commands() || !state_->knows_earlier_cancellations()) {
+        done(std::nullopt);  // the caller's daemon reads the store
     } else if (is_final(known->state) && known->state != fleet::job_state::cancelled) {
         // Answered once the end is durable, since another owner must not report a different state.
         // The state of a cancelled job is durable already, in the job's row.
--- a/test/correctness/owner_publishes_only_complete_figures.cpp
+++ b/test/correctness/owner_publishes_only_complete_figures.cpp
@@ -215,4 +215,21 @@
     EXPECT_TRUE(owner->vm_record_parts().empty());
 }
 
+// Guards against "shown as active after cancelled": another daemon may have confirmed a
+// cancellation after the new owner's load had read the job.
+TEST_F(owner_figures, of_jobs_are_not_reported_before_their_feed_is_as_recent_as_the_load) {
+    start_owner();
+    run_for(short_wait);
+    ASSERT_TRUE(owner->has_loaded(fleet::job_id("job")));
+    const auto state = [this] {
+        std::optional<fleet_daemon::owner_job_status> out;
+        owner->job_status(fleet::job_id("job"), [&out](const auto& known) { out = known; });
+        return out;
+    };
+    EXPECT_FALSE(state());
+    run_for(feed_wait);
+    ASSERT_TRUE(state());
+    EXPECT_EQ(state()->state, fleet::job_state::queued);
+}
+
 }  // namespace
