fleet: blocks of occurrences that a job does not have are ignored

Cause: a row of progress that names an occurrence far beyond the job's would have made an owner open all occurrences before it (by review; no play).

Change: such a block is ignored, as one of an unknown step was. Two lines that read badly are rewritten.

Result: progress_row.of_unknown_block_is_ignored passes; without the check it would open two thousand million occurrences (not run).

--- a/packages/fleet/src/scheduler_jobs.cpp
+++ b/packages/fleet/src/scheduler_jobs.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// The least bounds that keep an owner's memory and the row of a job small.
+// Bounds of what one job takes of an owner's memory, and of its progress row.
 constexpr std::int64_t max_open_tasks_per_job = max_tasks_per_job;
 constexpr std::size_t max_open_occurrences_per_job = 4'096;
 
@@ -274,8 +274,9 @@
     }
     for (const auto& saved : progress.blocks) {
         const block_ref& block = saved.first;
-        if (progress.is_finished(block.occurrence) ||
-            block.step >= static_cast<int>(job.spec.steps.size())) {
+        const bool exists = block.occurrence < std::max(1, job.spec.occurrences) &&
+                            block.step < static_cast<int>(job.spec.steps.size());
+        if (!exists || progress.is_finished(block.occurrence)) {
             continue;
         }
         // Blocks are written before the row that shows their occurrence.
--- a/packages/fleet_daemon/src/daemon.cpp
+++ b/packages/fleet_daemon/src/daemon.cpp
@@ -273,7 +273,11 @@
             const auto stored = std::find_if(received.begin(), received.end(), [](const auto& it) {
                 return it.address.name == layout_row().name && !it.removed;
             });
-            stored == received.end() ? write_layout() : on_layout_row(*stored);
+            if (stored == received.end()) {
+                write_layout();
+            } else {
+                on_layout_row(*stored);
+            }
         }
         const bool has_owner = std::any_of(received.begin(), received.end(), [](const auto& it) {
             return it.address.name == owner_row().name;
--- a/test/correctness/progress_row_stays_bounded.cpp
+++ b/test/correctness/progress_row_stays_bounded.cpp
@@ -187,4 +187,21 @@
     EXPECT_EQ(next.status_of(fleet::job_id("timed"))->state, fleet::job_state::failed);
 }
 
+// A row that names an occurrence or a step which the job does not have is ignored.
+TEST_F(progress_row, of_unknown_block_is_ignored) {
+    fleet::job_progress progress;
+    progress.state = fleet::job_state::active;
+    fleet::step_progress done;
+    done.done = {true};
+    done.failed_runs.resize(1);
+    progress.blocks[{2'000'000'000, 0, 0}] = done;
+    progress.blocks[{0, 7, 0}] = done;
+    progress.blocks[{0, 0, 64}] = done;
+    owner.add_job(timed_job(), &progress, true, now);
+    pass(base::milliseconds(100));
+    const auto started = owner.decide(now, {}).starts;
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].task.occurrence, 0);
+}
+
 }  // namespace
