fleet: the bound on unanswered commands follows the size of the fleet

Cause: 2,048 starts at once were more than the VMs of 48 carried out within the timeout of a command. Answers were lost, starts repeated and their runs stopped, which cost the time that was missing.

Change: 8 unanswered starts and stops for each VM, 512 at least and 2,048 at most, and 16 starts on one VM.

Result: unanswered_starts_are_bounded passes with these bounds; its case of stops fills the fleet through them too.

--- a/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/scheduler.hpp
@@ -116,12 +116,15 @@
     // A job that ends later than this multiple of its objective has no more value.
     double late_factor = 3.0;
     crash_settings crashes;
-    // Most unanswered commands. Each takes memory for its request and its connection, and a new
-    // owner may find room for the work of the whole fleet at once.
-    std::size_t max_pending_starts = 2'048;
-    std::size_t max_pending_stops = 2'048;
+    // Most unanswered starts, and likewise stops. Each takes memory for its request and its
+    // connection, and a new owner may find room for the work of the whole fleet at once. More than
+    // the VMs and the network carry out within the timeout of a command would be lost and repeated.
+    std::size_t max_pending_commands = 2'048;
+    // The same for each VM, but not less than the minimum for all of them.
+    std::size_t pending_commands_per_vm = 8;
+    std::size_t min_pending_commands = 512;
     // Most unanswered starts on one VM, so that a few unresponsive VMs do not take up the limit.
-    std::size_t max_pending_starts_per_vm = 64;
+    std::size_t max_pending_starts_per_vm = 16;
     // A job whose progress may need more is stored in blocks.
     std::size_t max_progress_row_bytes = 32'768;
 };
--- a/packages/fleet/src/placement.cpp
+++ b/packages/fleet/src/placement.cpp
@@ -251,7 +251,7 @@
             all_placed = false;
             continue;
         }
-        if (pending_starts >= settings.max_pending_starts) {
+        if (pending_starts >= max_pending_commands()) {
             return false;
         }
         vm_record* best = nullptr;
@@ -482,7 +482,7 @@
         work.step->waits_for = wait_reason::progress_rejected;
         return false;
     }
-    if (pending_starts >= settings.max_pending_starts) {
+    if (pending_starts >= max_pending_commands()) {
         work.step->waits_for = wait_reason::pending_starts;
         return false;
     }
--- a/packages/fleet/src/scheduler_state.hpp
+++ b/packages/fleet/src/scheduler_state.hpp
@@ -423,6 +423,8 @@
     void check_restart(const detail::vm_record& vm, const task_ref& task, run_number run,
                        std::optional<completion_kind> ended, vm_time vm_clock,
                        const clock_reading& now);
+    // Most unanswered starts, and most unanswered stops.
+    std::size_t max_pending_commands() const;
     // No start command for the run is unanswered any more.
     void end_start(detail::vm_record& vm, detail::placed_run& run);
     void request_stop(detail::vm_record& vm, detail::placed_run& run, const std::string& reason);
--- a/packages/fleet/src/scheduler_vms.cpp
+++ b/packages/fleet/src/scheduler_vms.cpp
@@ -193,6 +193,11 @@
     ++job.placed_runs;
 }
 
+std::size_t scheduler::state::max_pending_commands() const {
+    return std::clamp(vms.size() * settings.pending_commands_per_vm, settings.min_pending_commands,
+                      settings.max_pending_commands);
+}
+
 void scheduler::state::end_start(vm_record& vm, placed_run& run) {
     if (std::exchange(run.start_pending, false)) {
         --vm.pending_starts;
@@ -428,7 +433,7 @@
         pending += vm != nullptr && run != vm->runs.end() && run->second.stop_pending ? 1 : 0;
     }
     for (const auto& it : stopping) {
-        if (pending >= settings.max_pending_stops) {
+        if (pending >= max_pending_commands()) {
             break;
         }
         vm_record* const vm = find_vm(it.first);
--- a/test/correctness/unanswered_starts_are_bounded.cpp
+++ b/test/correctness/unanswered_starts_are_bounded.cpp
@@ -69,7 +69,7 @@
     int decisions = 0;
     while (started.size() < static_cast<std::size_t>(jobs) * tasks) {
         const auto starts = decide();
-        ASSERT_LE(starts.size(), settings.max_pending_starts);
+        ASSERT_LE(starts.size(), settings.min_pending_commands);
         std::map<fleet::vm_id, std::size_t> by_vm;
         for (const auto& it : starts) {
             ASSERT_LE(++by_vm[it.vm], settings.max_pending_starts_per_vm);
@@ -108,34 +108,27 @@
     EXPECT_EQ(answered + unanswered, static_cast<std::size_t>(jobs) * tasks);
 }
 
-TEST_F(idle_fleet, stops_are_bounded_too) {
-    settings.max_pending_starts = 100'000;
-    settings.max_pending_starts_per_vm = 100'000;
-    fleet::scheduler wide{fleet::fencing_token(2), settings, metrics};
-    wide.configure(std::make_shared<const fleet::fleet_configuration>(two_queue_configuration()));
-    fleet::vm_info facts;
-    facts.id = fleet::vm_id("vm");
-    facts.service = fleet::service_name("svc");
-    facts.capacity = vm_capacity_of(1'000'000);
-    facts.capacity.memory = base::mebibytes(1'000'000);
-    wide.vm_listed(facts);
-    wide.vm_reported(facts.id, {}, now.steady, now);
-    wide.inherited_runs_reported(now);
-    const fleet::job_spec job = make_job("job", "urgent", {make_step(5'000, 5)});
-    wide.add_job(job, nullptr, false, now);
-    for (const auto& it : wide.decide(now, {}).starts) {
-        wide.start_answered(it.vm, it.task, it.run, fleet::vm_time(1), now);
+TEST_F(idle_fleet, is_emptied_with_bounded_unanswered_stops) {
+    constexpr std::size_t tasks = 5'000;
+    add_vms(16);
+    const fleet::job_spec job = make_job("job", "urgent", {make_step(tasks, 50)});
+    owner.add_job(job, nullptr, false, now);
+    while (owner.run_count() < tasks) {
+        const auto starts = decide();
+        ASSERT_FALSE(starts.empty());
+        for (const auto& it : starts) {
+            answer(it);
+        }
     }
-    wide.cancel_job(job.id, now);
-    ASSERT_EQ(wide.run_count(), 5'000U);
+    owner.cancel_job(job.id, now);
     std::size_t stopped = 0;
-    while (stopped < 5'000) {
+    while (stopped < tasks) {
         now.steady += base::milliseconds(10);
-        const auto stops = wide.decide(now, {}).stops;
+        const auto stops = owner.decide(now, {}).stops;
         ASSERT_FALSE(stops.empty());
-        ASSERT_LE(stops.size(), settings.max_pending_stops);
+        ASSERT_LE(stops.size(), settings.min_pending_commands);
         for (const auto& it : stops) {
-            wide.stop_answered(it.vm, it.task, it.run, fleet::vm_time(1), now);
+            owner.stop_answered(it.vm, it.task, it.run, fleet::vm_time(1), now);
         }
         stopped += stops.size();
     }
