fleet: possible losses don't put tasks apart

Cause: a possible loss counted for the longer probation and for the wait for a VM apart from other such tasks, and a new owner adds one for each task with a loss that no VM runs.

--- a/packages/fleet/include/cranberrydock/fleet/crash_evidence.hpp
+++ b/packages/fleet/include/cranberrydock/fleet/crash_evidence.hpp
@@ -55,7 +55,7 @@
     // The evidence has to be saved before the task is started again.
     bool suspected() const { return needs_probation() || losses > 1; }
     // The next starts decide, so that no two such tasks are to run on one VM.
-    bool nearly_given_up() const { return possible_losses() >= losses_before_probation; }
+    bool nearly_given_up() const { return losses >= losses_before_probation; }
     int possible_crashes() const;
     int possible_losses() const { return losses + static_cast<int>(unresolved.size()); }
 
